Lay down the workspace, core types, wire format and borders

Cause: the code base starts here, and several people will build on the same interfaces at once. Before: nothing. Conclusion: the interfaces compile together; no request path yet.

--- /dev/null
+++ b/crates/lift_admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! The administration API of the entries.
--- /dev/null
+++ b/crates/lift_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments that measure bursts, requests and configuration changes.
--- /dev/null
+++ b/crates/lift_border/src/lib.rs
@@ -0,0 +1,45 @@
+//! Traits for the systems at the borders of marjoramlift, with one implementation each.
+//!
+//! [`Backend`] is whatever answers requests: a model engine or a plain service.
+//! [`Engine`] is a backend that also takes orders about weights. [`Origin`] and
+//! [`WeightStore`] are where weights come from. [`Platform`] is told whether this
+//! process is ready. [`ServingControl`] is the border between the two halves of an
+//! agent: the half that changes weights and the half that runs requests.
+//!
+//! The users' real systems are not known yet. Another implementation of a trait needs
+//! no change behind it. Small stand-ins are in `lift_standin`; `docs/design.md`,
+//! section 5, has the reasons.
+
+mod answer;
+mod answer_head;
+mod backend;
+mod backend_call;
+mod backend_error;
+mod engine;
+mod engine_error;
+mod engine_status;
+mod load_order;
+mod origin;
+mod origin_error;
+mod platform;
+mod platform_error;
+mod readiness;
+mod serving_control;
+mod weight_store;
+
+pub use answer::{Answer, BodyStream};
+pub use answer_head::AnswerHead;
+pub use backend::Backend;
+pub use backend_call::BackendCall;
+pub use backend_error::BackendError;
+pub use engine::Engine;
+pub use engine_error::EngineError;
+pub use engine_status::EngineStatus;
+pub use load_order::LoadOrder;
+pub use origin::Origin;
+pub use origin_error::OriginError;
+pub use platform::Platform;
+pub use platform_error::PlatformError;
+pub use readiness::Readiness;
+pub use serving_control::ServingControl;
+pub use weight_store::WeightStore;
--- /dev/null
+++ b/crates/lift_consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated log's decisions, free of I/O.
--- /dev/null
+++ b/crates/lift_control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control role: drives the replicated log and serves control operations.
--- /dev/null
+++ b/crates/lift_disk/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable log, snapshots and the disk trait.
--- /dev/null
+++ b/crates/lift_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry role: accepts callers' requests and routes them to agents.
--- /dev/null
+++ b/crates/lift_log/src/state_machine.rs
@@ -0,0 +1,17 @@
+//! What the replicated log drives.
+
+use std::fmt;
+
+/// State that committed commands change. Equal logs must give equal states: no clock and
+/// no random numbers.
+pub trait StateMachine: fmt::Debug + Send + Sync {
+    /// Applies one committed command and returns its reply. Called in order of `index`.
+    fn apply(&self, index: lift_types::LogIndex, command: &[u8]) -> bytes::Bytes;
+
+    /// Encodes the whole state. Not called while a command is applied.
+    fn snapshot(&self) -> bytes::Bytes;
+
+    /// Replaces the whole state by an encoded one. Returns `false`, and changes nothing,
+    /// where `buf` is not a snapshot that this version can read.
+    fn restore(&self, buf: &[u8]) -> bool;
+}
--- /dev/null
+++ b/crates/lift_obs/src/lib.rs
@@ -0,0 +1,18 @@
+//! Structured logs and counters.
+//!
+//! [`LogConfig`] builds a `slog` logger that writes one line of key=value pairs for
+//! each event. [`Counters`] counts refusals, retries and whatever else operators watch;
+//! it can be read as text and, with a [`StatsdExporter`], sent through `cadence`.
+//! The meaning of each counter is in `docs/operate/counters.md`.
+
+mod counters;
+mod log_config;
+mod log_error;
+mod statsd_error;
+mod statsd_exporter;
+
+pub use counters::Counters;
+pub use log_config::LogConfig;
+pub use log_error::LogError;
+pub use statsd_error::StatsdError;
+pub use statsd_exporter::StatsdExporter;
--- /dev/null
+++ b/crates/lift_obs/src/log_config.rs
@@ -0,0 +1,59 @@
+//! Settings of the log.
+
+use std::{io, sync};
+
+use slog::Drain as _;
+
+use crate::log_error;
+
+/// Events that may wait for the writer. Above it events are dropped and the number of
+/// dropped events is logged, so that a slow terminal never blocks a request.
+const CHANNEL_EVENTS: usize = 4_096;
+
+/// Builds the logger of a process. Without further settings it logs at level `info` to
+/// standard error.
+#[derive(Clone, Debug)]
+pub struct LogConfig {
+    level: slog::Level,
+}
+
+impl LogConfig {
+    /// Starts with level `info`.
+    pub fn new() -> Self {
+        Self {
+            level: slog::Level::Info,
+        }
+    }
+
+    /// Sets the lowest level that is logged: `trace`, `debug`, `info`, `warning`, `error`
+    /// or `critical`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for any other name.
+    pub fn level(mut self, name: &str) -> Result<Self, log_error::LogError> {
+        self.level = name.parse().map_err(|()| log_error::LogError::new(name))?;
+        Ok(self)
+    }
+
+    /// Builds the logger. Its lines are written by a thread of their own.
+    pub fn build(&self) -> slog::Logger {
+        let drain = sync::Mutex::new(slog_logfmt::Logfmt::new(io::stderr()).build()).fuse();
+        let drain = slog_async::Async::new(drain)
+            .chan_size(CHANNEL_EVENTS)
+            .build();
+        let drain = slog::LevelFilter::new(drain, self.level).fuse();
+        slog::Logger::root(drain, slog::o!())
+    }
+
+    /// A logger that drops every event, for tests and embedded use.
+    pub fn discard() -> slog::Logger {
+        slog::Logger::root(slog::Discard, slog::o!())
+    }
+}
+
+impl Default for LogConfig {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/lift_route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions of request handling: routing, admission, retries and membership.
--- /dev/null
+++ b/crates/lift_settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! JSON settings with checks that name the field at fault.
--- /dev/null
+++ b/crates/lift_state/src/lib.rs
@@ -0,0 +1,40 @@
+//! The replicated state machine: configuration, claims, registrations and fencing tokens.
+//!
+//! The files here fall into two kinds. Requests and replies such as [`ConfigChange`] and
+//! [`ChangeReply`] are plain data, which control operations carry. The state machine
+//! applies commands from the replicated log to them; it has no clock and no I/O, so equal
+//! logs give equal states on every control member. See `docs/design.md`, sections 4, 8 and 9.
+
+mod activation_reply;
+mod activation_request;
+mod audit_record;
+mod change_edit;
+mod change_reply;
+mod claim_holder;
+mod claim_key;
+mod claim_reply;
+mod claim_request;
+mod config_change;
+mod lease_renewal;
+mod lease_reply;
+mod outcome;
+mod reassign_request;
+mod record_request;
+mod registration;
+
+pub use activation_reply::ActivationReply;
+pub use activation_request::ActivationRequest;
+pub use audit_record::AuditRecord;
+pub use change_edit::ChangeEdit;
+pub use change_reply::ChangeReply;
+pub use claim_holder::ClaimHolder;
+pub use claim_key::ClaimKey;
+pub use claim_reply::ClaimReply;
+pub use claim_request::ClaimRequest;
+pub use config_change::ConfigChange;
+pub use lease_renewal::LeaseRenewal;
+pub use lease_reply::LeaseReply;
+pub use outcome::{MAX_OUTCOME_BODY_BYTES, Outcome};
+pub use reassign_request::ReassignRequest;
+pub use record_request::RecordRequest;
+pub use registration::Registration;
--- /dev/null
+++ b/crates/lift_swarm/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent's weight distribution: chunk exchange, staging and activation.
--- /dev/null
+++ b/crates/lift_transfer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions of weight distribution: chunk choice, assignment and activation.
--- /dev/null
+++ b/crates/lift_types/src/host_id.rs
@@ -0,0 +1,4 @@
+//! Identifier of a host.
+
+/// Identifies one process of the system and the host it runs on. It comes from the settings and is unique in the fleet.
+pub type HostId = u32;
--- /dev/null
+++ b/crates/lift_types/src/method_id.rs
@@ -0,0 +1,4 @@
+//! Identifier of a method.
+
+/// Name of a method of a service, for example `release`.
+pub type MethodId = String;
--- /dev/null
+++ b/crates/lift_types/src/term.rs
@@ -0,0 +1,4 @@
+//! Term of the replicated log.
+
+/// Election term of the replicated log.
+pub type Term = u64;
--- /dev/null
+++ b/crates/lift_types/src/version_id.rs
@@ -0,0 +1,4 @@
+//! Identifier of a version of the weights.
+
+/// Name of a version of the model weights.
+pub type VersionId = String;
--- /dev/null
+++ b/crates/lift_wire/src/lib.rs
@@ -0,0 +1,40 @@
+//! Framing, authentication and encoding of the messages between marjoramlift processes.
+//!
+//! A TCP connection starts with a handshake ([`connect`] and [`accept`]) in which both
+//! ends prove that they hold a common [`LinkKey`] and agree on a session key. Then each
+//! end has a [`FrameReader`] and a [`FrameWriter`]. A frame carries its length, a
+//! `postcard` payload and a keyed checksum over its sequence number, length and payload,
+//! so that a frame that is cut, doubled, crossed or changed is never delivered. Datagrams
+//! are sealed by [`seal`] and opened by [`open`].
+//!
+//! The messages themselves have a file each. No decision is made here; the decision
+//! crates do not depend on this one. See `docs/design.md`, section 6.
+
+mod datagram;
+mod frame_reader;
+mod frame_writer;
+mod handshake;
+mod hello;
+mod link_key;
+mod link_keys;
+mod purpose;
+mod session;
+mod wire_error;
+
+pub use datagram::{open, seal};
+pub use frame_reader::FrameReader;
+pub use frame_writer::FrameWriter;
+pub use handshake::{accept, connect};
+pub use hello::Hello;
+pub use link_key::LinkKey;
+pub use link_keys::LinkKeys;
+pub use purpose::Purpose;
+pub use session::Session;
+pub use wire_error::WireError;
+
+/// Version of the wire format. Two processes with different versions refuse each other
+/// in the handshake with [`WireError::Version`].
+pub const WIRE_VERSION: u16 = 1;
+
+/// Longest payload of a frame, in bytes. It holds a chunk of 4 MiB and its message head.
+pub const MAX_FRAME_BYTES: u32 = 5 * 1024 * 1024;
--- /dev/null
+++ b/crates/marjoramlift/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
