--- a/crates/lift_rpc/src/lib.rs
+++ b/crates/lift_rpc/src/lib.rs
@@ -8,6 +8,8 @@
 
 mod control_error;
 mod control_port;
+mod swarm_port;
 
 pub use control_error::ControlError;
 pub use control_port::ControlPort;
+pub use swarm_port::SwarmPort;
