Add the replicated log: decisions, disk and driver

Cause: the control role needs a log that a quorum keeps on synced disks.

Conclusion: three members on loopback elect, commit and restart in a test.

--- /dev/null
+++ b/crates/lift_consensus/src/replica_follower.rs
@@ -0,0 +1,185 @@
+//! What a follower does with entries and snapshots of the leader.
+
+use crate::{action, entry, entry_log, member_history, message_body, replica, snapshot};
+
+impl replica::Replica {
+    pub(crate) fn on_append(
+        &mut self,
+        from: lift_types::MemberId,
+        (prev_index, prev_term): (lift_types::LogIndex, lift_types::Term),
+        entries: Vec<entry::Entry>,
+        commit: lift_types::LogIndex,
+        sent: u64,
+    ) {
+        // Entries up to the base are committed, so they equal the leader's.
+        let covered = prev_index < self.log.base_index();
+        if !covered && self.log.term_at(prev_index) != Some(prev_term) {
+            let hint = self.hint(prev_index);
+            let body = message_body::MessageBody::Rejected {
+                prev_index,
+                hint,
+                sent,
+            };
+            self.reply(from, body);
+            return;
+        }
+        let last = prev_index + entries.len() as u64;
+        for entry in entries {
+            self.take_in(entry);
+        }
+        let last = last.max(self.log.base_index());
+        self.commit = self.commit.max(commit.min(last));
+        if self.writes.open.entries.is_empty() {
+            let matched = last.min(self.writes.synced_index());
+            self.reply(from, message_body::MessageBody::Accepted { matched, sent });
+            return;
+        }
+        let matched = last;
+        self.send_synced(from, message_body::MessageBody::Accepted { matched, sent });
+    }
+
+    /// Replies at once, except where the reply depends on an unsynced term.
+    fn reply(&mut self, to: lift_types::MemberId, body: message_body::MessageBody) {
+        if self.writes.hard_state_synced() {
+            self.send(to, body);
+        } else {
+            self.send_synced(to, body);
+        }
+    }
+
+    /// Position before which the logs may be equal. Skips a whole term of entries.
+    fn hint(&self, prev_index: lift_types::LogIndex) -> lift_types::LogIndex {
+        if prev_index > self.log.last_index() {
+            return self.log.last_index();
+        }
+        let floor = self.commit.max(self.log.base_index());
+        self.log
+            .first_of_term(prev_index, floor)
+            .saturating_sub(1)
+            .max(floor)
+    }
+
+    fn take_in(&mut self, entry: entry::Entry) {
+        if entry.index <= self.log.base_index() || self.log.term_at(entry.index) == Some(entry.term)
+        {
+            return;
+        }
+        if entry.index <= self.log.last_index() {
+            self.log.truncate_from(entry.index);
+            self.members.truncate_from(entry.index);
+            self.writes.truncate_from(entry.index);
+        }
+        self.members.push(&entry);
+        self.writes.open.entries.push(entry.clone());
+        self.log.push(entry);
+    }
+
+    pub(crate) fn on_snapshot_chunk(
+        &mut self,
+        from: lift_types::MemberId,
+        body: message_body::MessageBody,
+    ) {
+        let message_body::MessageBody::SnapshotChunk {
+            index,
+            last_term,
+            members,
+            offset,
+            total,
+            part,
+            sent,
+        } = body
+        else {
+            return;
+        };
+        if index <= self.commit {
+            let matched = index.min(self.writes.synced_index());
+            self.reply(from, message_body::MessageBody::Accepted { matched, sent });
+            return;
+        }
+        let received = self.collect(index, offset, &part);
+        if received < total {
+            let body = message_body::MessageBody::SnapshotReply {
+                index,
+                received,
+                sent,
+            };
+            self.reply(from, body);
+            return;
+        }
+        let state = self.incoming.take().map(|(_, buf)| buf.freeze());
+        self.install(snapshot::Snapshot {
+            index,
+            term: last_term,
+            members,
+            state: state.unwrap_or_default(),
+        });
+        let matched = index;
+        self.send_synced(from, message_body::MessageBody::Accepted { matched, sent });
+    }
+
+    /// Adds a part where it is the next one, and returns the number of bytes held.
+    fn collect(&mut self, index: lift_types::LogIndex, offset: u64, part: &bytes::Bytes) -> u64 {
+        let newer = self
+            .incoming
+            .as_ref()
+            .is_none_or(|(held, _)| *held != index);
+        if newer {
+            self.incoming = Some((index, bytes::BytesMut::new()));
+        }
+        let Some((_, buf)) = &mut self.incoming else {
+            return 0;
+        };
+        if offset == buf.len() as u64 {
+            buf.extend_from_slice(part);
+        }
+        buf.len() as u64
+    }
+
+    /// Replaces the log by a snapshot, but keeps entries that follow it.
+    fn install(&mut self, snapshot: snapshot::Snapshot) {
+        let follows = self.log.term_at(snapshot.index) == Some(snapshot.term);
+        if follows {
+            self.log.compact_to(snapshot.index);
+        } else {
+            self.writes.truncate_from(self.commit + 1);
+            self.writes.open.entries.clear();
+            self.log = entry_log::EntryLog::new(snapshot.index, snapshot.term);
+            self.members =
+                member_history::MemberHistory::new(snapshot.index, snapshot.members.clone());
+        }
+        self.commit = snapshot.index;
+        self.handed_out = snapshot.index;
+        self.snapshot = Some(snapshot.clone());
+        self.saving = None;
+        self.actions.push(action::Action::Restore(snapshot.clone()));
+        self.writes.open.install = Some(snapshot);
+    }
+
+    pub(crate) fn on_snapshot_taken(&mut self, index: lift_types::LogIndex, state: bytes::Bytes) {
+        self.encoding = false;
+        let covered = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let Some(term) = self.log.term_at(index).filter(|_| index > covered) else {
+            return;
+        };
+        let members = self.members.at(index).clone();
+        let snapshot = snapshot::Snapshot {
+            index,
+            term,
+            members,
+            state,
+        };
+        self.saving = Some(snapshot.clone());
+        self.actions.push(action::Action::SaveSnapshot(snapshot));
+    }
+
+    pub(crate) fn on_snapshot_saved(&mut self, index: lift_types::LogIndex) {
+        let Some(snapshot) = self.saving.take_if(|snapshot| snapshot.index == index) else {
+            return;
+        };
+        self.snapshot = Some(snapshot);
+        self.members.compact_to(index);
+        let keep = self.cfg.limits.keep_entries;
+        self.log.compact_to(index.saturating_sub(keep));
+        self.writes.open.compact = Some(index);
+    }
+}
--- /dev/null
+++ b/crates/lift_consensus/src/replica_members.rs
@@ -0,0 +1,134 @@
+//! Changes of the members and hand-over of the lead.
+
+use std::time;
+
+use crate::{
+    action, member, member_change, member_role, member_set, message_body, payload, progress,
+    refusal, replica, role,
+};
+
+impl replica::Replica {
+    pub(crate) fn on_change(&mut self, now: time::Instant, change: member_change::MemberChange) {
+        match self.changed_members(now, change) {
+            Ok(members) => self.append_members(members),
+            Err(reason) => self.refuse(reason),
+        }
+    }
+
+    fn changed_members(
+        &self,
+        now: time::Instant,
+        change: member_change::MemberChange,
+    ) -> Result<member_set::MemberSet, refusal::Refusal> {
+        let role::Role::Leader(leader) = &self.role else {
+            return Err(refusal::Refusal::NotLeader);
+        };
+        if leader.transfer.is_some() {
+            return Err(refusal::Refusal::NotLeader);
+        }
+        let settled = leader.opened.max(self.members.current_index());
+        if self.commit < settled {
+            return Err(refusal::Refusal::ChangePending);
+        }
+        let members = self.members().clone();
+        match change {
+            member_change::MemberChange::AddLearner { id, peer, client } => {
+                if id <= members.highest() {
+                    return Err(refusal::Refusal::IdUsed);
+                }
+                let role = member_role::MemberRole::Learner;
+                Ok(members.with(id, member::Member { role, peer, client }))
+            }
+            member_change::MemberChange::Promote { id } => {
+                let Some(found) = members.get(id).copied() else {
+                    return Err(refusal::Refusal::NoSuchMember);
+                };
+                if !self.is_caught_up(now, leader.progress.get(&id)) {
+                    return Err(refusal::Refusal::NotCaughtUp);
+                }
+                let role = member_role::MemberRole::Voter;
+                Ok(members.with(id, member::Member { role, ..found }))
+            }
+            member_change::MemberChange::Remove { id } => {
+                if members.get(id).is_none() {
+                    return Err(refusal::Refusal::NoSuchMember);
+                }
+                let rest = members.without(id);
+                if rest.voters().next().is_none() {
+                    return Err(refusal::Refusal::LastVoter);
+                }
+                Ok(rest)
+            }
+        }
+    }
+
+    /// Whether the member has answered within the last election timeout and has synced
+    /// every committed entry.
+    fn is_caught_up(&self, now: time::Instant, progress: Option<&progress::Progress>) -> bool {
+        let Some(progress) = progress else {
+            return false;
+        };
+        let answered = progress
+            .answered
+            .is_some_and(|at| now.saturating_duration_since(at) < self.cfg.timing.election);
+        answered && progress.matched >= self.commit
+    }
+
+    fn append_members(&mut self, members: member_set::MemberSet) {
+        let term = self.hard_state.term;
+        let first = self.append(payload::Payload::Members(members));
+        let next = self.log.last_index() + 1;
+        let ids: Vec<_> = self.members().iter().map(|(id, _)| id).collect();
+        let own = self.cfg.id;
+        if let role::Role::Leader(leader) = &mut self.role {
+            leader.progress.retain(|id, _| ids.contains(id));
+            for id in ids.into_iter().filter(|id| *id != own) {
+                let new = || progress::Progress::new(next);
+                leader.progress.entry(id).or_insert_with(new);
+            }
+        }
+        self.actions.push(action::Action::Appended { first, term });
+    }
+
+    /// Chooses the voter that is furthest and answers, and hands it the lead once it has
+    /// every entry.
+    pub(crate) fn on_transfer(&mut self, now: time::Instant) {
+        let role::Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let voters = self.members().voters();
+        let followers = voters.filter_map(|id| leader.progress.get(&id).map(|p| (id, p)));
+        let live = followers.filter(|(_, progress)| self.is_answering(now, progress));
+        let best = live.max_by_key(|(_, progress)| progress.matched);
+        let Some((target, _)) = best else {
+            return;
+        };
+        let until = now + self.cfg.timing.election;
+        if let role::Role::Leader(leader) = &mut self.role {
+            leader.transfer = Some((target, until));
+        }
+    }
+
+    fn is_answering(&self, now: time::Instant, progress: &progress::Progress) -> bool {
+        let answered = progress.answered;
+        answered.is_some_and(|at| now.saturating_duration_since(at) < self.cfg.timing.election)
+    }
+
+    /// Stops leading and tells the target to start an election, once the target is synced.
+    /// The lease ends here: it is not renewed in this term.
+    pub(crate) fn finish_transfer(&mut self, now: time::Instant) {
+        let role::Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let Some((target, _)) = leader.transfer else {
+            return;
+        };
+        let progress = leader.progress.get(&target);
+        let synced = progress.is_some_and(|p| p.matched == self.log.last_index());
+        if !synced {
+            return;
+        }
+        self.become_follower(now, None);
+        self.send(target, message_body::MessageBody::TimeoutNow);
+    }
+}
--- /dev/null
+++ b/crates/lift_consensus/src/snapshot.rs
@@ -0,0 +1,16 @@
+//! The state at one position of the log.
+
+use crate::member_set;
+
+/// Replaces all entries up to `index`.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Snapshot {
+    /// Last entry that the state includes.
+    pub index: lift_types::LogIndex,
+    /// Term of that entry.
+    pub term: lift_types::Term,
+    /// Members as of that entry.
+    pub members: member_set::MemberSet,
+    /// Encoded state of the state machine.
+    pub state: bytes::Bytes,
+}
--- a/crates/lift_log/src/leadership.rs
+++ b/crates/lift_log/src/leadership.rs
@@ -21,3 +21,20 @@
         leader: Option<(lift_types::MemberId, net::SocketAddr)>,
     },
 }
+
+impl Leadership {
+    /// Whether nothing but the end of the lease differs.
+    pub(crate) fn differs_in_lease_only(&self, other: &Self) -> bool {
+        match (self, other) {
+            (
+                Self::Leader { term, since, .. },
+                Self::Leader {
+                    term: other_term,
+                    since: other_since,
+                    ..
+                },
+            ) => term == other_term && since == other_since,
+            _ => self == other,
+        }
+    }
+}
--- a/crates/lift_log/src/lib.rs
+++ b/crates/lift_log/src/lib.rs
@@ -2,15 +2,42 @@
 //!
 //! [`ReplicatedLog`] is what the control role uses: it proposes commands and learns who
 //! leads. [`StateMachine`] is what the log drives: it applies committed commands in order.
-//! The driver joins the decisions of `lift_consensus` with the files of `lift_disk` and the
-//! connections of `lift_wire`. See `docs/design.md`, section 9.
+//! [`LogDriver`] joins the decisions of `lift_consensus` with the files of `lift_disk` and
+//! the connections of `lift_wire`. See `docs/design.md`, section 9, and
+//! `docs/decisions/replicated-log.md`.
 
+mod apply_thread;
+mod change_error;
+mod disk_thread;
 mod leadership;
+mod link_switch;
+mod log_driver;
+mod log_driver_builder;
+mod log_status;
+mod node;
+mod peer_frame;
+mod peer_link;
+mod peer_links;
+mod peer_port;
+mod proposal;
 mod propose_error;
 mod replicated_log;
+mod snapshot_thread;
+mod start_error;
 mod state_machine;
+mod timer_thread;
+mod waiters;
 
+pub use change_error::ChangeError;
 pub use leadership::Leadership;
+pub use link_switch::LinkSwitch;
+pub use log_driver::LogDriver;
+pub use log_driver_builder::LogDriverBuilder;
+pub use log_status::LogStatus;
 pub use propose_error::ProposeError;
 pub use replicated_log::ReplicatedLog;
+pub use start_error::StartError;
 pub use state_machine::StateMachine;
+
+/// Longest command, in bytes. It fits into a frame together with the head of its message.
+pub const MAX_COMMAND_BYTES: usize = 4 * 1024 * 1024;
--- /dev/null
+++ b/crates/lift_log/src/log_driver_builder.rs
@@ -0,0 +1,268 @@
+//! Settings of a member.
+
+use std::{net, path, sync, thread, time};
+
+use error_stack::ResultExt as _;
+use rand::SeedableRng as _;
+use sync::{atomic, mpsc};
+use tokio::sync::watch;
+
+use crate::{
+    apply_thread, disk_thread, leadership, link_switch, log_driver, node, peer_link, peer_links,
+    peer_port, snapshot_thread, start_error, state_machine, timer_thread, waiters,
+};
+
+type Result<T> = std::result::Result<T, error_stack::Report<start_error::StartError>>;
+
+/// Builds a [`log_driver::LogDriver`].
+#[derive(Debug)]
+pub struct LogDriverBuilder {
+    replica: lift_consensus::ReplicaConfig,
+    disk: Option<sync::Arc<dyn lift_disk::Disk>>,
+    folder: Option<path::PathBuf>,
+    listener: Option<net::TcpListener>,
+    address: Option<net::SocketAddr>,
+    keys: Option<lift_wire::LinkKeys>,
+    machine: Option<sync::Arc<dyn state_machine::StateMachine>>,
+    log: slog::Logger,
+    counters: Option<sync::Arc<lift_obs::Counters>>,
+    switch: Option<sync::Arc<link_switch::LinkSwitch>>,
+}
+
+impl LogDriverBuilder {
+    pub(crate) fn new() -> Self {
+        Self {
+            replica: lift_consensus::ReplicaConfig::default(),
+            disk: None,
+            folder: None,
+            listener: None,
+            address: None,
+            keys: None,
+            machine: None,
+            log: lift_obs::LogConfig::discard(),
+            counters: None,
+            switch: None,
+        }
+    }
+
+    /// Identifier of this member. A host whose disk was lost needs a new one.
+    pub fn id(mut self, id: lift_types::MemberId) -> Self {
+        self.replica.id = id;
+        self
+    }
+
+    /// Adds a voter of a new cluster. All voters of a new cluster get the same list. A
+    /// member that joins later gets none.
+    pub fn initial_member(
+        mut self,
+        id: lift_types::MemberId,
+        peer: net::SocketAddr,
+        client: net::SocketAddr,
+    ) -> Self {
+        let role = lift_consensus::MemberRole::Voter;
+        let member = lift_consensus::Member { role, peer, client };
+        self.replica.members = self.replica.members.with(id, member);
+        self
+    }
+
+    /// Keeps all files in `folder`.
+    pub fn folder(mut self, folder: impl Into<path::PathBuf>) -> Self {
+        self.folder = Some(folder.into());
+        self
+    }
+
+    /// Keeps all files on `disk` instead of a folder.
+    pub fn disk(mut self, disk: sync::Arc<dyn lift_disk::Disk>) -> Self {
+        self.disk = Some(disk);
+        self
+    }
+
+    /// Accepts other members at `address`.
+    pub fn peer_address(mut self, address: net::SocketAddr) -> Self {
+        self.address = Some(address);
+        self
+    }
+
+    /// Accepts other members at a port that is open already.
+    pub fn peer_listener(mut self, listener: net::TcpListener) -> Self {
+        self.listener = Some(listener);
+        self
+    }
+
+    /// Keys of the links between members.
+    pub fn keys(mut self, keys: lift_wire::LinkKeys) -> Self {
+        self.keys = Some(keys);
+        self
+    }
+
+    /// What the log drives.
+    pub fn state_machine(mut self, machine: sync::Arc<dyn state_machine::StateMachine>) -> Self {
+        self.machine = Some(machine);
+        self
+    }
+
+    /// Logger, by default one that drops all events.
+    pub fn logger(mut self, log: slog::Logger) -> Self {
+        self.log = log;
+        self
+    }
+
+    /// Counters, by default those of this member alone.
+    pub fn counters(mut self, counters: sync::Arc<lift_obs::Counters>) -> Self {
+        self.counters = Some(counters);
+        self
+    }
+
+    /// Durations of the protocol. All members must use the same.
+    pub fn timing(mut self, timing: lift_consensus::Timing) -> Self {
+        self.replica.timing = timing;
+        self
+    }
+
+    /// Sizes of the protocol.
+    pub fn limits(mut self, limits: lift_consensus::Limits) -> Self {
+        self.replica.limits = limits;
+        self
+    }
+
+    /// Lets a test cut and stall the links of this member.
+    pub fn link_switch(mut self, switch: sync::Arc<link_switch::LinkSwitch>) -> Self {
+        self.switch = Some(switch);
+        self
+    }
+
+    /// Reads the disk, opens the port and starts the member.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a setting is missing, the port can't be opened or the disk
+    /// can't be used. Damaged files are named in the report.
+    pub async fn start(self) -> Result<log_driver::LogDriver> {
+        let keys = self.keys.clone().ok_or_else(|| missing("keys"))?;
+        let machine = self
+            .machine
+            .clone()
+            .ok_or_else(|| missing("state_machine"))?;
+        let listener = self.listen()?;
+        let own_address = listener
+            .local_addr()
+            .change_context(start_error::StartError::Port)?;
+        let (disk, folder) = (self.disk.clone(), self.folder.clone());
+        let opening = tokio::task::spawn_blocking(move || open(disk, folder));
+        let opened = opening
+            .await
+            .change_context(start_error::StartError::Disk)?;
+        let (store, snapshots, restored) = opened?;
+
+        let counters = self.counters.clone().unwrap_or_default();
+        let (to_disk, disk_jobs) = mpsc::channel();
+        let (to_apply, apply_jobs) = mpsc::channel();
+        let (to_snapshot, snapshot_jobs) = mpsc::channel();
+        let (new_links, mut links) = tokio::sync::mpsc::unbounded_channel();
+        let (leadership, _) = watch::channel(leadership::Leadership::Follower { leader: None });
+        let rng = rand::rngs::StdRng::from_rng(&mut rand::rng());
+        let id = self.replica.id;
+        let replica =
+            lift_consensus::Replica::new(self.replica, restored, time::Instant::now(), rng);
+        let node = sync::Arc::new(node::Node {
+            id,
+            log: self.log.new(slog::o!("member" => id)),
+            replica: parking_lot::Mutex::new(replica),
+            queue: parking_lot::Mutex::new(Vec::new()),
+            waiters: waiters::Waiters::new(),
+            leadership,
+            links: peer_links::PeerLinks::new(id, sync::Arc::clone(&counters), new_links),
+            counters,
+            switch: self.switch,
+            timer: timer_thread::Timer::default(),
+            to_disk,
+            to_apply,
+            to_snapshot,
+            stopped: atomic::AtomicBool::new(false),
+            cancel: tokio_util::sync::CancellationToken::new(),
+        });
+
+        let driver = log_driver::LogDriver {
+            node: sync::Arc::clone(&node),
+            threads: parking_lot::Mutex::new(Vec::new()),
+            tasks: tokio_util::task::TaskTracker::new(),
+            waiting: log_driver::LogDriver::new_waiting(),
+        };
+        let spawn = |name: &str, run: Box<dyn FnOnce(&node::Node) + Send>| {
+            let node = sync::Arc::clone(&node);
+            let builder = thread::Builder::new().name(format!("log-{name}-{id}"));
+            let spawned = builder.spawn(move || run(&node));
+            let thread = spawned.change_context(start_error::StartError::Thread)?;
+            driver.threads.lock().push(thread);
+            Ok::<_, error_stack::Report<start_error::StartError>>(())
+        };
+        spawn(
+            "disk",
+            Box::new(move |node| disk_thread::run(node, store, &disk_jobs)),
+        )?;
+        spawn(
+            "apply",
+            Box::new(move |node| apply_thread::run(node, &*machine, &apply_jobs)),
+        )?;
+        spawn(
+            "snap",
+            Box::new(move |node| snapshot_thread::run(node, &snapshots, &snapshot_jobs)),
+        )?;
+        spawn("timer", Box::new(timer_thread::run))?;
+
+        let cx = peer_link::LinkContext {
+            node: sync::Arc::clone(&node),
+            keys,
+            own_address,
+        };
+        let tasks = driver.tasks.clone();
+        tasks.spawn(peer_port::run(cx.clone(), listener, tasks.clone()));
+        let link_tasks = tasks.clone();
+        tasks.spawn(async move {
+            let cancel = cx.node.cancel.clone();
+            while let Some(Some(link)) = cancel.run_until_cancelled(links.recv()).await {
+                link_tasks.spawn(peer_link::run(cx.clone(), link));
+            }
+        });
+        node.step(lift_consensus::Event::Tick);
+        Ok(driver)
+    }
+
+    fn listen(&self) -> Result<tokio::net::TcpListener> {
+        let listener = match (&self.listener, self.address) {
+            (Some(listener), _) => listener.try_clone(),
+            (None, Some(address)) => net::TcpListener::bind(address),
+            (None, None) => return Err(error_stack::Report::new(missing("peer_address"))),
+        };
+        let listener = listener.change_context(start_error::StartError::Port)?;
+        let prepared = listener.set_nonblocking(true);
+        prepared.change_context(start_error::StartError::Port)?;
+        tokio::net::TcpListener::from_std(listener).change_context(start_error::StartError::Port)
+    }
+}
+
+/// Reads what the disk holds.
+fn open(
+    disk: Option<sync::Arc<dyn lift_disk::Disk>>,
+    folder: Option<path::PathBuf>,
+) -> Result<(
+    lift_disk::LogStore,
+    lift_disk::SnapshotStore,
+    lift_consensus::Restored,
+)> {
+    let disk = match (disk, folder) {
+        (Some(disk), _) => disk,
+        (None, Some(folder)) => {
+            let opened = lift_disk::FileDisk::open(folder);
+            sync::Arc::new(opened.change_context(start_error::StartError::Disk)?)
+        }
+        (None, None) => return Err(error_stack::Report::new(missing("folder"))),
+    };
+    let snapshots = lift_disk::SnapshotStore::new(sync::Arc::clone(&disk));
+    let opened = lift_disk::LogStore::open(disk).change_context(start_error::StartError::Disk)?;
+    Ok((opened.0, snapshots, opened.1))
+}
+
+fn missing(setting: &'static str) -> start_error::StartError {
+    start_error::StartError::Missing(setting)
+}
--- /dev/null
+++ b/crates/lift_log/src/log_status.rs
@@ -0,0 +1,16 @@
+//! State of a member.
+
+/// What one member knows of the log, for status pages.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogStatus {
+    /// Own identifier.
+    pub id: lift_types::MemberId,
+    /// Current term.
+    pub term: lift_types::Term,
+    /// Last committed entry.
+    pub commit: lift_types::LogIndex,
+    /// Last entry of the log.
+    pub last: lift_types::LogIndex,
+    /// Members in force.
+    pub members: lift_consensus::MemberSet,
+}
--- /dev/null
+++ b/crates/lift_log/src/peer_link.rs
@@ -0,0 +1,136 @@
+//! The task that sends to one member.
+
+use std::{net, sync, time};
+
+use error_stack::ResultExt as _;
+use tokio::sync::mpsc;
+
+use crate::{node, peer_frame, peer_links};
+
+/// Time between pings.
+const PING_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// Silence after which a connection is replaced. Short against the failover target, since
+/// all connections of a leader may stop delivering at once.
+const LINK_SILENCE: time::Duration = time::Duration::from_millis(250);
+
+/// Time to open a connection.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+
+/// Time between two attempts to open a connection.
+const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// Messages that share one write at most.
+const MAX_GROUP: usize = 32;
+
+type Report = error_stack::Report<lift_wire::WireError>;
+type Reader = lift_wire::FrameReader<tokio::net::tcp::OwnedReadHalf>;
+type Writer = lift_wire::FrameWriter<tokio::net::tcp::OwnedWriteHalf>;
+
+/// What a link needs besides its queue.
+#[derive(Clone, Debug)]
+pub(crate) struct LinkContext {
+    pub(crate) node: sync::Arc<node::Node>,
+    pub(crate) keys: lift_wire::LinkKeys,
+    /// Where this member accepts connections.
+    pub(crate) own_address: net::SocketAddr,
+}
+
+/// Sends the messages of one queue until the queue is dropped. A connection that fails or
+/// is silent is replaced; what was queued meanwhile is dropped.
+pub(crate) async fn run(cx: LinkContext, mut link: peer_links::NewLink) {
+    let cancel = cx.node.cancel.clone();
+    let _ = cancel.run_until_cancelled(serve(&cx, &mut link)).await;
+}
+
+async fn serve(cx: &LinkContext, link: &mut peer_links::NewLink) {
+    loop {
+        if let Err(e) = connected(cx, link).await {
+            cx.node.counters.increment("log.link_closed");
+            slog::debug!(cx.node.log, "link closed"; "to" => link.to, "error" => %e);
+        }
+        tokio::time::sleep(RETRY_INTERVAL).await;
+        loop {
+            match link.messages.try_recv() {
+                Ok(_) => {}
+                Err(mpsc::error::TryRecvError::Empty) => break,
+                Err(mpsc::error::TryRecvError::Disconnected) => return,
+            }
+        }
+    }
+}
+
+/// Opens a connection and sends until it fails or the queue is dropped.
+async fn connected(cx: &LinkContext, link: &mut peer_links::NewLink) -> Result<(), Report> {
+    let generation = match &cx.node.switch {
+        Some(switch) => switch.open(cx.node.id, link.to).ok_or_else(closed)?,
+        None => 0,
+    };
+    let opened = tokio::time::timeout(CONNECT_TIMEOUT, open(cx, link.address));
+    let (mut reader, mut writer) = opened.await.map_err(|_| closed())??;
+    let mut ping = tokio::time::interval(PING_INTERVAL);
+    let mut heard = time::Instant::now();
+    loop {
+        let delivers = || match &cx.node.switch {
+            Some(switch) => switch.delivers(cx.node.id, link.to, generation),
+            None => true,
+        };
+        tokio::select! {
+            message = link.messages.recv() => {
+                let Some(message) = message else { return Ok(()) };
+                push_group(&mut writer, message, &mut link.messages)?;
+            }
+            frame = reader.recv::<peer_frame::PeerFrame>() => {
+                frame?;
+                heard = time::Instant::now();
+                continue;
+            }
+            _ = ping.tick() => writer.push(&peer_frame::PeerFrame::Ping)?,
+        }
+        if heard.elapsed() > LINK_SILENCE {
+            return Err(closed());
+        }
+        if delivers() {
+            flush(&mut writer).await?;
+        }
+    }
+}
+
+async fn open(cx: &LinkContext, address: net::SocketAddr) -> Result<(Reader, Writer), Report> {
+    let stream = tokio::net::TcpStream::connect(address)
+        .await
+        .change_context(lift_wire::WireError::Closed)?;
+    let purpose = lift_wire::Purpose::ControlPeer;
+    let (reader, mut writer) = lift_wire::connect(stream, &cx.keys, purpose).await?;
+    let hello = peer_frame::PeerFrame::Hello {
+        member: cx.node.id,
+        peer: cx.own_address,
+    };
+    writer.send(&hello).await?;
+    Ok((reader, writer))
+}
+
+/// Adds `first` and the messages that wait to the buffer.
+fn push_group(
+    writer: &mut Writer,
+    first: lift_consensus::Message,
+    messages: &mut mpsc::Receiver<lift_consensus::Message>,
+) -> Result<(), Report> {
+    writer.push(&peer_frame::PeerFrame::Message(first))?;
+    for _ in 1..MAX_GROUP {
+        let Ok(message) = messages.try_recv() else {
+            break;
+        };
+        writer.push(&peer_frame::PeerFrame::Message(message))?;
+    }
+    Ok(())
+}
+
+async fn flush(writer: &mut Writer) -> Result<(), Report> {
+    let flushed = tokio::time::timeout(LINK_SILENCE, writer.flush()).await;
+    flushed.map_err(|_| closed())?
+}
+
+fn closed() -> Report {
+    error_stack::Report::new(lift_wire::WireError::Closed)
+}
--- a/crates/lift_log/src/propose_error.rs
+++ b/crates/lift_log/src/propose_error.rs
@@ -13,6 +13,12 @@
     /// or may not be committed later; propose it again under the same id.
     #[error("it is not known whether the command was committed")]
     Unknown,
+    /// The command is over [`crate::MAX_COMMAND_BYTES`]. It was not written.
+    #[error("a command of {length} bytes is over the limit of {limit}", limit = crate::MAX_COMMAND_BYTES)]
+    TooLong {
+        /// Length of the command in bytes.
+        length: usize,
+    },
     /// The member is stopping.
     #[error("this member is stopping")]
     Stopped,
--- /dev/null
+++ b/crates/lift_log/tests/common/mod.rs
@@ -0,0 +1,195 @@
+//! A small cluster on loopback.
+
+#![allow(dead_code)]
+
+use std::{net, sync, time};
+
+use lift_log::ReplicatedLog as _;
+
+/// Longest wait for something that must happen.
+pub const PATIENCE: time::Duration = time::Duration::from_secs(10);
+
+/// Counts commands and keeps a hash over their order, so that two states are equal only
+/// where the same commands were applied in the same order.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    state: sync::Mutex<(u64, u64)>,
+}
+
+impl Ledger {
+    pub fn state(&self) -> (u64, u64) {
+        *self.state.lock().unwrap()
+    }
+}
+
+impl lift_log::StateMachine for Ledger {
+    fn apply(&self, _: lift_types::LogIndex, command: &[u8]) -> bytes::Bytes {
+        let mut state = self.state.lock().unwrap();
+        state.0 += 1;
+        for byte in command {
+            state.1 = (state.1 ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+        bytes::Bytes::copy_from_slice(&state.0.to_le_bytes())
+    }
+
+    fn snapshot(&self) -> bytes::Bytes {
+        let state = self.state();
+        let mut buf = Vec::from(state.0.to_le_bytes());
+        buf.extend(state.1.to_le_bytes());
+        bytes::Bytes::from(buf)
+    }
+
+    fn restore(&self, buf: &[u8]) -> bool {
+        let Some((count, hash)) = buf.split_at_checked(8) else {
+            return false;
+        };
+        let (Ok(count), Ok(hash)) = (count.try_into(), hash.try_into()) else {
+            return false;
+        };
+        *self.state.lock().unwrap() = (u64::from_le_bytes(count), u64::from_le_bytes(hash));
+        true
+    }
+}
+
+/// One member with its folder and state.
+pub struct Member {
+    pub id: lift_types::MemberId,
+    pub listener: net::TcpListener,
+    pub folder: tempfile::TempDir,
+    pub ledger: sync::Arc<Ledger>,
+    pub driver: Option<lift_log::LogDriver>,
+}
+
+impl Member {
+    pub fn new(id: lift_types::MemberId) -> Self {
+        Self {
+            id,
+            listener: net::TcpListener::bind("127.0.0.1:0").unwrap(),
+            folder: tempfile::tempdir().unwrap(),
+            ledger: sync::Arc::default(),
+            driver: None,
+        }
+    }
+
+    pub fn address(&self) -> net::SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    pub fn driver(&self) -> &lift_log::LogDriver {
+        self.driver.as_ref().unwrap()
+    }
+}
+
+pub struct Cluster {
+    pub members: Vec<Member>,
+    pub initial: Vec<(lift_types::MemberId, net::SocketAddr)>,
+    pub switch: sync::Arc<lift_log::LinkSwitch>,
+    pub limits: lift_consensus::Limits,
+}
+
+impl Cluster {
+    /// Starts `count` members and waits for a leader.
+    pub async fn start(count: u64) -> Self {
+        Self::start_with(count, lift_consensus::Limits::default()).await
+    }
+
+    pub async fn start_with(count: u64, limits: lift_consensus::Limits) -> Self {
+        let members: Vec<_> = (1..=count).map(Member::new).collect();
+        let initial = members.iter().map(|m| (m.id, m.address())).collect();
+        let mut cluster = Self {
+            members,
+            initial,
+            switch: sync::Arc::default(),
+            limits,
+        };
+        for position in 0..count as usize {
+            cluster.start_member(position).await.unwrap();
+        }
+        cluster.leader().await;
+        cluster
+    }
+
+    /// Starts a member from its folder, with a new state machine.
+    pub async fn start_member(
+        &mut self,
+        position: usize,
+    ) -> Result<(), error_stack::Report<lift_log::StartError>> {
+        let member = &mut self.members[position];
+        member.ledger = sync::Arc::default();
+        let mut builder = lift_log::LogDriver::builder()
+            .id(member.id)
+            .folder(member.folder.path())
+            .peer_listener(member.listener.try_clone().unwrap())
+            .keys(lift_wire::LinkKeys::new(lift_wire::LinkKey::new(
+                1, [7; 32],
+            )))
+            .state_machine(sync::Arc::clone(&member.ledger) as _)
+            .limits(self.limits)
+            .link_switch(sync::Arc::clone(&self.switch));
+        let joins = !self.initial.iter().any(|(id, _)| *id == member.id);
+        for (id, address) in self.initial.iter().filter(|_| !joins) {
+            builder = builder.initial_member(*id, *address, *address);
+        }
+        member.driver = Some(builder.start().await?);
+        Ok(())
+    }
+
+    /// Stops a member without handing over.
+    pub async fn kill(&mut self, position: usize) {
+        if let Some(driver) = self.members[position].driver.take() {
+            driver.abort().await;
+        }
+    }
+
+    /// Position of the member that leads under a valid lease. Waits for one.
+    pub async fn leader(&self) -> usize {
+        self.leader_except(usize::MAX).await
+    }
+
+    pub async fn leader_except(&self, except: usize) -> usize {
+        let until = time::Instant::now() + PATIENCE;
+        while time::Instant::now() < until {
+            for (position, member) in self.members.iter().enumerate() {
+                let Some(driver) = &member.driver else {
+                    continue;
+                };
+                let leadership = driver.leadership().borrow().clone();
+                if let lift_log::Leadership::Leader { lease_until, .. } = leadership
+                    && lease_until > time::Instant::now()
+                    && position != except
+                {
+                    return position;
+                }
+            }
+            tokio::time::sleep(time::Duration::from_millis(2)).await;
+        }
+        panic!("no leader");
+    }
+
+    /// Commits a command through whoever leads.
+    pub async fn commit(&self, command: &str) -> u64 {
+        let until = time::Instant::now() + PATIENCE;
+        while time::Instant::now() < until {
+            let leader = self.leader().await;
+            let command = bytes::Bytes::copy_from_slice(command.as_bytes());
+            if let Ok(reply) = self.members[leader].driver().propose(command).await {
+                return u64::from_le_bytes(reply[..].try_into().unwrap());
+            }
+        }
+        panic!("not committed");
+    }
+
+    /// Waits until all running members have the same state.
+    pub async fn converge(&self) -> (u64, u64) {
+        let until = time::Instant::now() + PATIENCE;
+        loop {
+            let running = self.members.iter().filter(|m| m.driver.is_some());
+            let states: Vec<_> = running.map(|m| m.ledger.state()).collect();
+            if states.iter().all(|state| *state == states[0]) {
+                return states[0];
+            }
+            assert!(time::Instant::now() < until, "states differ: {states:?}");
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+    }
+}
