--- a/crates/lift_consensus/src/lib.rs
+++ b/crates/lift_consensus/src/lib.rs
@@ -33,6 +33,7 @@
 mod restored;
 mod role;
 mod snapshot;
+mod snapshot_transfer;
 mod standing;
 mod timing;
 mod vote_kind;
--- a/crates/lift_consensus/src/progress.rs
+++ b/crates/lift_consensus/src/progress.rs
@@ -2,19 +2,17 @@
 
 use std::{collections, time};
 
+use crate::snapshot_transfer;
+
 /// How entries are sent to a follower.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Flow {
     /// One message at a time, until the last common entry is found.
     Probe,
     /// Messages follow one another without waiting for replies.
     Stream,
     /// The follower needs entries that the leader does not hold any more.
-    Snapshot {
-        index: lift_types::LogIndex,
-        received: u64,
-        sent_at: time::Instant,
-    },
+    Snapshot(snapshot_transfer::SnapshotTransfer),
 }
 
 /// Replication to one follower.
--- a/crates/lift_consensus/src/replica.rs
+++ b/crates/lift_consensus/src/replica.rs
@@ -104,7 +104,7 @@
             event::Event::Synced(number) => self.writes.synced(number),
             event::Event::Applied(index) => self.on_applied(now, index),
             event::Event::SnapshotTaken { index, state } => self.on_snapshot_taken(index, state),
-            event::Event::SnapshotSaved(index) => self.on_snapshot_saved(index),
+            event::Event::SnapshotSaved(index) => self.on_snapshot_saved(now, index),
             event::Event::VotingAllowed => self.cfg.voting = voting::Voting::Allowed,
         }
         self.advance(now);
--- a/crates/lift_consensus/src/replica_follower.rs
+++ b/crates/lift_consensus/src/replica_follower.rs
@@ -1,5 +1,7 @@
 //! What a follower does with entries and snapshots of the leader.
 
+use std::time;
+
 use crate::{action, entry, entry_log, member_history, message_body, replica, snapshot};
 
 impl replica::Replica {
@@ -172,14 +174,15 @@
         self.actions.push(action::Action::SaveSnapshot(snapshot));
     }
 
-    pub(crate) fn on_snapshot_saved(&mut self, index: lift_types::LogIndex) {
+    pub(crate) fn on_snapshot_saved(&mut self, now: time::Instant, index: lift_types::LogIndex) {
         let Some(snapshot) = self.saving.take_if(|snapshot| snapshot.index == index) else {
             return;
         };
         self.snapshot = Some(snapshot);
         self.members.compact_to(index);
-        let keep = self.cfg.limits.keep_entries;
-        self.log.compact_to(index.saturating_sub(keep));
+        let keep = index.saturating_sub(self.cfg.limits.keep_entries);
+        let needed = self.needed_after_transfer(now).unwrap_or(keep);
+        self.log.compact_to(keep.min(needed));
         self.writes.open.compact = Some(index);
     }
 }
--- a/crates/lift_consensus/src/replica_leader.rs
+++ b/crates/lift_consensus/src/replica_leader.rs
@@ -95,10 +95,14 @@
             return;
         };
         progress.probe_sent = false;
-        let last_sent = match progress.flow {
-            progress::Flow::Snapshot { .. } => progress.matched,
-            _ => progress.next - 1,
-        };
+        let mut last_sent = progress.matched;
+        if !matches!(progress.flow, progress::Flow::Snapshot(_)) {
+            last_sent = progress.next - 1;
+            if last_sent < self.log.base_index() {
+                // Without the entry, lost messages would not show in the reply.
+                self.start_sending_snapshot(to);
+            }
+        }
         let known = self.log.term_at(last_sent);
         let (prev_index, prev_term) = known.map_or((0, 0), |term| (last_sent, term));
         let body = message_body::MessageBody::Append {
--- a/crates/lift_consensus/src/replica_members.rs
+++ b/crates/lift_consensus/src/replica_members.rs
@@ -68,10 +68,7 @@
         let Some(progress) = progress else {
             return false;
         };
-        let answered = progress
-            .answered
-            .is_some_and(|at| now.saturating_duration_since(at) < self.cfg.timing.election);
-        answered && progress.matched >= self.commit
+        self.is_answering(now, progress) && progress.matched >= self.commit
     }
 
     fn append_members(&mut self, members: member_set::MemberSet) {
@@ -109,7 +106,7 @@
         }
     }
 
-    fn is_answering(&self, now: time::Instant, progress: &progress::Progress) -> bool {
+    pub(crate) fn is_answering(&self, now: time::Instant, progress: &progress::Progress) -> bool {
         let answered = progress.answered;
         answered.is_some_and(|at| now.saturating_duration_since(at) < self.cfg.timing.election)
     }
--- a/crates/lift_consensus/src/replica_replicate.rs
+++ b/crates/lift_consensus/src/replica_replicate.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{action, message_body, progress, replica, role};
+use crate::{action, message_body, progress, replica, role, snapshot_transfer};
 
 /// Time after which a part of a snapshot is sent again, in heartbeats.
 const SNAPSHOT_RETRY_HEARTBEATS: u32 = 4;
@@ -28,7 +28,7 @@
             return None;
         };
         let progress = leader.progress.get_mut(&to)?;
-        if let progress::Flow::Snapshot { .. } = progress.flow {
+        if let progress::Flow::Snapshot(_) = progress.flow {
             return self.send_snapshot_part(now, to);
         }
         if progress.probe_sent
@@ -40,8 +40,8 @@
         }
         let prev_index = progress.next - 1;
         let Some(prev_term) = self.log.term_at(prev_index) else {
-            self.start_sending_snapshot(now, to);
-            return Some(());
+            self.start_sending_snapshot(to);
+            return self.send_snapshot_part(now, to);
         };
         let last = self.log.last_index();
         let entries = self.log.slice(progress.next, last, limits.append_bytes);
@@ -77,7 +77,7 @@
         progress.accepted(matched);
         match progress.flow {
             progress::Flow::Probe => progress.flow = progress::Flow::Stream,
-            progress::Flow::Snapshot { index, .. } if matched >= index => {
+            progress::Flow::Snapshot(ref transfer) if matched >= transfer.snapshot.index => {
                 progress.probe_from(matched + 1);
             }
             _ => {}
@@ -100,53 +100,46 @@
         };
         progress.heard(sent);
         let outdated = prev_index <= progress.matched || prev_index >= progress.next;
-        if outdated || matches!(progress.flow, progress::Flow::Snapshot { .. }) {
+        if outdated || matches!(progress.flow, progress::Flow::Snapshot(_)) {
             return;
         }
         progress.probe_from(hint.min(prev_index - 1) + 1);
     }
 
-    fn start_sending_snapshot(&mut self, now: time::Instant, to: lift_types::MemberId) {
-        let index = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
-        let retry = self.cfg.timing.heartbeat * SNAPSHOT_RETRY_HEARTBEATS;
+    pub(crate) fn start_sending_snapshot(&mut self, to: lift_types::MemberId) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
         let role::Role::Leader(leader) = &mut self.role else {
             return;
         };
         if let Some(progress) = leader.progress.get_mut(&to) {
-            progress.flow = progress::Flow::Snapshot {
-                index,
+            progress.flow = progress::Flow::Snapshot(snapshot_transfer::SnapshotTransfer {
+                snapshot,
                 received: 0,
-                sent_at: now.checked_sub(retry).unwrap_or(self.epoch),
-            };
+                sent_at: None,
+            });
         }
     }
 
-    /// Sends the part that the follower lacks, unless it was sent a short time ago. A newer
-    /// snapshot starts the transfer anew.
+    /// Sends the part that the follower lacks, unless it was sent a short time ago.
     fn send_snapshot_part(&mut self, now: time::Instant, to: lift_types::MemberId) -> Option<()> {
-        let stamp = self.stamp(now);
+        let sent = self.stamp(now);
         let retry = self.cfg.timing.heartbeat * SNAPSHOT_RETRY_HEARTBEATS;
         let part_bytes = self.cfg.limits.snapshot_part_bytes;
-        let snapshot = self.snapshot.clone()?;
         let role::Role::Leader(leader) = &mut self.role else {
             return None;
         };
-        let progress = leader.progress.get_mut(&to)?;
-        let progress::Flow::Snapshot {
-            index,
-            received,
-            sent_at,
-        } = &mut progress.flow
-        else {
+        let progress::Flow::Snapshot(transfer) = &mut leader.progress.get_mut(&to)?.flow else {
             return None;
         };
-        if *index != snapshot.index {
-            (*index, *received) = (snapshot.index, 0);
-        } else if now.saturating_duration_since(*sent_at) < retry {
+        let waits = |at| now.saturating_duration_since(at) < retry;
+        if transfer.sent_at.is_some_and(waits) {
             return None;
         }
-        *sent_at = now;
-        let offset = (*received as usize).min(snapshot.state.len());
+        transfer.sent_at = Some(now);
+        let snapshot = transfer.snapshot.clone();
+        let offset = (transfer.received as usize).min(snapshot.state.len());
         let end = (offset + part_bytes).min(snapshot.state.len());
         let body = message_body::MessageBody::SnapshotChunk {
             index: snapshot.index,
@@ -155,7 +148,7 @@
             offset: offset as u64,
             total: snapshot.state.len() as u64,
             part: snapshot.state.slice(offset..end),
-            sent: stamp,
+            sent,
         };
         self.send(to, body);
         None
@@ -165,11 +158,10 @@
         &mut self,
         now: time::Instant,
         from: lift_types::MemberId,
-        (reply_index, reply_received): (lift_types::LogIndex, u64),
+        (index, received): (lift_types::LogIndex, u64),
         sent: u64,
     ) {
         let sent = self.epoch + time::Duration::from_nanos(sent);
-        let retry = self.cfg.timing.heartbeat * SNAPSHOT_RETRY_HEARTBEATS;
         let role::Role::Leader(leader) = &mut self.role else {
             return;
         };
@@ -177,20 +169,31 @@
             return;
         };
         progress.heard(sent.min(now));
-        let progress::Flow::Snapshot {
-            index,
-            received,
-            sent_at,
-        } = &mut progress.flow
-        else {
+        let progress::Flow::Snapshot(transfer) = &mut progress.flow else {
             return;
         };
-        if reply_index != *index || reply_received == *received {
+        if index != transfer.snapshot.index || received == transfer.received {
             return;
         }
-        *received = reply_received;
+        transfer.received = received;
         // The next part goes out at once.
-        *sent_at = now.checked_sub(retry).unwrap_or(self.epoch);
+        transfer.sent_at = None;
+    }
+
+    /// Oldest entry that a follower will need after the snapshot that it is receiving.
+    pub(crate) fn needed_after_transfer(&self, now: time::Instant) -> Option<lift_types::LogIndex> {
+        let role::Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        let live = leader
+            .progress
+            .values()
+            .filter(|p| self.is_answering(now, p));
+        live.filter_map(|progress| match &progress.flow {
+            progress::Flow::Snapshot(transfer) => Some(transfer.snapshot.index),
+            _ => None,
+        })
+        .min()
     }
 
     /// Asks the state machine for a snapshot where the log has grown enough.
--- a/crates/lift_disk/src/log_store.rs
+++ b/crates/lift_disk/src/log_store.rs
@@ -61,7 +61,7 @@
             store.disk.sync(&last.name)?;
         }
         store.hard_state = replay.hard_state();
-        let restored = replay.finish(snapshot).map_err(|problem| {
+        let (restored, dropped) = replay.finish(snapshot).map_err(|problem| {
             let name = store.segments.front().map(|segment| segment.name.clone());
             error_stack::Report::new(disk_error::DiskError::Damaged {
                 file: name.unwrap_or_default(),
@@ -69,6 +69,12 @@
                 problem,
             })
         })?;
+        if dropped.is_some() {
+            store.append(record::Record {
+                reset: dropped,
+                ..record::Record::default()
+            })?;
+        }
         Ok((store, restored))
     }
 
@@ -106,7 +112,7 @@
             if let Some(snapshot) = write.install {
                 self.append(mem::take(&mut record))?;
                 self.snapshots.save(&snapshot)?;
-                record.reset = Some(snapshot.index);
+                record.reset = Some((snapshot.index, snapshot.term));
             }
             record.hard_state = write.hard_state.or(record.hard_state);
             record.entries.extend(write.entries);
--- a/crates/lift_disk/src/record.rs
+++ b/crates/lift_disk/src/record.rs
@@ -15,8 +15,9 @@
 #[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 pub(crate) struct Record {
     pub(crate) hard_state: Option<lift_consensus::HardState>,
-    /// Position of an installed snapshot. Earlier entries of the log are void.
-    pub(crate) reset: Option<lift_types::LogIndex>,
+    /// Position and term of a snapshot that the log now follows. Entries up to it are void,
+    /// and all entries where the log did not hold that position with the same term.
+    pub(crate) reset: Option<(lift_types::LogIndex, lift_types::Term)>,
     pub(crate) entries: Vec<lift_consensus::Entry>,
 }
 
--- a/crates/lift_disk/src/replay.rs
+++ b/crates/lift_disk/src/replay.rs
@@ -2,6 +2,9 @@
 
 use crate::record;
 
+/// Index and term of an entry.
+pub(crate) type Position = (lift_types::LogIndex, lift_types::Term);
+
 /// State after the records so far.
 #[derive(Debug, Default)]
 pub(crate) struct Replay {
@@ -17,8 +20,8 @@
     /// Takes in the next record.
     pub(crate) fn take(&mut self, record: record::Record) -> Result<(), &'static str> {
         self.hard_state = record.hard_state.unwrap_or(self.hard_state);
-        if let Some(index) = record.reset {
-            self.reset(index);
+        if let Some((index, term)) = record.reset {
+            self.follow(index, term);
         }
         for entry in record.entries {
             self.push(entry)?;
@@ -26,8 +29,12 @@
         Ok(())
     }
 
-    /// Voids entries up to `index`, and all others where they don't follow it.
-    fn reset(&mut self, index: lift_types::LogIndex) {
+    /// Lets the log follow a snapshot.
+    fn follow(&mut self, index: lift_types::LogIndex, term: lift_types::Term) {
+        let same = |e: &lift_consensus::Entry| e.index == index && e.term == term;
+        if !self.entries.iter().any(same) {
+            self.entries.clear();
+        }
         self.entries.retain(|entry| entry.index > index);
     }
 
@@ -47,29 +54,33 @@
         Ok(())
     }
 
-    /// Joins the entries with the newest snapshot.
+    /// Joins the entries with the newest snapshot. The second part is the position and term
+    /// of the snapshot where entries that don't follow it were dropped: the host failed after
+    /// it saved a snapshot of the leader and before it noted that in the log.
     pub(crate) fn finish(
         mut self,
         snapshot: Option<lift_consensus::Snapshot>,
-    ) -> Result<lift_consensus::Restored, &'static str> {
-        let covered = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
-        let term = snapshot.as_ref().map_or(0, |snapshot| snapshot.term);
-        let differs = |e: &lift_consensus::Entry| e.index == covered && e.term != term;
-        let ends_before = self.entries.last().is_some_and(|last| last.index < covered);
-        if ends_before || self.entries.iter().any(differs) {
-            self.entries.clear();
+    ) -> Result<(lift_consensus::Restored, Option<Position>), &'static str> {
+        let mut dropped = None;
+        if let Some(snapshot) = &snapshot {
+            let (index, term) = (snapshot.index, snapshot.term);
+            let differs = |e: &lift_consensus::Entry| e.index == index && e.term != term;
+            let ends_before = self.entries.last().is_some_and(|last| last.index < index);
+            if ends_before || self.entries.iter().any(differs) {
+                self.entries.clear();
+                dropped = Some((index, term));
+            }
         }
-        if self
-            .entries
-            .first()
-            .is_some_and(|first| first.index > covered + 1)
-        {
+        let covered = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let first = self.entries.first().map_or(0, |first| first.index);
+        if first > covered + 1 {
             return Err("entries between the snapshot and the log are missing");
         }
-        Ok(lift_consensus::Restored {
+        let restored = lift_consensus::Restored {
             hard_state: self.hard_state,
             snapshot,
             entries: self.entries,
-        })
+        };
+        Ok((restored, dropped))
     }
 }
