Bind members to their disks before they vote

Cause: a host whose disk was lost could vote a second time under its old identifier.

Change: each disk has a random number. Members durably bind the number that they first see and refuse another one. A member with an empty disk takes part only once so many voters have bound it that any earlier quorum with its identifier would include one of them.

--- a/crates/lift_log/src/disk_thread.rs
+++ b/crates/lift_log/src/disk_thread.rs
@@ -3,6 +3,7 @@
 use std::sync;
 
 use sync::mpsc;
+use tokio::sync::oneshot;
 
 use crate::node;
 
@@ -13,39 +14,78 @@
 #[derive(Debug)]
 pub(crate) enum Job {
     Write(lift_consensus::Write),
+    /// Save a changed identity, then report its number and `done`.
+    SaveIdentity {
+        identity: lift_disk::Identity,
+        number: u64,
+        done: oneshot::Sender<()>,
+    },
     Stop,
 }
 
 /// Writes until it is told to stop. All writes that arrived during a sync share the next one.
-pub(crate) fn run(node: &node::Node, mut store: lift_disk::LogStore, jobs: &mpsc::Receiver<Job>) {
-    while let Ok(Job::Write(first)) = jobs.recv() {
-        let (group, stop) = collect(first, jobs);
-        let last = group.last().map_or(0, |write| write.number);
-        node.counters.increment("log.syncs");
-        if let Err(e) = store.write(group) {
-            slog::crit!(node.log, "the log can't be written; the member stops"; "error" => ?e);
+pub(crate) fn run(
+    node: &node::Node,
+    mut store: lift_disk::LogStore,
+    identities: &lift_disk::IdentityStore,
+    jobs: &mpsc::Receiver<Job>,
+) {
+    let mut next = jobs.recv().ok();
+    while let Some(job) = next.take() {
+        let saved = match job {
+            Job::Write(first) => {
+                let (group, other) = collect(first, jobs);
+                next = other;
+                write(node, &mut store, group)
+            }
+            Job::SaveIdentity {
+                identity,
+                number,
+                done,
+            } => {
+                let saved = identities.save(&identity);
+                if saved.is_ok() {
+                    node.bindings.saved(number);
+                    // The connection that asked may have ended.
+                    let _ = done.send(());
+                }
+                saved
+            }
+            Job::Stop => return,
+        };
+        if let Err(e) = saved {
+            slog::crit!(node.log, "the disk can't be written; the member stops"; "error" => ?e);
             node.shut_down();
             return;
         }
-        node.step(lift_consensus::Event::Synced(last));
-        if stop {
-            return;
-        }
+        next = next.or_else(|| jobs.recv().ok());
     }
 }
 
-/// Takes the writes that wait, and whether the thread is to stop after them.
+fn write(
+    node: &node::Node,
+    store: &mut lift_disk::LogStore,
+    group: Vec<lift_consensus::Write>,
+) -> Result<(), error_stack::Report<lift_disk::DiskError>> {
+    let last = group.last().map_or(0, |write| write.number);
+    store.write(group)?;
+    node.counters.increment("log.syncs");
+    node.step(lift_consensus::Event::Synced(last));
+    Ok(())
+}
+
+/// Takes the writes that wait, and the job that follows them.
 fn collect(
     first: lift_consensus::Write,
     jobs: &mpsc::Receiver<Job>,
-) -> (Vec<lift_consensus::Write>, bool) {
+) -> (Vec<lift_consensus::Write>, Option<Job>) {
     let mut group = vec![first];
     while group.len() < MAX_GROUP {
         match jobs.try_recv() {
             Ok(Job::Write(write)) => group.push(write),
-            Ok(Job::Stop) => return (group, true),
+            Ok(other) => return (group, Some(other)),
             Err(_) => break,
         }
     }
-    (group, false)
+    (group, None)
 }
--- a/crates/lift_log/src/lib.rs
+++ b/crates/lift_log/src/lib.rs
@@ -7,6 +7,7 @@
 //! `docs/decisions/replicated-log.md`.
 
 mod apply_thread;
+mod bindings;
 mod change_error;
 mod disk_thread;
 mod leadership;
@@ -14,6 +15,7 @@
 mod log_driver;
 mod log_driver_builder;
 mod log_status;
+mod member_files;
 mod node;
 mod peer_frame;
 mod peer_link;
--- a/crates/lift_log/src/log_driver_builder.rs
+++ b/crates/lift_log/src/log_driver_builder.rs
@@ -8,8 +8,9 @@
 use tokio::sync::watch;
 
 use crate::{
-    apply_thread, disk_thread, leadership, link_switch, log_driver, node, peer_link, peer_links,
-    peer_port, snapshot_thread, start_error, state_machine, timer_thread, waiters,
+    apply_thread, bindings, disk_thread, leadership, link_switch, log_driver, member_files, node,
+    peer_link, peer_links, peer_port, snapshot_thread, start_error, state_machine, timer_thread,
+    waiters,
 };
 
 type Result<T> = std::result::Result<T, error_stack::Report<start_error::StartError>>;
@@ -18,8 +19,7 @@
 #[derive(Debug)]
 pub struct LogDriverBuilder {
     replica: lift_consensus::ReplicaConfig,
-    disk: Option<sync::Arc<dyn lift_disk::Disk>>,
-    folder: Option<path::PathBuf>,
+    files: Option<member_files::Place>,
     listener: Option<net::TcpListener>,
     address: Option<net::SocketAddr>,
     keys: Option<lift_wire::LinkKeys>,
@@ -33,8 +33,7 @@
     pub(crate) fn new() -> Self {
         Self {
             replica: lift_consensus::ReplicaConfig::default(),
-            disk: None,
-            folder: None,
+            files: None,
             listener: None,
             address: None,
             keys: None,
@@ -67,13 +66,13 @@
 
     /// Keeps all files in `folder`.
     pub fn folder(mut self, folder: impl Into<path::PathBuf>) -> Self {
-        self.folder = Some(folder.into());
+        self.files = Some(member_files::Place::Folder(folder.into()));
         self
     }
 
     /// Keeps all files on `disk` instead of a folder.
     pub fn disk(mut self, disk: sync::Arc<dyn lift_disk::Disk>) -> Self {
-        self.disk = Some(disk);
+        self.files = Some(member_files::Place::Disk(disk));
         self
     }
 
@@ -147,12 +146,8 @@
         let own_address = listener
             .local_addr()
             .change_context(start_error::StartError::Port)?;
-        let (disk, folder) = (self.disk.clone(), self.folder.clone());
-        let opening = tokio::task::spawn_blocking(move || open(disk, folder));
-        let opened = opening
-            .await
-            .change_context(start_error::StartError::Disk)?;
-        let (store, snapshots, restored) = opened?;
+        let files = self.open_files().await?;
+        let (store, snapshots, identities) = (files.store, files.snapshots, files.identities);
 
         let counters = self.counters.clone().unwrap_or_default();
         let (to_disk, disk_jobs) = mpsc::channel();
@@ -162,14 +157,19 @@
         let (leadership, _) = watch::channel(leadership::Leadership::Follower { leader: None });
         let rng = rand::rngs::StdRng::from_rng(&mut rand::rng());
         let id = self.replica.id;
-        let replica =
-            lift_consensus::Replica::new(self.replica, restored, time::Instant::now(), rng);
+        let mut cfg = self.replica;
+        if !files.identity.confirmed {
+            cfg.voting = lift_consensus::Voting::Withheld;
+        }
+        let now = time::Instant::now();
+        let replica = lift_consensus::Replica::new(cfg, files.restored, now, rng);
         let node = sync::Arc::new(node::Node {
             id,
             log: self.log.new(slog::o!("member" => id)),
             replica: parking_lot::Mutex::new(replica),
             queue: parking_lot::Mutex::new(Vec::new()),
             waiters: waiters::Waiters::new(),
+            bindings: bindings::Bindings::new(files.identity),
             leadership,
             links: peer_links::PeerLinks::new(id, sync::Arc::clone(&counters), new_links),
             counters,
@@ -198,7 +198,7 @@
         };
         spawn(
             "disk",
-            Box::new(move |node| disk_thread::run(node, store, &disk_jobs)),
+            Box::new(move |node| disk_thread::run(node, store, &identities, &disk_jobs)),
         )?;
         spawn(
             "apply",
@@ -228,6 +228,19 @@
         Ok(driver)
     }
 
+    async fn open_files(&self) -> Result<member_files::MemberFiles> {
+        let place = self.files.clone().ok_or_else(|| missing("folder"))?;
+        let id = self.replica.id;
+        let alone = self.replica.members.len() == 1 && self.replica.members.get(id).is_some();
+        let company = match alone {
+            true => member_files::Company::Alone,
+            false => member_files::Company::Others,
+        };
+        let open = move || member_files::MemberFiles::open(place, id, company);
+        let opened = tokio::task::spawn_blocking(open).await;
+        opened.change_context(start_error::StartError::Disk)?
+    }
+
     fn listen(&self) -> Result<tokio::net::TcpListener> {
         let listener = match (&self.listener, self.address) {
             (Some(listener), _) => listener.try_clone(),
@@ -241,28 +254,6 @@
     }
 }
 
-/// Reads what the disk holds.
-fn open(
-    disk: Option<sync::Arc<dyn lift_disk::Disk>>,
-    folder: Option<path::PathBuf>,
-) -> Result<(
-    lift_disk::LogStore,
-    lift_disk::SnapshotStore,
-    lift_consensus::Restored,
-)> {
-    let disk = match (disk, folder) {
-        (Some(disk), _) => disk,
-        (None, Some(folder)) => {
-            let opened = lift_disk::FileDisk::open(folder);
-            sync::Arc::new(opened.change_context(start_error::StartError::Disk)?)
-        }
-        (None, None) => return Err(error_stack::Report::new(missing("folder"))),
-    };
-    let snapshots = lift_disk::SnapshotStore::new(sync::Arc::clone(&disk));
-    let opened = lift_disk::LogStore::open(disk).change_context(start_error::StartError::Disk)?;
-    Ok((opened.0, snapshots, opened.1))
-}
-
 fn missing(setting: &'static str) -> start_error::StartError {
     start_error::StartError::Missing(setting)
 }
--- a/crates/lift_log/src/node.rs
+++ b/crates/lift_log/src/node.rs
@@ -6,8 +6,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    apply_thread, disk_thread, leadership, link_switch, peer_links, proposal, propose_error,
-    timer_thread, waiters,
+    apply_thread, bindings, disk_thread, leadership, link_switch, peer_links, proposal,
+    propose_error, timer_thread, waiters,
 };
 
 /// One member: its decisions under one lock, and the channels to the threads that do the
@@ -21,6 +21,7 @@
     /// Proposals that the next step takes together.
     pub(crate) queue: parking_lot::Mutex<Vec<proposal::Proposal>>,
     pub(crate) waiters: waiters::Waiters,
+    pub(crate) bindings: bindings::Bindings,
     pub(crate) leadership: watch::Sender<leadership::Leadership>,
     pub(crate) links: peer_links::PeerLinks,
     pub(crate) switch: Option<sync::Arc<link_switch::LinkSwitch>>,
--- a/crates/lift_log/src/peer_link.rs
+++ b/crates/lift_log/src/peer_link.rs
@@ -66,7 +66,7 @@
         Some(switch) => switch.open(cx.node.id, link.to).ok_or_else(closed)?,
         None => 0,
     };
-    let opened = tokio::time::timeout(CONNECT_TIMEOUT, open(cx, link.address));
+    let opened = tokio::time::timeout(CONNECT_TIMEOUT, open(cx, link));
     let (mut reader, mut writer) = opened.await.map_err(|_| closed())??;
     let mut ping = tokio::time::interval(PING_INTERVAL);
     let mut heard = time::Instant::now();
@@ -96,18 +96,40 @@
     }
 }
 
-async fn open(cx: &LinkContext, address: net::SocketAddr) -> Result<(Reader, Writer), Report> {
-    let stream = tokio::net::TcpStream::connect(address)
+async fn open(cx: &LinkContext, link: &peer_links::NewLink) -> Result<(Reader, Writer), Report> {
+    let stream = tokio::net::TcpStream::connect(link.address)
         .await
         .change_context(lift_wire::WireError::Closed)?;
     let purpose = lift_wire::Purpose::ControlPeer;
-    let (reader, mut writer) = lift_wire::connect(stream, &cx.keys, purpose).await?;
+    let (mut reader, mut writer) = lift_wire::connect(stream, &cx.keys, purpose).await?;
     let hello = peer_frame::PeerFrame::Hello {
         member: cx.node.id,
+        disk: cx.node.bindings.own_disk(),
         peer: cx.own_address,
     };
     writer.send(&hello).await?;
-    Ok((reader, writer))
+    match reader.recv().await? {
+        peer_frame::PeerFrame::Welcome {
+            member,
+            disk,
+            voters,
+        } if member == link.to => {
+            if !cx.node.bind(member, disk).await {
+                slog::warn!(cx.node.log, "a member has another disk"; "from" => member);
+                return Err(closed());
+            }
+            cx.node.bound_by(member, &voters).await;
+            Ok((reader, writer))
+        }
+        peer_frame::PeerFrame::WrongDisk => {
+            slog::crit!(cx.node.log,
+                "the disk of this member was replaced; start it under a new member id";
+                "seen_by" => link.to);
+            cx.node.shut_down();
+            Err(closed())
+        }
+        _ => Err(closed()),
+    }
 }
 
 /// Adds `first` and the messages that wait to the buffer.
--- a/crates/lift_log/src/peer_port.rs
+++ b/crates/lift_log/src/peer_port.rs
@@ -49,11 +49,25 @@
     );
     let (mut reader, mut writer) = accepted.await.map_err(|_| closed())??;
     let first = tokio::time::timeout(HANDSHAKE_TIMEOUT, reader.recv()).await;
-    let peer_frame::PeerFrame::Hello { member, peer } = first.map_err(|_| closed())?? else {
+    let peer_frame::PeerFrame::Hello { member, disk, peer } = first.map_err(|_| closed())?? else {
         return Err(error_stack::Report::new(lift_wire::WireError::Decode));
     };
-    cx.node.links.open(member, peer);
     let generation = generation(&cx.node, member);
+    if generation.is_none() {
+        return Err(closed());
+    }
+    if !cx.node.bind(member, disk).await {
+        slog::warn!(cx.node.log, "a member came with another disk"; "from" => member);
+        cx.node.counters.increment("log.wrong_disk");
+        return writer.send(&peer_frame::PeerFrame::WrongDisk).await;
+    }
+    let welcome = peer_frame::PeerFrame::Welcome {
+        member: cx.node.id,
+        disk: cx.node.bindings.own_disk(),
+        voters: cx.node.replica.lock().members().voters().collect(),
+    };
+    writer.send(&welcome).await?;
+    cx.node.links.open(member, peer);
     loop {
         let frame = tokio::time::timeout(IDLE_TIMEOUT, reader.recv()).await;
         let frame = frame.map_err(|_| closed())??;
