--- a/crates/lift_log/tests/common/mod.rs
+++ b/crates/lift_log/tests/common/mod.rs
@@ -141,6 +141,19 @@
         }
     }
 
+    /// Cuts a member off without an error.
+    pub fn isolate(&self, position: usize) {
+        for member in &self.members {
+            self.switch.cut(self.members[position].id, member.id);
+        }
+    }
+
+    pub fn rejoin(&self, position: usize) {
+        for member in &self.members {
+            self.switch.heal(self.members[position].id, member.id);
+        }
+    }
+
     /// Position of the member that leads under a valid lease. Waits for one.
     pub async fn leader(&self) -> usize {
         self.leader_except(usize::MAX).await
