--- /dev/null
+++ b/crates/lift_state/src/claim_group.rs
@@ -0,0 +1,140 @@
+//! Claims of one key group.
+
+use std::{collections, time};
+
+use crate::{claim_holder, claim_key, claim_reply, claim_request, outcome};
+use crate::{reassign_request, record_request};
+
+/// Time for which a claim is kept, counted from its first attempt. See
+/// `docs/decisions/claims.md`.
+pub const CLAIM_RETENTION: time::Duration = time::Duration::from_hours(24);
+
+/// Claims that a key group keeps. A new claim above it is refused with
+/// [`claim_reply::ClaimReply::Full`]: dropping an earlier one could run a request twice.
+pub const MAX_CLAIMS_PER_GROUP: usize = 8_192;
+
+/// Bytes of recorded bodies and headers that a key group keeps. An outcome above it is kept
+/// without its body.
+const MAX_OUTCOME_BYTES_PER_GROUP: usize = 1024 * 1024;
+
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+struct Claim {
+    body_hash: lift_types::ChunkHash,
+    holder: claim_holder::ClaimHolder,
+    outcome: Option<outcome::Outcome>,
+}
+
+/// The claims whose keys fall into one group.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub(crate) struct ClaimGroup {
+    claims: collections::HashMap<claim_key::ClaimKey, Claim>,
+    oldest_first: collections::VecDeque<(time::SystemTime, claim_key::ClaimKey)>,
+    outcome_bytes: usize,
+}
+
+impl ClaimGroup {
+    /// Makes a claim, or tells what is known of the one before.
+    pub(crate) fn claim(
+        &mut self,
+        req: &claim_request::ClaimRequest,
+        at: time::SystemTime,
+    ) -> claim_reply::ClaimReply {
+        self.expire(at);
+        if let Some(claim) = self.claims.get(&req.key) {
+            if claim.body_hash != req.body_hash {
+                return claim_reply::ClaimReply::Mismatch;
+            }
+            return claim.known();
+        }
+        if self.claims.len() >= MAX_CLAIMS_PER_GROUP {
+            return claim_reply::ClaimReply::Full;
+        }
+        let holder = claim_holder::ClaimHolder {
+            host: req.host,
+            incarnation: req.incarnation,
+            attempt: 1,
+        };
+        let claim = Claim {
+            body_hash: req.body_hash,
+            holder,
+            outcome: None,
+        };
+        self.claims.insert(req.key.clone(), claim);
+        self.oldest_first.push_back((at, req.key.clone()));
+        claim_reply::ClaimReply::New(holder)
+    }
+
+    /// Moves a claim from a holder that proved that it did not run it.
+    pub(crate) fn reassign(
+        &mut self,
+        req: &reassign_request::ReassignRequest,
+    ) -> Option<claim_reply::ClaimReply> {
+        let claim = self.claims.get_mut(&req.key)?;
+        if claim.outcome.is_some() || claim.holder != req.refused {
+            return Some(claim.known());
+        }
+        claim.holder = claim_holder::ClaimHolder {
+            host: req.host,
+            incarnation: req.incarnation,
+            attempt: req.refused.attempt.saturating_add(1),
+        };
+        Some(claim_reply::ClaimReply::New(claim.holder))
+    }
+
+    /// Records the outcome of the current holder. The first outcome counts.
+    pub(crate) fn record(
+        &mut self,
+        req: &record_request::RecordRequest,
+    ) -> Option<claim_reply::ClaimReply> {
+        let claim = self.claims.get_mut(&req.key)?;
+        if claim.outcome.is_some() || claim.holder != req.holder {
+            return Some(claim.known());
+        }
+        let mut outcome = req.outcome.clone();
+        let over_limit = |body: &bytes::Bytes| body.len() > outcome::MAX_OUTCOME_BODY_BYTES;
+        let full = self.outcome_bytes + bytes_of(&outcome) > MAX_OUTCOME_BYTES_PER_GROUP;
+        if full || outcome.body.as_ref().is_some_and(over_limit) {
+            outcome.body = None;
+        }
+        self.outcome_bytes += bytes_of(&outcome);
+        claim.outcome = Some(outcome);
+        Some(claim.known())
+    }
+
+    /// What is known of a claim.
+    pub(crate) fn find(&self, key: &claim_key::ClaimKey) -> Option<claim_reply::ClaimReply> {
+        self.claims.get(key).map(Claim::known)
+    }
+
+    /// Number of claims that are kept.
+    pub(crate) fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    fn expire(&mut self, at: time::SystemTime) {
+        while let Some((first, _)) = self.oldest_first.front() {
+            if at.duration_since(*first).unwrap_or_default() < CLAIM_RETENTION {
+                return;
+            }
+            let Some((_, key)) = self.oldest_first.pop_front() else {
+                return;
+            };
+            let outcome = self.claims.remove(&key).and_then(|claim| claim.outcome);
+            self.outcome_bytes -= outcome.as_ref().map_or(0, bytes_of);
+        }
+    }
+}
+
+impl Claim {
+    fn known(&self) -> claim_reply::ClaimReply {
+        match &self.outcome {
+            Some(outcome) => claim_reply::ClaimReply::Recorded(outcome.clone()),
+            None => claim_reply::ClaimReply::Pending(self.holder),
+        }
+    }
+}
+
+fn bytes_of(outcome: &outcome::Outcome) -> usize {
+    let headers = outcome.headers.iter().map(|(n, v)| n.len() + v.len());
+    outcome.body.as_ref().map_or(0, bytes::Bytes::len) + headers.sum::<usize>()
+}
--- /dev/null
+++ b/crates/lift_state/src/edit_rules.rs
@@ -0,0 +1,147 @@
+//! Which values of the policy are allowed.
+
+use crate::{invalid_value, policy_edits};
+
+/// Most exceptions. The list is meant to be short, and every node gets it.
+const MAX_EXCEPTIONS: usize = 512;
+
+/// Most services, and most methods of one service.
+const MAX_SERVICES: usize = 256;
+
+/// Most names that an error message lists.
+const LISTED_NAMES: usize = 8;
+
+type Checked = Result<(), invalid_value::InvalidValue>;
+
+/// Checks that a version is published. A version without a manifest could not be fetched.
+pub(crate) fn check_version(
+    path: &str,
+    version: &str,
+    versions: &[lift_types::VersionId],
+) -> Checked {
+    if versions.iter().any(|known| known == version) {
+        return Ok(());
+    }
+    let newest_first = versions.iter().rev().map(String::as_str);
+    let problem = format!(
+        "version {version:?} is not published; allowed: {}",
+        list(newest_first)
+    );
+    Err(invalid_value::InvalidValue::new(path, problem))
+}
+
+/// Checks a whole default.
+pub(crate) fn check_default(
+    default: &lift_types::PolicyDefault,
+    versions: &[lift_types::VersionId],
+) -> Checked {
+    if let Some(version) = &default.version {
+        check_version("version", version, versions)?;
+    }
+    check_percent("activation_floor_percent", default.activation_floor_percent)?;
+    check_limits("limits", &default.limits)?;
+    check_size("services", default.services.len(), 0, MAX_SERVICES)?;
+    for (name, service) in &default.services {
+        let path = format!("services.{name}");
+        policy_edits::check_text(&path, name)?;
+        let path = format!("{path}.methods");
+        check_size(&path, service.methods.len(), 0, MAX_SERVICES)?;
+        for method in service.methods.keys() {
+            policy_edits::check_text(&path, method)?;
+        }
+    }
+    Ok(())
+}
+
+/// Checks that the value of an exception is valid and has an effect within its scope.
+pub(crate) fn check_exception(
+    scope: &lift_types::Scope,
+    value: &lift_types::ExceptionValue,
+    versions: &[lift_types::VersionId],
+) -> Checked {
+    let name = scope.to_string();
+    policy_edits::check_text("scope", name.split_once(':').map_or("", |(_, name)| name))?;
+    match value {
+        lift_types::ExceptionValue::Version(version) => {
+            check_scope(scope, &["region", "failure-domain", "host"])?;
+            check_version("value.version", version, versions)
+        }
+        lift_types::ExceptionValue::ActivationFloorPercent(percent) => {
+            check_scope(scope, &["region", "failure-domain"])?;
+            check_percent("value.activation_floor_percent", *percent)
+        }
+        lift_types::ExceptionValue::TransferGoal(_) => {
+            check_scope(scope, &["region", "failure-domain", "host"])
+        }
+        lift_types::ExceptionValue::Limits(limits) => {
+            check_scope(scope, &["workspace"])?;
+            check_limits("value.limits", limits)
+        }
+        lift_types::ExceptionValue::Priority(_) => check_scope(scope, &["workspace", "service"]),
+        lift_types::ExceptionValue::Method(method, _) => {
+            check_scope(scope, &["service"])?;
+            policy_edits::check_text("value.method", method)
+        }
+    }
+}
+
+/// Checks the number of exceptions.
+pub(crate) fn check_count(exceptions: usize) -> Checked {
+    check_size("id", exceptions, 0, MAX_EXCEPTIONS)
+}
+
+/// Joins the first names, or tells that there are none.
+pub(crate) fn list<'a>(names: impl Iterator<Item = &'a str>) -> String {
+    let names: Vec<&str> = names.take(LISTED_NAMES).collect();
+    if names.is_empty() {
+        return String::from("none yet");
+    }
+    names.join(", ")
+}
+
+fn check_scope(scope: &lift_types::Scope, allowed: &[&str]) -> Checked {
+    let text = scope.to_string();
+    let kind = text.split_once(':').map_or("", |(kind, _)| kind);
+    if allowed.contains(&kind) {
+        return Ok(());
+    }
+    let problem = format!(
+        "a {kind} can't have this value; allowed: {}",
+        allowed.join(", ")
+    );
+    Err(invalid_value::InvalidValue::new("scope", problem))
+}
+
+fn check_percent(path: &str, percent: u8) -> Checked {
+    if percent <= 100 {
+        return Ok(());
+    }
+    let problem = format!("{percent} is not a percentage; allowed: 0 to 100");
+    Err(invalid_value::InvalidValue::new(path, problem))
+}
+
+fn check_limits(path: &str, limits: &lift_types::WorkspaceLimits) -> Checked {
+    let fields = [
+        ("weight", limits.weight),
+        ("rate_per_s", limits.rate_per_s),
+        ("burst", limits.burst),
+    ];
+    for (field, value) in fields {
+        if value == 0 {
+            let problem = format!("is 0; allowed: 1 to {}", u32::MAX);
+            return Err(invalid_value::InvalidValue::new(
+                format!("{path}.{field}"),
+                problem,
+            ));
+        }
+    }
+    Ok(())
+}
+
+fn check_size(path: &str, size: usize, least: usize, most: usize) -> Checked {
+    if (least..=most).contains(&size) {
+        return Ok(());
+    }
+    let problem = format!("{size} entries; allowed: {least} to {most}");
+    Err(invalid_value::InvalidValue::new(path, problem))
+}
