--- a/crates/lift_rpc/src/control_error.rs
+++ b/crates/lift_rpc/src/control_error.rs
@@ -1,5 +1,7 @@
 //! Why a control operation has no result.
 
+use std::net;
+
 /// Failure of a control operation.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, serde::Serialize, serde::Deserialize)]
 pub enum ControlError {
@@ -10,6 +12,19 @@
     /// same ids.
     #[error("it is not known whether the operation was carried out")]
     Unknown,
+    /// This member does not lead. The operation was not carried out. The client asks the
+    /// leader instead and does not pass this error on.
+    #[error("this control member does not lead")]
+    NotLeader {
+        /// Address at which the leader serves control operations, where it is known.
+        leader: Option<net::SocketAddr>,
+    },
+    /// The other end does not know the message. The operation was not carried out.
+    #[error("the other end refused the message: {problem}")]
+    UnknownMessage {
+        /// What it did not know.
+        problem: String,
+    },
     /// There is no such thing.
     #[error("there is no {what}")]
     Missing {
--- a/crates/lift_rpc/src/control_port.rs
+++ b/crates/lift_rpc/src/control_port.rs
@@ -1,10 +1,10 @@
 //! The control operations.
 
-use std::fmt;
+use std::{fmt, sync, time};
 
 use tokio::sync::watch;
 
-use crate::control_error;
+use crate::{confirmation, control_error};
 
 /// Result of a control operation.
 type Result<T> = std::result::Result<T, error_stack::Report<control_error::ControlError>>;
@@ -62,4 +62,32 @@
 
     /// Follows the policy in force at this node.
     fn watch(&self) -> watch::Receiver<lift_types::PolicyView>;
+
+    /// Renews the leases of several agents, in their order. A relay sends many renewals at
+    /// once.
+    async fn renew_all(
+        &self,
+        renewals: Vec<lift_state::LeaseRenewal>,
+    ) -> Result<Vec<lift_state::LeaseReply>> {
+        let mut replies = Vec::with_capacity(renewals.len());
+        for renewal in renewals {
+            replies.push(self.renew(renewal).await?);
+        }
+        Ok(replies)
+    }
+
+    /// Tells which policy is current, and how old that knowledge is. Control overrides this
+    /// to answer from the leader alone; other nodes answer from what was confirmed to them.
+    async fn confirm(&self) -> Result<confirmation::Confirmation> {
+        let view = self.watch().borrow().clone();
+        let Some(at) = view.confirmed_at else {
+            return Err(error_stack::Report::new(
+                control_error::ControlError::Unavailable,
+            ));
+        };
+        Ok(confirmation::Confirmation {
+            policy: sync::Arc::clone(&view.policy),
+            age: time::Instant::now().saturating_duration_since(at),
+        })
+    }
 }
