--- a/crates/lift_rpc/src/client_core.rs
+++ b/crates/lift_rpc/src/client_core.rs
@@ -192,6 +192,11 @@
                     *sends = before;
                     self.redirect(&link, leader);
                 }
+                reply::Reply::Failed(control_error::ControlError::Unknown)
+                    if resend == client_link::Resend::Allowed =>
+                {
+                    timer::sleep(RECONNECT_PAUSE).await;
+                }
                 reply::Reply::Failed(error) => return Err(error_stack::Report::new(error)),
                 reply => return Ok(reply),
             }
--- a/crates/lift_rpc/src/control_client.rs
+++ b/crates/lift_rpc/src/control_client.rs
@@ -99,16 +99,24 @@
     }
 
     async fn renew(&self, renewal: lift_state::LeaseRenewal) -> Result<lift_state::LeaseReply> {
-        let reply = self.call(request::Request::Renew(renewal)).await?;
-        let replies: Vec<_> = expect!(reply, reply::Reply::Leases)?;
-        let first = replies.into_iter().next();
-        first.ok_or_else(|| error_stack::Report::new(control_error::ControlError::Unknown))
+        let host = renewal.place.host;
+        let replies = self.renew_all(vec![renewal]).await?;
+        match replies.into_iter().next() {
+            Some(Some(reply)) => Ok(reply),
+            Some(None) => {
+                let error = control_error::ControlError::unregistered(host);
+                Err(error_stack::Report::new(error))
+            }
+            None => Err(error_stack::Report::new(
+                control_error::ControlError::Unknown,
+            )),
+        }
     }
 
     async fn renew_all(
         &self,
         renewals: Vec<lift_state::LeaseRenewal>,
-    ) -> Result<Vec<lift_state::LeaseReply>> {
+    ) -> Result<Vec<Option<lift_state::LeaseReply>>> {
         let reply = self.call(request::Request::RenewAll(renewals)).await?;
         expect!(reply, reply::Reply::Leases)
     }
--- a/crates/lift_rpc/src/control_error.rs
+++ b/crates/lift_rpc/src/control_error.rs
@@ -40,3 +40,17 @@
         problem: String,
     },
 }
+
+impl ControlError {
+    /// Whether what was asked for does not exist.
+    pub fn is_missing(&self) -> bool {
+        matches!(self, Self::Missing { .. })
+    }
+
+    /// A registration that does not exist. The agent has to register first.
+    pub fn unregistered(host: lift_types::HostId) -> Self {
+        Self::Missing {
+            what: format!("registration of host {host}"),
+        }
+    }
+}
--- a/crates/lift_rpc/src/control_port.rs
+++ b/crates/lift_rpc/src/control_port.rs
@@ -63,15 +63,19 @@
     /// Follows the policy in force at this node.
     fn watch(&self) -> watch::Receiver<lift_types::PolicyView>;
 
-    /// Renews the leases of several agents, in their order. A relay sends many renewals at
-    /// once.
+    /// Renews the leases of several agents, in their order; `None` where an agent is not
+    /// registered. A relay sends many renewals at once.
     async fn renew_all(
         &self,
         renewals: Vec<lift_state::LeaseRenewal>,
-    ) -> Result<Vec<lift_state::LeaseReply>> {
+    ) -> Result<Vec<Option<lift_state::LeaseReply>>> {
         let mut replies = Vec::with_capacity(renewals.len());
         for renewal in renewals {
-            replies.push(self.renew(renewal).await?);
+            match self.renew(renewal).await {
+                Ok(reply) => replies.push(Some(reply)),
+                Err(error) if error.current_context().is_missing() => replies.push(None),
+                Err(error) => return Err(error),
+            }
         }
         Ok(replies)
     }
--- a/crates/lift_rpc/src/dispatch.rs
+++ b/crates/lift_rpc/src/dispatch.rs
@@ -38,7 +38,6 @@
             request::Request::Manifest(v) => reply::Reply::Manifest(port.manifest(v).await?),
             request::Request::Versions => reply::Reply::Versions(port.versions().await?),
             request::Request::Register(req) => reply::Reply::Incarnation(port.register(req).await?),
-            request::Request::Renew(req) => reply::Reply::Leases(vec![port.renew(req).await?]),
             request::Request::RenewAll(all) => reply::Reply::Leases(port.renew_all(all).await?),
             request::Request::Activate(req) => reply::Reply::Activation(port.activate(req).await?),
             request::Request::Claim(req) => reply::Reply::Claim(port.claim(req).await?),
--- a/crates/lift_rpc/src/reply.rs
+++ b/crates/lift_rpc/src/reply.rs
@@ -21,7 +21,7 @@
     Manifest(lift_types::Manifest),
     Versions(Vec<lift_types::VersionId>),
     Incarnation(lift_types::Incarnation),
-    Leases(Vec<lift_state::LeaseReply>),
+    Leases(Vec<Option<lift_state::LeaseReply>>),
     Activation(lift_state::ActivationReply),
     Claim(lift_state::ClaimReply),
     FoundClaim(Option<lift_state::ClaimReply>),
--- a/crates/lift_rpc/src/request.rs
+++ b/crates/lift_rpc/src/request.rs
@@ -13,7 +13,6 @@
     Manifest(lift_types::VersionId),
     Versions,
     Register(lift_state::Registration),
-    Renew(lift_state::LeaseRenewal),
     RenewAll(Vec<lift_state::LeaseRenewal>),
     Activate(lift_state::ActivationRequest),
     Claim(lift_state::ClaimRequest),
