--- /dev/null
+++ b/crates/lift_settings/examples/settings_reference.rs
@@ -0,0 +1,5 @@
+//! Prints `docs/operate/settings.md`.
+
+fn main() {
+    print!("{}", lift_settings::reference());
+}
--- /dev/null
+++ b/crates/lift_settings/src/control_settings.rs
@@ -0,0 +1,23 @@
+//! Settings of the control role.
+
+use std::{net, path};
+
+use crate::control_member;
+
+/// Listeners, members and data folder of a control member.
+#[derive(
+    Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize, schemars::JsonSchema,
+)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// Address for other control members.
+    pub peer_listener: net::SocketAddr,
+    /// Address for entries.
+    pub client_listener: net::SocketAddr,
+    /// Identifier of this member.
+    pub member: lift_types::MemberId,
+    /// All members, this one included. They are the same on every member.
+    pub members: Vec<control_member::ControlMember>,
+    /// Folder for log and snapshots. Its files are synced before a change is acknowledged.
+    pub data_dir: path::PathBuf,
+}
--- a/crates/lift_settings/src/lib.rs
+++ b/crates/lift_settings/src/lib.rs
@@ -1,1 +1,36 @@
-//! JSON settings with checks that name the field at fault.
+//! JSON settings of a node, with checks that name the field at fault.
+//!
+//! [`Settings::load`] reads a file and refuses unknown fields, fields that do not fit
+//! together and files that can't be read. Each [`Role`] has a section of its own. The first
+//! fault is reported as a [`SettingsError`]: path, problem and what is allowed, on one line.
+//! The fields are listed in `docs/operate/settings.md`, which a test makes from these types.
+
+mod agent_settings;
+mod backend_kind;
+mod check;
+mod check_listeners;
+mod control_member;
+mod control_settings;
+mod entry_limits;
+mod entry_settings;
+mod key_file;
+mod link_key_settings;
+mod reference;
+mod role;
+mod settings;
+mod settings_error;
+mod tls_settings;
+
+pub use agent_settings::AgentSettings;
+pub use backend_kind::BackendKind;
+pub use control_member::ControlMember;
+pub use control_settings::ControlSettings;
+pub use entry_limits::EntryLimits;
+pub use entry_settings::EntrySettings;
+pub use key_file::{KeyFile, LINK_KEY_BYTES};
+pub use link_key_settings::LinkKeySettings;
+pub use reference::reference;
+pub use role::Role;
+pub use settings::Settings;
+pub use settings_error::SettingsError;
+pub use tls_settings::TlsSettings;
