--- a/crates/marjoramlift/src/main.rs
+++ b/crates/marjoramlift/src/main.rs
@@ -1,3 +1,15 @@
-//! Entry point.
+//! `marjoramlift`: the program of a node.
+//!
+//! [`cli::Cli`] holds the arguments. `check` reads settings and names the first field at
+//! fault.
 
-fn main() {}
+mod check;
+mod cli;
+
+use std::process;
+
+use clap::Parser as _;
+
+fn main() -> process::ExitCode {
+    cli::Cli::parse().run()
+}
