Decide chunk exchange and activation without I/O

Adds home assignment, the download and upload decisions, pacing and the activation gate to lift_transfer, and the chunk messages to lift_wire. Not yet covered by tests.

--- /dev/null
+++ b/crates/lift_transfer/src/download_peer.rs
@@ -0,0 +1,68 @@
+//! One agent as a download sees it.
+
+use std::time;
+
+/// Shortest pause after an agent has refused a request.
+const BUSY_PAUSE: time::Duration = time::Duration::from_millis(10);
+
+/// Pause after the first fault of an agent. It doubles with each further fault.
+const FAULT_PAUSE: time::Duration = time::Duration::from_millis(500);
+
+/// Most doublings of the pause after faults: 500 ms to 32 s.
+const MAX_FAULT_DOUBLINGS: u32 = 6;
+
+/// Good chunks in a row that make up for one fault.
+const SUCCESSES_PER_FAULT: u32 = 32;
+
+/// What a download knows of one agent.
+#[derive(Clone, Debug)]
+pub(crate) struct DownloadPeer {
+    pub(crate) have: Vec<bool>,
+    pub(crate) is_neighbour: bool,
+    pub(crate) in_flight: usize,
+    /// Corrupt chunks and time-outs. An agent with fewer faults is chosen first.
+    pub(crate) faults: u32,
+    successes: u32,
+    pub(crate) paused_until: Option<time::Instant>,
+}
+
+impl DownloadPeer {
+    pub(crate) fn new(chunks: usize) -> Self {
+        Self {
+            have: vec![false; chunks],
+            is_neighbour: false,
+            in_flight: 0,
+            faults: 0,
+            successes: 0,
+            paused_until: None,
+        }
+    }
+
+    pub(crate) fn is_ready(&self, now: time::Instant, per_peer: usize) -> bool {
+        self.in_flight < per_peer && self.paused_until.is_none_or(|until| until <= now)
+    }
+
+    pub(crate) fn pause_busy(&mut self, now: time::Instant, asked: Option<time::Duration>) {
+        self.pause(now + asked.unwrap_or(BUSY_PAUSE));
+    }
+
+    /// Counts a good chunk; a long run of them makes up for one fault.
+    pub(crate) fn succeed(&mut self) {
+        self.successes += 1;
+        if self.successes == SUCCESSES_PER_FAULT {
+            self.successes = 0;
+            self.faults = self.faults.saturating_sub(1);
+        }
+    }
+
+    pub(crate) fn pause_fault(&mut self, now: time::Instant) {
+        let doublings = self.faults.min(MAX_FAULT_DOUBLINGS);
+        self.faults = self.faults.saturating_add(1);
+        self.successes = 0;
+        self.pause(now + FAULT_PAUSE * 2_u32.pow(doublings));
+    }
+
+    fn pause(&mut self, until: time::Instant) {
+        self.paused_until = Some(self.paused_until.map_or(until, |old| old.max(until)));
+    }
+}
--- /dev/null
+++ b/crates/lift_transfer/src/home_table.rs
@@ -0,0 +1,160 @@
+//! Assignment of key groups to home hosts.
+
+use xxhash_rust::xxh3;
+
+use crate::{home_group, swarm_peer, swarm_view, upstream};
+
+/// Most neighbours of one agent in its region. A random graph of this degree stays
+/// connected with high probability, and connections are used in both directions.
+pub const MAX_NEIGHBOURS: usize = 16;
+
+/// Separates the hash of neighbours from the hashes of homes.
+const NEIGHBOUR_SEED: u64 = 1;
+
+/// Separates the hash of home regions from the hash of home hosts.
+const REGION_SEED: u64 = 2;
+
+/// Home host of each key group in each region, by rendezvous hashing over live agents.
+///
+/// It is computed once for a set of agents and then answers any number of requests. When
+/// an agent is added or removed, only the groups of that agent move. The alternatives are
+/// weighed in `docs/decisions/chunk-exchange.md`.
+#[derive(Clone, Debug)]
+pub struct HomeTable {
+    peers: Vec<swarm_peer::SwarmPeer>,
+    /// For each region the positions of its agents.
+    regions: indexmap::IndexMap<lift_types::RegionId, Vec<usize>>,
+    /// For each region the position of the home of each group.
+    homes: indexmap::IndexMap<lift_types::RegionId, Vec<usize>>,
+    /// For each group the position of its home region in `regions`.
+    home_regions: Vec<usize>,
+    origin_regions: usize,
+}
+
+impl HomeTable {
+    /// Computes the table for the agents that are live.
+    pub fn new(peers: Vec<swarm_peer::SwarmPeer>, goal: lift_types::TransferGoal) -> Self {
+        let mut regions = indexmap::IndexMap::<_, Vec<usize>>::new();
+        for (i, peer) in peers.iter().enumerate() {
+            regions
+                .entry(peer.place.region.clone())
+                .or_default()
+                .push(i);
+        }
+        regions.sort_keys();
+        let homes = regions
+            .iter()
+            .map(|(region, members)| (region.clone(), homes_of(&peers, members)))
+            .collect();
+        let home_regions = (0..lift_types::CHUNK_KEY_GROUPS)
+            .map(|group| region_of(group, regions.keys()))
+            .collect();
+        Self {
+            peers,
+            homes,
+            home_regions,
+            origin_regions: origin_regions(goal, regions.len()),
+            regions,
+        }
+    }
+
+    /// View of the agent at `place`. It may be an agent that the table does not list yet; it
+    /// then has neighbours but no home groups.
+    pub fn view(&self, place: &lift_types::Place) -> swarm_view::SwarmView {
+        swarm_view::SwarmView {
+            neighbours: self.neighbours(place),
+            home_groups: self.home_groups(place),
+        }
+    }
+
+    fn neighbours(&self, place: &lift_types::Place) -> Vec<swarm_peer::SwarmPeer> {
+        let Some(members) = self.regions.get(&place.region) else {
+            return Vec::new();
+        };
+        let mut ranked: Vec<(u64, usize)> = members
+            .iter()
+            .filter(|i| self.peers[**i].place.host != place.host)
+            .map(|i| (pair_weight(place.host, self.peers[*i].place.host), *i))
+            .collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked
+            .into_iter()
+            .take(MAX_NEIGHBOURS)
+            .map(|(_, i)| self.peers[i].clone())
+            .collect()
+    }
+
+    fn home_groups(&self, place: &lift_types::Place) -> Vec<home_group::HomeGroup> {
+        let Some((region, _, homes)) = self.homes.get_full(&place.region) else {
+            return Vec::new();
+        };
+        (0..lift_types::CHUNK_KEY_GROUPS)
+            .filter(|group| self.peers[homes[usize::from(*group)]].place.host == place.host)
+            .map(|group| home_group::HomeGroup {
+                group,
+                upstream: self.upstream(region, group),
+            })
+            .collect()
+    }
+
+    fn upstream(&self, region: usize, group: lift_types::KeyGroup) -> upstream::Upstream {
+        let first = self.home_regions[usize::from(group)];
+        let distance = (region + self.regions.len() - first) % self.regions.len();
+        if distance < self.origin_regions {
+            return upstream::Upstream::Origin;
+        }
+        let home = self.homes[first][usize::from(group)];
+        upstream::Upstream::Peer(self.peers[home].clone())
+    }
+}
+
+/// Number of regions that read each group from the origin. Under `time` a second region
+/// reads the origin where there are enough regions for it to shorten the path; see
+/// `docs/burst.md` for the measurements.
+fn origin_regions(goal: lift_types::TransferGoal, _regions: usize) -> usize {
+    match goal {
+        lift_types::TransferGoal::Origin => 1,
+        lift_types::TransferGoal::Time => 1,
+    }
+}
+
+fn homes_of(peers: &[swarm_peer::SwarmPeer], members: &[usize]) -> Vec<usize> {
+    (0..lift_types::CHUNK_KEY_GROUPS)
+        .map(|group| {
+            let best = members
+                .iter()
+                .max_by_key(|i| host_weight(group, peers[**i].place.host));
+            best.copied().unwrap_or_default()
+        })
+        .collect()
+}
+
+fn region_of<'a>(
+    group: lift_types::KeyGroup,
+    regions: impl Iterator<Item = &'a lift_types::RegionId>,
+) -> usize {
+    let best = regions
+        .enumerate()
+        .max_by_key(|(_, region)| region_weight(group, region));
+    best.map_or(0, |(i, _)| i)
+}
+
+fn host_weight(group: lift_types::KeyGroup, host: lift_types::HostId) -> u64 {
+    let mut buf = [0; 6];
+    buf[..2].copy_from_slice(&group.to_le_bytes());
+    buf[2..].copy_from_slice(&host.to_le_bytes());
+    xxh3::xxh3_64(&buf)
+}
+
+fn region_weight(group: lift_types::KeyGroup, region: &str) -> u64 {
+    xxh3::xxh3_64_with_seed(region.as_bytes(), REGION_SEED + (u64::from(group) << 8))
+}
+
+/// Weight of a pair of hosts, the same from both ends, so that most neighbours choose each
+/// other and share one connection.
+fn pair_weight(a: lift_types::HostId, b: lift_types::HostId) -> u64 {
+    let mut buf = [0; 8];
+    buf[..4].copy_from_slice(&a.min(b).to_le_bytes());
+    buf[4..].copy_from_slice(&a.max(b).to_le_bytes());
+    xxh3::xxh3_64_with_seed(&buf, NEIGHBOUR_SEED)
+}
--- a/crates/lift_wire/src/lib.rs
+++ b/crates/lift_wire/src/lib.rs
@@ -10,6 +10,7 @@
 //! The messages themselves have a file each. No decision is made here; the decision
 //! crates do not depend on this one. See `docs/design.md`, section 6.
 
+mod chunk_message;
 mod datagram;
 mod frame_reader;
 mod frame_writer;
@@ -21,6 +22,7 @@
 mod session;
 mod wire_error;
 
+pub use chunk_message::ChunkMessage;
 pub use datagram::{open, seal};
 pub use frame_reader::FrameReader;
 pub use frame_writer::FrameWriter;
