Spread a version among agents and activate it

Adds the agent runtime (lift_swarm), HTTP implementations of origin, weight store and engine, and their stand-ins. A loopback test with nine hosts in three regions reaches all of them and reads the origin once under the origin goal.

--- /dev/null
+++ b/crates/lift_border/src/http_client.rs
@@ -0,0 +1,87 @@
+//! HTTP requests to the systems at the borders.
+
+use std::{net, time};
+
+use error_stack::ResultExt as _;
+use http_body_util::BodyExt as _;
+use hyper_util::{client::legacy, rt};
+
+/// Idle connections kept to one system. More than a few are seldom in use at once.
+const MAX_IDLE: usize = 8;
+
+/// Time in which a connection must be open.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// A request could not be completed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the HTTP request could not be completed")]
+pub(crate) struct HttpError;
+
+/// Client of one system, given by the start of its URLs.
+#[derive(Clone, Debug)]
+pub(crate) struct HttpClient {
+    base: String,
+    client: legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<bytes::Bytes>>,
+}
+
+impl HttpClient {
+    /// Makes a client whose connections start at `local_ip`, where one is given.
+    pub(crate) fn new(base: &str, local_ip: Option<net::IpAddr>) -> Self {
+        let mut connector = legacy::connect::HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_local_address(local_ip);
+        Self {
+            base: String::from(base.trim_end_matches('/')),
+            client: legacy::Client::builder(rt::TokioExecutor::new())
+                .pool_max_idle_per_host(MAX_IDLE)
+                .build(connector),
+        }
+    }
+
+    /// Starts a request for `path`, which begins with a slash.
+    pub(crate) fn request(&self, method: http::Method, path: &str) -> http::request::Builder {
+        http::Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.base))
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub(crate) async fn send(
+        &self,
+        req: http::request::Builder,
+        body: bytes::Bytes,
+    ) -> Result<http::Response<bytes::Bytes>, error_stack::Report<HttpError>> {
+        let req = req
+            .body(http_body_util::Full::new(body))
+            .change_context(HttpError)?;
+        let reply = self.client.request(req).await.change_context(HttpError)?;
+        let (head, body) = reply.into_parts();
+        let body = body.collect().await.change_context(HttpError)?;
+        Ok(http::Response::from_parts(head, body.to_bytes()))
+    }
+
+    /// Sends a request with a JSON body and reads the whole answer.
+    pub(crate) async fn send_json<T: serde::Serialize>(
+        &self,
+        req: http::request::Builder,
+        message: &T,
+    ) -> Result<http::Response<bytes::Bytes>, error_stack::Report<HttpError>> {
+        let body = serde_json::to_vec(message).change_context(HttpError)?;
+        let req = req.header(http::header::CONTENT_TYPE, "application/json");
+        self.send(req, bytes::Bytes::from(body)).await
+    }
+}
+
+/// Writes `name` as one segment of a path.
+pub(crate) fn segment(name: &str) -> String {
+    let mut out = String::with_capacity(name.len());
+    for byte in name.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            out.push(char::from(byte));
+        } else {
+            out.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    out
+}
--- /dev/null
+++ b/crates/lift_swarm/src/dialer.rs
@@ -0,0 +1,75 @@
+//! Keeps connections to the agents of the view.
+
+use std::{net as std_net, sync, time};
+
+use tokio::{net, time as tokio_time};
+
+use crate::{agent, exchange};
+
+/// Interval at which missing connections are opened.
+const DIAL_INTERVAL: time::Duration = time::Duration::from_millis(250);
+
+/// Time after which a connection attempt is given up.
+const DIAL_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// Opens connections to desired agents until the agent stops.
+pub(crate) async fn run(agent: sync::Arc<agent::Agent>) {
+    let dialing = sync::Arc::new(parking_lot::Mutex::new(indexmap::IndexSet::new()));
+    loop {
+        let desired = agent.desired.lock().clone();
+        for peer in desired {
+            let host = peer.place.host;
+            let is_linked = agent.links.with(&host, |links| links.contains_key(&host));
+            if is_linked || host == agent.place.host || !dialing.lock().insert(host) {
+                continue;
+            }
+            let (own, dialing) = (agent.clone(), dialing.clone());
+            agent.spawn_until_stop(async move {
+                dial(&own, &peer).await;
+                dialing.lock().swap_remove(&host);
+            });
+        }
+        tokio::select! {
+            () = agent.dial_now.notified() => {}
+            () = tokio_time::sleep(DIAL_INTERVAL) => {}
+        }
+    }
+}
+
+async fn dial(agent: &sync::Arc<agent::Agent>, peer: &lift_transfer::SwarmPeer) {
+    let host = peer.place.host;
+    // Neighbours mostly choose each other. The lower host dials first, so that there is
+    // seldom a second connection to drop.
+    if host < agent.place.host && peer.place.region == agent.place.region {
+        tokio_time::sleep(DIAL_INTERVAL).await;
+        if agent.links.with(&host, |links| links.contains_key(&host)) {
+            return;
+        }
+    }
+    let connect = connect(agent.local_ip, peer.chunk_addr);
+    let Ok(Ok(stream)) = tokio_time::timeout(DIAL_TIMEOUT, connect).await else {
+        agent.counters.increment("chunk_dial_failed");
+        tokio_time::sleep(DIAL_INTERVAL).await;
+        return;
+    };
+    let own = agent.clone();
+    agent
+        .tasks
+        .spawn(exchange::run(own, stream, exchange::End::Dialed));
+    // Leaves the new connection time to appear among the links.
+    tokio_time::sleep(DIAL_INTERVAL).await;
+}
+
+async fn connect(
+    local_ip: Option<std_net::IpAddr>,
+    addr: std_net::SocketAddr,
+) -> std::io::Result<net::TcpStream> {
+    let socket = match addr {
+        std_net::SocketAddr::V4(_) => net::TcpSocket::new_v4()?,
+        std_net::SocketAddr::V6(_) => net::TcpSocket::new_v6()?,
+    };
+    if let Some(ip) = local_ip {
+        socket.bind(std_net::SocketAddr::new(ip, 0))?;
+    }
+    socket.connect(addr).await
+}
--- /dev/null
+++ b/crates/lift_swarm/src/exchange.rs
@@ -0,0 +1,186 @@
+//! Connections for chunk exchange.
+
+use std::{sync, time};
+
+use error_stack::ResultExt as _;
+use tokio::{net, sync as tokio_sync, time as tokio_time};
+use tokio_util::sync as util_sync;
+
+use crate::{agent, peer_link};
+
+/// Time in which a connection must be open and both ends have said who they are.
+const OPEN_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// Silence after which a connection is closed. A device on the path may have lost its state
+/// without any error at the ends.
+const SILENCE_LIMIT: time::Duration = time::Duration::from_secs(2);
+
+/// Interval of pings, so that a few of them fit into the limit.
+const PING_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// Time for one write. Above it the other end does not read.
+const WRITE_LIMIT: time::Duration = time::Duration::from_secs(10);
+
+/// Most connections of one agent.
+const MAX_LINKS: usize = 256;
+
+type Reader = lift_wire::FrameReader<net::tcp::OwnedReadHalf>;
+type Writer = lift_wire::FrameWriter<net::tcp::OwnedWriteHalf>;
+type Result<T> = std::result::Result<T, error_stack::Report<lift_wire::WireError>>;
+
+/// Which end opened a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    Dialed,
+    Accepted,
+}
+
+/// Runs one connection until it ends.
+pub(crate) async fn run(agent: sync::Arc<agent::Agent>, stream: net::TcpStream, end: End) {
+    let Ok(Ok((reader, writer, link, rx))) =
+        tokio_time::timeout(OPEN_TIMEOUT, open(&agent, stream, end)).await
+    else {
+        agent.counters.increment("chunk_link_refused");
+        return;
+    };
+    let host = link.place.host;
+    if !insert(&agent, &link) {
+        agent.counters.increment("chunk_link_doubled");
+        return;
+    }
+    agent.link_up(&link);
+    let close = link.close.clone();
+    tokio::select! {
+        () = close.cancelled() => {}
+        () = agent.stop.cancelled() => {}
+        _ = read(&agent, host, reader) => {}
+        _ = write(writer, rx) => {}
+    }
+    close.cancel();
+    remove(&agent, &link);
+}
+
+async fn open(
+    agent: &agent::Agent,
+    stream: net::TcpStream,
+    end: End,
+) -> Result<(
+    Reader,
+    Writer,
+    peer_link::PeerLink,
+    tokio_sync::mpsc::Receiver<peer_link::Outgoing>,
+)> {
+    let purpose = lift_wire::Purpose::Chunks;
+    let (mut reader, mut writer) = match end {
+        End::Dialed => lift_wire::connect(stream, &agent.keys, purpose).await?,
+        End::Accepted => lift_wire::accept(stream, &agent.keys, purpose).await?,
+    };
+    let hello = lift_wire::ChunkMessage::Hello {
+        place: agent.place.clone(),
+        incarnation: agent.incarnation,
+    };
+    writer.send(&hello).await?;
+    let lift_wire::ChunkMessage::Hello { place, incarnation } = reader.recv().await? else {
+        return Err(error_stack::Report::new(lift_wire::WireError::Decode));
+    };
+    let dialer = match end {
+        End::Dialed => agent.place.host,
+        End::Accepted => place.host,
+    };
+    let (tx, rx) = tokio_sync::mpsc::channel(peer_link::QUEUE_MESSAGES);
+    let link = peer_link::PeerLink {
+        place,
+        incarnation,
+        dialer,
+        interest: None,
+        tx,
+        close: util_sync::CancellationToken::new(),
+    };
+    Ok((reader, writer, link, rx))
+}
+
+fn insert(agent: &agent::Agent, link: &peer_link::PeerLink) -> bool {
+    let host = link.place.host;
+    let count = agent.links.fold(0, |count, links| count + links.len());
+    if host == agent.place.host || count >= MAX_LINKS {
+        return false;
+    }
+    agent.links.with(&host, |links| {
+        if let Some(old) = links.get(&host) {
+            if !link.replaces(old, agent.place.host) {
+                return false;
+            }
+            old.close.cancel();
+        }
+        links.insert(host, link.clone());
+        true
+    })
+}
+
+/// Removes a link unless another connection has taken its place.
+fn remove(agent: &sync::Arc<agent::Agent>, link: &peer_link::PeerLink) {
+    let host = link.place.host;
+    let removed = agent.links.with(&host, |links| {
+        let is_same = links
+            .get(&host)
+            .is_some_and(|current| current.tx.same_channel(&link.tx));
+        if is_same {
+            links.swap_remove(&host);
+        }
+        is_same
+    });
+    if removed {
+        agent.link_down(host);
+    }
+}
+
+async fn read(
+    agent: &sync::Arc<agent::Agent>,
+    host: lift_types::HostId,
+    mut reader: Reader,
+) -> Result<()> {
+    loop {
+        let message = recv(&mut reader).await?;
+        agent.take_message(host, message);
+    }
+}
+
+/// Reads the next message. A long message may take longer than the limit as long as bytes
+/// of it arrive.
+async fn recv(reader: &mut Reader) -> Result<lift_wire::ChunkMessage> {
+    loop {
+        let before = reader.buffered();
+        match tokio_time::timeout(SILENCE_LIMIT, reader.recv()).await {
+            Ok(message) => return message,
+            Err(_) if reader.buffered() != before => {}
+            Err(elapsed) => {
+                return Err(elapsed).change_context(lift_wire::WireError::Closed);
+            }
+        }
+    }
+}
+
+async fn write(
+    mut writer: Writer,
+    mut rx: tokio_sync::mpsc::Receiver<peer_link::Outgoing>,
+) -> Result<()> {
+    loop {
+        let Ok(next) = tokio_time::timeout(PING_INTERVAL, rx.recv()).await else {
+            flush(&mut writer, &lift_wire::ChunkMessage::Ping).await?;
+            continue;
+        };
+        let Some(outgoing) = next else {
+            return Ok(());
+        };
+        flush(&mut writer, &outgoing.message).await?;
+        if let Some(written) = outgoing.written {
+            let _ = written.send(());
+        }
+    }
+}
+
+async fn flush(writer: &mut Writer, message: &lift_wire::ChunkMessage) -> Result<()> {
+    tokio_time::timeout(WRITE_LIMIT, writer.send(message))
+        .await
+        .change_context(lift_wire::WireError::Closed)?
+}
--- /dev/null
+++ b/crates/lift_swarm/src/version_store.rs
@@ -0,0 +1,227 @@
+//! Whole versions on disk.
+
+use std::{fs, io, path, sync};
+
+use error_stack::ResultExt as _;
+use io::{Read as _, Write as _};
+use sync::atomic;
+
+use crate::{chunk_store, swarm_error};
+
+/// Bytes that are read at a time when a whole file is verified.
+const READ_BYTES: usize = 256 * 1024;
+
+/// Result of a store operation.
+type Result<T> = std::result::Result<T, error_stack::Report<swarm_error::SwarmError>>;
+
+/// Manifests and whole files of the versions that a host holds, oldest use first.
+///
+/// The whole file is what the engine loads. It is assembled one chunk at a time, so memory
+/// does not grow with the size of a version. All functions but [`VersionStore::manifest`]
+/// block.
+#[derive(Debug)]
+pub struct VersionStore {
+    dir: path::PathBuf,
+    chunks: sync::Arc<chunk_store::ChunkStore>,
+    versions: parking_lot::Mutex<indexmap::IndexMap<lift_types::VersionId, Held>>,
+    temp_number: atomic::AtomicU64,
+}
+
+/// A version whose manifest is stored.
+#[derive(Clone, Debug)]
+struct Held {
+    manifest: sync::Arc<lift_types::Manifest>,
+    /// Whether this process has compared the whole file with its hash.
+    file: File,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum File {
+    Verified,
+    Unverified,
+}
+
+impl VersionStore {
+    /// Opens the store in `dir`, which is created if needed, and reads the manifests in it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the directory can't be read or written.
+    pub fn open(dir: path::PathBuf, chunks: sync::Arc<chunk_store::ChunkStore>) -> Result<Self> {
+        fs::create_dir_all(&dir).change_context(swarm_error::SwarmError::Disk)?;
+        let versions = parking_lot::Mutex::new(read_manifests(&dir)?);
+        Ok(Self {
+            dir,
+            chunks,
+            versions,
+            temp_number: atomic::AtomicU64::new(0),
+        })
+    }
+
+    /// Manifest of a version, where it is known here.
+    pub fn manifest(&self, version: &str) -> Option<sync::Arc<lift_types::Manifest>> {
+        let versions = self.versions.lock();
+        versions.get(version).map(|held| held.manifest.clone())
+    }
+
+    /// Stores a manifest and marks its version as the one used last.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`swarm_error::SwarmError::Disk`] where it can't be written.
+    pub fn insert(&self, manifest: &sync::Arc<lift_types::Manifest>) -> Result<()> {
+        let text =
+            serde_json::to_vec(manifest.as_ref()).change_context(swarm_error::SwarmError::Disk)?;
+        let path = self.path(manifest, "json");
+        let number = self.temp_number.fetch_add(1, atomic::Ordering::Relaxed);
+        let temp = self.dir.join(format!("temp-{number}"));
+        fs::write(&temp, text).change_context(swarm_error::SwarmError::Disk)?;
+        fs::rename(temp, path).change_context(swarm_error::SwarmError::Disk)?;
+        let mut versions = self.versions.lock();
+        let file = versions
+            .shift_remove(&manifest.version)
+            .filter(|held| held.manifest == *manifest)
+            .map_or(File::Unverified, |held| held.file);
+        let manifest = manifest.clone();
+        versions.insert(manifest.version.clone(), Held { manifest, file });
+        Ok(())
+    }
+
+    /// Makes sure that the whole file is there and matches its hash, and returns its path.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`swarm_error::SwarmError::Missing`] where a chunk is not stored, and
+    /// [`swarm_error::SwarmError::Corrupt`] where the chunks do not add up to the whole.
+    pub fn assemble(&self, manifest: &lift_types::Manifest) -> Result<path::PathBuf> {
+        let path = self.path(manifest, "weights");
+        let is_verified = {
+            let versions = self.versions.lock();
+            let held = versions.get(&manifest.version);
+            held.is_some_and(|held| held.file == File::Verified)
+        };
+        if is_verified || hash_file(&path).is_some_and(|hash| hash == manifest.whole) {
+            self.set_verified(manifest);
+            return Ok(path);
+        }
+        self.write_whole(manifest, &path)?;
+        self.set_verified(manifest);
+        Ok(path)
+    }
+
+    /// Removes the versions used longest ago until at most `limit` are left, but none of
+    /// `used`. Returns the removed ones.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`swarm_error::SwarmError::Disk`] where a file can't be removed.
+    pub fn trim(
+        &self,
+        limit: usize,
+        used: &[lift_types::VersionId],
+    ) -> Result<Vec<lift_types::VersionId>> {
+        let (removed, kept) = self.split(limit, used);
+        for manifest in &removed {
+            for extension in ["weights", "json"] {
+                let _ = fs::remove_file(self.path(manifest, extension));
+            }
+        }
+        if removed.is_empty() {
+            return Ok(Vec::new());
+        }
+        let needed: indexmap::IndexSet<_> = kept.iter().flat_map(|m| &m.chunks).collect();
+        for hash in self.chunks.hashes() {
+            if !needed.contains(&hash) {
+                self.chunks.remove(&hash)?;
+            }
+        }
+        Ok(removed.into_iter().map(|m| m.version.clone()).collect())
+    }
+
+    fn split(&self, limit: usize, used: &[lift_types::VersionId]) -> (Manifests, Manifests) {
+        let mut versions = self.versions.lock();
+        let mut excess = versions.len().saturating_sub(limit);
+        let mut removed = Vec::new();
+        versions.retain(|version, held| {
+            if excess == 0 || used.contains(version) {
+                return true;
+            }
+            excess -= 1;
+            removed.push(held.manifest.clone());
+            false
+        });
+        let kept = versions.values().map(|held| held.manifest.clone());
+        (removed, kept.collect())
+    }
+
+    fn write_whole(&self, manifest: &lift_types::Manifest, path: &path::Path) -> Result<()> {
+        let number = self.temp_number.fetch_add(1, atomic::Ordering::Relaxed);
+        let temp = self.dir.join(format!("temp-{number}"));
+        let mut file = fs::File::create(&temp).change_context(swarm_error::SwarmError::Disk)?;
+        let mut hasher = blake3::Hasher::new();
+        for hash in &manifest.chunks {
+            let Some(buf) = self.chunks.read(hash)? else {
+                return Err(error_stack::Report::new(swarm_error::SwarmError::Missing));
+            };
+            hasher.update(&buf);
+            file.write_all(&buf)
+                .change_context(swarm_error::SwarmError::Disk)?;
+        }
+        if *hasher.finalize().as_bytes() != manifest.whole.0 {
+            return Err(error_stack::Report::new(swarm_error::SwarmError::Corrupt));
+        }
+        fs::rename(&temp, path).change_context(swarm_error::SwarmError::Disk)
+    }
+
+    fn set_verified(&self, manifest: &lift_types::Manifest) {
+        if let Some(held) = self.versions.lock().get_mut(&manifest.version) {
+            held.file = File::Verified;
+        }
+    }
+
+    fn path(&self, manifest: &lift_types::Manifest, extension: &str) -> path::PathBuf {
+        let name = manifest.whole.to_hex();
+        self.dir.join(format!("{name}.{extension}"))
+    }
+}
+
+/// Manifests, oldest use first.
+type Manifests = Vec<sync::Arc<lift_types::Manifest>>;
+
+/// Reads the manifests in `dir`, oldest file first. A damaged one is as good as none.
+fn read_manifests(dir: &path::Path) -> Result<indexmap::IndexMap<lift_types::VersionId, Held>> {
+    let mut found = Vec::new();
+    let entries = fs::read_dir(dir).change_context(swarm_error::SwarmError::Disk)?;
+    for entry in entries {
+        let entry = entry.change_context(swarm_error::SwarmError::Disk)?;
+        if entry.path().extension().is_none_or(|e| e != "json") {
+            continue;
+        }
+        let Ok(text) = fs::read(entry.path()) else {
+            continue;
+        };
+        let modified = entry.metadata().and_then(|m| m.modified()).ok();
+        if let Ok(manifest) = serde_json::from_slice::<lift_types::Manifest>(&text) {
+            found.push((modified, sync::Arc::new(manifest)));
+        }
+    }
+    found.sort_by_key(|(modified, _)| *modified);
+    let held = found.into_iter().map(|(_, manifest)| {
+        let file = File::Unverified;
+        (manifest.version.clone(), Held { manifest, file })
+    });
+    Ok(held.collect())
+}
+
+fn hash_file(path: &path::Path) -> Option<lift_types::ChunkHash> {
+    let mut file = fs::File::open(path).ok()?;
+    let mut hasher = blake3::Hasher::new();
+    let mut buf = vec![0; READ_BYTES];
+    loop {
+        let read = file.read(&mut buf).ok()?;
+        if read == 0 {
+            return Some(lift_types::ChunkHash(*hasher.finalize().as_bytes()));
+        }
+        hasher.update(&buf[..read]);
+    }
+}
--- /dev/null
+++ b/crates/lift_swarm/tests/fleet/mod.rs
@@ -0,0 +1,165 @@
+//! A small fleet on loopback for the tests of this crate.
+
+use std::{sync, time};
+
+use lift_border::ServingControl as _;
+use lift_rpc::ControlPort as _;
+use lift_standin::{ControlStandin, EngineOrders, EngineTokenCheck, OriginStandin};
+use lift_swarm::{Swarm, SwarmLimits, SwarmStatus};
+use lift_types::{Place, ServingVersion};
+
+/// Longest wait for a state that a test expects.
+pub const WAIT: time::Duration = time::Duration::from_secs(10);
+
+/// Chunk size of the test weights, in bytes.
+pub const CHUNK_BYTES: u32 = 4 * 1024;
+
+/// Request side that takes what it is given and records it.
+#[derive(Debug, Default)]
+pub struct Gate {
+    serving: parking_lot::Mutex<Option<ServingVersion>>,
+}
+
+#[async_trait::async_trait]
+impl lift_border::ServingControl for Gate {
+    async fn close_and_drain(&self, _: time::Duration) -> usize {
+        *self.serving.lock() = None;
+        0
+    }
+
+    fn open(&self, version: ServingVersion) {
+        *self.serving.lock() = Some(version);
+    }
+
+    fn serving(&self) -> Option<ServingVersion> {
+        self.serving.lock().clone()
+    }
+}
+
+/// What outlives the agent of a host.
+#[derive(Debug)]
+pub struct Host {
+    pub place: Place,
+    pub dir: tempfile::TempDir,
+    pub engine: sync::Arc<EngineOrders>,
+    pub gate: sync::Arc<Gate>,
+    pub counters: sync::Arc<lift_obs::Counters>,
+}
+
+impl Host {
+    pub fn new(host: u32, region: &str, check: EngineTokenCheck) -> Self {
+        Self {
+            place: Place {
+                region: String::from(region),
+                failure_domain: format!("{region}-a"),
+                host,
+            },
+            dir: tempfile::tempdir().unwrap(),
+            engine: sync::Arc::new(EngineOrders::new(check, time::Duration::ZERO)),
+            gate: sync::Arc::default(),
+            counters: sync::Arc::default(),
+        }
+    }
+
+    pub fn serving(&self) -> Option<String> {
+        self.gate.serving().map(|serving| serving.version)
+    }
+}
+
+/// Origin and control of a fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    pub origin: OriginStandin,
+    pub control: sync::Arc<ControlStandin>,
+}
+
+impl Fleet {
+    pub async fn start() -> Self {
+        Self {
+            origin: OriginStandin::start().await.unwrap(),
+            control: sync::Arc::new(ControlStandin::new()),
+        }
+    }
+
+    /// Publishes weights of `length` bytes made from `seed`.
+    pub async fn publish(&self, version: &str, seed: u64, length: usize) {
+        let bytes = weights(seed, length);
+        let manifest = self.origin.publish(version, bytes, CHUNK_BYTES);
+        self.control.publish(manifest).await.unwrap();
+    }
+
+    pub fn set_default(&self, version: &str) {
+        self.control
+            .set_policy(|policy| policy.default.version = Some(String::from(version)));
+    }
+
+    pub async fn agent(&self, host: &Host) -> Swarm {
+        let download = lift_transfer::DownloadConfig::default()
+            .timeouts(
+                time::Duration::from_secs(1),
+                time::Duration::from_millis(200),
+            )
+            .upstream_timeout(time::Duration::from_millis(500));
+        let limits = SwarmLimits::default()
+            .download(download)
+            .engine(
+                time::Duration::from_millis(50),
+                time::Duration::from_millis(100),
+            )
+            .activation(time::Duration::from_secs(5), time::Duration::from_secs(1))
+            .view_interval(time::Duration::from_millis(100));
+        let key = lift_wire::LinkKey::new(1, [7; 32]);
+        let swarm = Swarm::builder()
+            .place(host.place.clone())
+            .keys(lift_wire::LinkKeys::new(key))
+            .listen("127.0.0.1:0".parse().unwrap())
+            .data_dir(host.dir.path().to_path_buf())
+            .limits(limits)
+            .control(self.control.clone())
+            .swarm(self.control.clone())
+            .origin(sync::Arc::new(lift_border::HttpOrigin::new(
+                &self.origin.base(),
+            )))
+            .engine(host.engine.clone())
+            .serving(host.gate.clone())
+            .counters(host.counters.clone())
+            .start()
+            .await
+            .unwrap();
+        self.control.add_peer(lift_transfer::SwarmPeer {
+            place: host.place.clone(),
+            incarnation: swarm.incarnation(),
+            chunk_addr: swarm.local_addr(),
+        });
+        swarm
+    }
+}
+
+/// Bytes that depend on `seed` and differ from chunk to chunk.
+pub fn weights(seed: u64, length: usize) -> bytes::Bytes {
+    let mut reader = blake3::Hasher::new()
+        .update(&seed.to_le_bytes())
+        .finalize_xof();
+    let mut buf = vec![0; length];
+    reader.fill(&mut buf);
+    bytes::Bytes::from(buf)
+}
+
+/// Waits until the status of an agent satisfies `expected`.
+pub async fn wait_for(swarm: &Swarm, expected: impl FnMut(&SwarmStatus) -> bool) {
+    let mut status = swarm.status();
+    let waited = tokio::time::timeout(WAIT, status.wait_for(expected)).await;
+    if waited.is_err() {
+        panic!("not reached within {WAIT:?}: {:?}", swarm.status().borrow());
+    }
+}
+
+pub async fn wait_serving(swarm: &Swarm, version: &str) {
+    wait_for(swarm, |status| {
+        status
+            .serving
+            .as_ref()
+            .is_some_and(|s| s.version == version)
+    })
+    .await;
+}
--- a/crates/lift_transfer/src/activation.rs
+++ b/crates/lift_transfer/src/activation.rs
@@ -59,6 +59,11 @@
         self.serving.as_ref()
     }
 
+    /// Whether the version is known to be held whole.
+    pub fn holds(&self, version: &lift_types::VersionId) -> bool {
+        self.whole.contains_key(version)
+    }
+
     /// Whether a load order is in progress.
     pub fn is_loading(&self) -> bool {
         matches!(self.step, Step::Loading { .. })
--- a/crates/lift_transfer/src/download.rs
+++ b/crates/lift_transfer/src/download.rs
@@ -104,7 +104,10 @@
         use download_event::DownloadEvent as Event;
         match event {
             Event::View(view) => self.set_view(now, &view),
-            Event::PeerUp { place } => self.sources.peer_up(&place),
+            Event::PeerUp { place } => {
+                self.lose_peer(now, place.host);
+                self.sources.peer_up(&place);
+            }
             Event::PeerDown { host } => self.lose_peer(now, host),
             Event::Have { host, chunks } => self.sources.have(host, &chunks),
             Event::Held { chunk } => self.hold(chunk, actions),
--- a/crates/lift_wire/src/frame_reader.rs
+++ b/crates/lift_wire/src/frame_reader.rs
@@ -33,6 +33,12 @@
         }
     }
 
+    /// Number of bytes of the next message that have arrived. A change between two calls of
+    /// [`FrameReader::recv`] shows that a long message makes progress.
+    pub fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Reads the next message. The future may be dropped and called again; bytes that
     /// were read stay in the buffer.
     ///
