Route requests from entries through agents to backend servers

Change: decisions of routing, admission, retries and claims in lift_route; call messages and heartbeats in lift_wire; the agent's request side in lift_serve; the HTTP front end in lift_entry; HTTP backend and platform in lift_border; stand-ins for answers, a ledger and control in lift_standin.

--- a/crates/lift_border/src/lib.rs
+++ b/crates/lift_border/src/lib.rs
@@ -15,9 +15,12 @@
 mod backend;
 mod backend_call;
 mod backend_error;
+mod echo_check;
 mod engine;
 mod engine_error;
 mod engine_status;
+mod http_backend;
+mod http_platform;
 mod load_order;
 mod origin;
 mod origin_error;
@@ -32,9 +35,15 @@
 pub use backend::Backend;
 pub use backend_call::BackendCall;
 pub use backend_error::BackendError;
+pub use echo_check::EchoCheck;
 pub use engine::Engine;
 pub use engine_error::EngineError;
 pub use engine_status::EngineStatus;
+pub use http_backend::{
+    HttpBackend, PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER, TIME_LEFT_HEADER,
+    VERSION_HEADER,
+};
+pub use http_platform::HttpPlatform;
 pub use load_order::LoadOrder;
 pub use origin::Origin;
 pub use origin_error::OriginError;
--- /dev/null
+++ b/crates/lift_entry/src/agent_link.rs
@@ -0,0 +1,195 @@
+//! Connection to an agent.
+
+use std::{net, sync, time};
+
+use tokio::sync::mpsc;
+
+use crate::link_event;
+
+/// Longest time to open a connection, the handshake included.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// Silence after which a connection is closed and replaced.
+const SILENCE: time::Duration = time::Duration::from_secs(2);
+
+/// Time between two pings; four fit into [`SILENCE`].
+const PING_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// Messages that may wait for the writer.
+const OUTBOX_MESSAGES: usize = 4_096;
+
+/// Bytes that are collected before they are written.
+const FLUSH_BYTES: usize = 64 * 1024;
+
+/// Number of shards of the requests in progress.
+const SHARDS: usize = 16;
+
+type Pending = lift_shard::Shards<
+    indexmap::IndexMap<lift_types::RequestId, mpsc::UnboundedSender<link_event::LinkEvent>>,
+>;
+type Reader = lift_wire::FrameReader<tokio::net::tcp::OwnedReadHalf>;
+type Writer = lift_wire::FrameWriter<tokio::net::tcp::OwnedWriteHalf>;
+
+/// An open connection with the requests that wait for answers on it.
+#[derive(Debug)]
+pub(crate) struct AgentLink {
+    tx: mpsc::Sender<lift_wire::CallMessage>,
+    pending: sync::Arc<Pending>,
+    closed: tokio_util::sync::CancellationToken,
+}
+
+impl AgentLink {
+    /// Connects to the agent at `addr`.
+    pub(crate) async fn open(
+        addr: net::SocketAddr,
+        keys: &lift_wire::LinkKeys,
+        counters: sync::Arc<lift_obs::Counters>,
+        stopped: &tokio_util::sync::CancellationToken,
+    ) -> Option<sync::Arc<Self>> {
+        let connect = async {
+            let stream = tokio::net::TcpStream::connect(addr).await.ok()?;
+            let ends = lift_wire::connect(stream, keys, lift_wire::Purpose::Calls).await;
+            ends.ok()
+        };
+        let ends = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
+        let Ok(Some((reader, writer))) = ends else {
+            counters.increment("link.connect_failed");
+            return None;
+        };
+        let (tx, rx) = mpsc::channel(OUTBOX_MESSAGES);
+        let link = sync::Arc::new(Self {
+            tx,
+            pending: sync::Arc::new(Pending::new(SHARDS, |_| indexmap::IndexMap::new())),
+            closed: stopped.child_token(),
+        });
+        tokio::spawn(write(writer, rx, link.closed.clone()));
+        let pending = sync::Arc::clone(&link.pending);
+        tokio::spawn(read(reader, pending, link.closed.clone(), counters));
+        Some(link)
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.closed.is_cancelled()
+    }
+
+    pub(crate) fn close(&self) {
+        self.closed.cancel();
+    }
+
+    /// Registers a request and queues its message.
+    ///
+    /// # Errors
+    ///
+    /// Fails only where the message was not queued, so that it will never be sent.
+    pub(crate) async fn request(
+        &self,
+        id: lift_types::RequestId,
+        message: lift_wire::CallMessage,
+    ) -> Result<mpsc::UnboundedReceiver<link_event::LinkEvent>, lift_route::AttemptEnd> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        self.pending.with(&id, |pending| pending.insert(id, tx));
+        let is_queued = tokio::select! {
+            biased;
+            () = self.closed.cancelled() => false,
+            sent = self.tx.send(message) => sent.is_ok(),
+        };
+        if is_queued {
+            return Ok(rx);
+        }
+        self.forget(id);
+        Err(lift_route::AttemptEnd::NotSent)
+    }
+
+    /// Ends the registration of a request.
+    pub(crate) fn forget(&self, id: lift_types::RequestId) {
+        self.pending.with(&id, |pending| pending.swap_remove(&id));
+    }
+
+    /// Queues a message that may be lost: a cancel or a credit.
+    pub(crate) fn notify(&self, message: lift_wire::CallMessage) {
+        if self.tx.try_send(message).is_err() {
+            self.close();
+        }
+    }
+}
+
+async fn read(
+    mut reader: Reader,
+    pending: sync::Arc<Pending>,
+    closed: tokio_util::sync::CancellationToken,
+    counters: sync::Arc<lift_obs::Counters>,
+) {
+    let end = loop {
+        let received = tokio::select! {
+            received = tokio::time::timeout(SILENCE, reader.recv()) => received,
+            () = closed.cancelled() => break lift_route::AttemptEnd::ConnectionLost,
+        };
+        match received {
+            Ok(Ok(message)) => deliver(&pending, message, &counters),
+            Ok(Err(_)) => break lift_route::AttemptEnd::ConnectionLost,
+            Err(_) => break lift_route::AttemptEnd::ConnectionSilent,
+        }
+    };
+    counters.increment_member("link.closed", end.retry_reason().into());
+    closed.cancel();
+    // A request that registers from now on finds the link closed, so none is left behind.
+    pending.for_each(|pending| {
+        for (_, tx) in pending.drain(..) {
+            let _ = tx.send(link_event::LinkEvent::Lost(end));
+        }
+    });
+}
+
+fn deliver(pending: &Pending, message: lift_wire::AnswerMessage, counters: &lift_obs::Counters) {
+    let Some(id) = message.id() else {
+        return;
+    };
+    let is_last = message.is_last();
+    let event = link_event::LinkEvent::Message(message);
+    let is_known = pending.with(&id, |pending| {
+        if is_last {
+            let tx = pending.swap_remove(&id);
+            return tx.map(|tx| tx.send(event)).is_some();
+        }
+        pending.get(&id).map(|tx| tx.send(event)).is_some()
+    });
+    if !is_known {
+        counters.increment("link.late_message");
+    }
+}
+
+/// Writes messages, several in one write where they wait, and pings.
+async fn write(
+    mut writer: Writer,
+    mut rx: mpsc::Receiver<lift_wire::CallMessage>,
+    closed: tokio_util::sync::CancellationToken,
+) {
+    let _guard = closed.clone().drop_guard();
+    let mut pings = tokio::time::interval(PING_INTERVAL);
+    loop {
+        let message = tokio::select! {
+            biased;
+            () = closed.cancelled() => return,
+            message = rx.recv() => message,
+            _ = pings.tick() => Some(lift_wire::CallMessage::Ping),
+        };
+        let Some(message) = message else {
+            return;
+        };
+        if writer.push(&message).is_err() {
+            return;
+        }
+        while writer.buffered() < FLUSH_BYTES {
+            let Ok(message) = rx.try_recv() else {
+                break;
+            };
+            if writer.push(&message).is_err() {
+                return;
+            }
+        }
+        let flushed = tokio::time::timeout(SILENCE, writer.flush()).await;
+        if !matches!(flushed, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lift_entry/src/exchange.rs
@@ -0,0 +1,152 @@
+//! One attempt at one agent.
+
+use std::{sync, time};
+
+use tokio::sync::mpsc;
+
+use crate::{agent_link, answer_check, answer_part, host_loads, link_event, shared};
+
+/// A call on a link and its answer. Dropping it before the end cancels an idempotent call;
+/// the agent runs a claimed one to its end.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    link: sync::Arc<agent_link::AgentLink>,
+    id: lift_types::RequestId,
+    rx: mpsc::UnboundedReceiver<link_event::LinkEvent>,
+    check: answer_check::AnswerCheck,
+    version: Option<lift_types::VersionId>,
+    attempt: Option<lift_types::Attempt>,
+    consumed: u32,
+    is_over: bool,
+    _load: host_loads::HostLoad,
+}
+
+impl Exchange {
+    /// Sends `call` to the host.
+    ///
+    /// # Errors
+    ///
+    /// Fails only where the call was not sent and never will be.
+    pub(crate) async fn start(
+        shared: &shared::Shared,
+        host: &lift_route::Candidate,
+        call: lift_wire::Call,
+    ) -> Result<Self, lift_route::AttemptEnd> {
+        let load = shared.loads.add(host.place.host);
+        let link = shared
+            .links
+            .get(host.place.host, host.incarnation, host.call_addr)
+            .await
+            .ok_or(lift_route::AttemptEnd::NotSent)?;
+        let id = call.id;
+        let version = call.version.clone();
+        let attempt = call.claim.as_ref().map(|claim| claim.attempt);
+        let message = lift_wire::CallMessage::Call(Box::new(call));
+        let rx = link.request(id, message).await?;
+        Ok(Self {
+            link,
+            id,
+            rx,
+            check: answer_check::AnswerCheck::default(),
+            version,
+            attempt,
+            consumed: 0,
+            is_over: false,
+            _load: load,
+        })
+    }
+
+    /// Waits for the head of the answer.
+    pub(crate) async fn head(
+        &mut self,
+        until: time::Instant,
+    ) -> Result<lift_border::AnswerHead, lift_route::AttemptEnd> {
+        let message = self.message(until).await?;
+        if let lift_wire::AnswerMessage::Refused { attempt, .. } = &message
+            && *attempt != self.attempt
+        {
+            // The refusal names another attempt, so it proves nothing about this one.
+            return Err(lift_route::AttemptEnd::Damaged);
+        }
+        self.check.head(message, self.version.as_ref())
+    }
+
+    /// Waits for the next part of the body.
+    pub(crate) async fn part(
+        &mut self,
+        until: time::Instant,
+    ) -> Result<answer_part::AnswerPart, lift_route::AttemptEnd> {
+        let message = self.message(until).await?;
+        self.checked(message)
+    }
+
+    /// Next part of the body, where it has come already.
+    pub(crate) fn part_now(
+        &mut self,
+    ) -> Option<Result<answer_part::AnswerPart, lift_route::AttemptEnd>> {
+        let event = self.rx.try_recv().ok()?;
+        let message = self.opened(event);
+        Some(message.and_then(|message| self.checked(message)))
+    }
+
+    async fn message(
+        &mut self,
+        until: time::Instant,
+    ) -> Result<lift_wire::AnswerMessage, lift_route::AttemptEnd> {
+        let received = tokio::time::timeout_at(until.into(), self.rx.recv()).await;
+        match received {
+            Ok(Some(event)) => self.opened(event),
+            Ok(None) => Err(lift_route::AttemptEnd::ConnectionLost),
+            Err(_) => Err(lift_route::AttemptEnd::Timeout),
+        }
+    }
+
+    fn opened(
+        &mut self,
+        event: link_event::LinkEvent,
+    ) -> Result<lift_wire::AnswerMessage, lift_route::AttemptEnd> {
+        match event {
+            link_event::LinkEvent::Message(message) => {
+                self.is_over |= message.is_last();
+                Ok(message)
+            }
+            link_event::LinkEvent::Lost(end) => {
+                self.is_over = true;
+                Err(end)
+            }
+        }
+    }
+
+    fn checked(
+        &mut self,
+        message: lift_wire::AnswerMessage,
+    ) -> Result<answer_part::AnswerPart, lift_route::AttemptEnd> {
+        let part = self.check.part(message)?;
+        if let answer_part::AnswerPart::Data(bytes) = &part {
+            self.give_credit(bytes.len() as u32);
+        }
+        Ok(part)
+    }
+
+    /// Gives credit for what the caller has taken, in few large steps.
+    fn give_credit(&mut self, bytes: u32) {
+        self.consumed += bytes;
+        if self.consumed >= lift_wire::CallMessage::WINDOW / 2 {
+            let (id, bytes) = (self.id, self.consumed);
+            self.consumed = 0;
+            self.link
+                .notify(lift_wire::CallMessage::Credit { id, bytes });
+        }
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        self.link.forget(self.id);
+        self.link
+            .notify(lift_wire::CallMessage::Cancel { id: self.id });
+    }
+}
--- /dev/null
+++ b/crates/lift_entry/src/front.rs
@@ -0,0 +1,104 @@
+//! HTTP front end.
+
+use std::{sync, time};
+
+use axum::{extract, response, routing};
+use strum::IntoEnumIterator as _;
+
+use crate::{caller_reply, caller_request, claimed_path, idempotent_path, permit, shared};
+
+type Shared = sync::Arc<shared::Shared>;
+
+/// Routes of the front end.
+pub(crate) fn router(shared: Shared) -> axum::Router {
+    axum::Router::new()
+        .route("/v1/{service}/{*method}", routing::any(call))
+        .route("/health", routing::get(async || "ok\n"))
+        .route("/ready", routing::get(ready))
+        .route("/metrics", routing::get(metrics))
+        .with_state(shared)
+}
+
+async fn call(
+    extract::State(shared): extract::State<Shared>,
+    req: extract::Request,
+) -> response::Response {
+    shared.counters.increment("entry.requests");
+    let id = shared.next_id();
+    let (parts, body) = req.into_parts();
+    let read = caller_request::CallerRequest::from_head(&shared, id, &parts);
+    let refused = |request: Option<&caller_request::CallerRequest>, reason| {
+        let sending = caller_reply::sending_of(request, &parts.headers);
+        caller_reply::refused(&shared, id, sending, reason)
+    };
+    let mut request = match read {
+        Ok(request) => request,
+        Err(reason) => return refused(None, reason),
+    };
+    if let Err(reason) = shared.readiness() {
+        return refused(Some(&request), reason);
+    }
+    // The place is taken before the body is read, so that bodies in memory are bounded.
+    let permit = match admit(&shared, &request).await {
+        Ok(permit) => permit,
+        Err(reason) => return refused(Some(&request), reason),
+    };
+    if let Err(reason) = request.read_body(&shared, body).await {
+        return refused(Some(&request), reason);
+    }
+    let request = sync::Arc::new(request);
+    if request.is_claimed() {
+        let path = claimed_path::ClaimedPath::new(sync::Arc::clone(&shared), request);
+        return path.run(permit).await;
+    }
+    let path = idempotent_path::IdempotentPath::new(sync::Arc::clone(&shared), request);
+    path.run(permit).await
+}
+
+async fn admit(
+    shared: &Shared,
+    request: &caller_request::CallerRequest,
+) -> Result<permit::Permit, lift_types::RefusalReason> {
+    let limits = &request.limits;
+    let now = time::Instant::now();
+    let is_within = shared.with_workspace(&request.workspace, limits, |state| {
+        state.bucket.take(now, limits.rate_per_s, limits.burst)
+    });
+    if !is_within {
+        return Err(lift_types::RefusalReason::RateLimited);
+    }
+    shared
+        .admission
+        .admit(
+            &request.workspace,
+            limits,
+            request.priority,
+            request.deadline,
+        )
+        .await
+}
+
+async fn ready(extract::State(shared): extract::State<Shared>) -> response::Response {
+    let reply = match shared.readiness() {
+        Ok(()) => (http::StatusCode::OK, String::from("ready\n")),
+        Err(reason) => (http::StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n")),
+    };
+    response::IntoResponse::into_response(reply)
+}
+
+async fn metrics(extract::State(shared): extract::State<Shared>) -> String {
+    let mut counts = shared.counters.snapshot();
+    for reason in lift_types::RefusalReason::iter() {
+        counts.entry(format!("refusal.{reason}")).or_default();
+    }
+    for reason in lift_types::RetryReason::iter() {
+        counts.entry(format!("retry.{reason}")).or_default();
+    }
+    let in_progress = shared.admission.in_progress() as u64;
+    counts.insert(String::from("entry.in_progress"), in_progress);
+    counts.sort_keys();
+    let lines = counts
+        .iter()
+        .map(|(name, value)| format!("{name} {value}\n"));
+    lines.collect()
+}
--- /dev/null
+++ b/crates/lift_entry/src/idempotent_path.rs
@@ -0,0 +1,155 @@
+//! Path of an idempotent request.
+
+use std::sync;
+
+use axum::response;
+
+use crate::{answer_stream, caller_reply, caller_request, exchange, permit, shared};
+
+/// An idempotent request at this entry.
+#[derive(Debug)]
+pub(crate) struct IdempotentPath {
+    shared: sync::Arc<shared::Shared>,
+    req: sync::Arc<caller_request::CallerRequest>,
+    choice: lift_route::ChoiceRequest,
+    /// Whether each attempt so far has proved that it did not run.
+    is_unrun: bool,
+}
+
+/// An attempt whose answer has begun.
+type Begun = (
+    exchange::Exchange,
+    lift_border::AnswerHead,
+    lift_types::HostId,
+);
+
+impl IdempotentPath {
+    pub(crate) fn new(
+        shared: sync::Arc<shared::Shared>,
+        req: sync::Arc<caller_request::CallerRequest>,
+    ) -> Self {
+        let choice = req.choice(&shared);
+        Self {
+            shared,
+            req,
+            choice,
+            is_unrun: true,
+        }
+    }
+
+    /// Sends the request, again where that is wise, until an answer begins.
+    pub(crate) async fn run(mut self, permit: permit::Permit) -> response::Response {
+        self.with_budget(lift_route::RetryBudget::deposit);
+        let mut attempts = 0;
+        loop {
+            let Some(host) = self.choose() else {
+                return self.give_up(lift_types::RefusalReason::NoHost);
+            };
+            attempts += 1;
+            let end = match self.attempt_or_hedge(host, attempts).await {
+                Ok(begun) => return self.answer(begun, permit),
+                Err(end) => end,
+            };
+            self.is_unrun &= end.proves_not_run();
+            let time_left = self.req.time_left();
+            let verdict = self.with_budget(|budget| {
+                let rng = &mut rand::rng();
+                lift_route::RetryPolicy.after(end, attempts, time_left, budget, rng)
+            });
+            match verdict {
+                lift_route::RetryVerdict::GiveUp { reason } => return self.give_up(reason),
+                lift_route::RetryVerdict::Retry { reason, after } => {
+                    self.shared
+                        .counters
+                        .increment_member("retry", reason.into());
+                    tokio::time::sleep(after).await;
+                }
+            }
+        }
+    }
+
+    /// Chooses a host that was not tried, or any where all were.
+    fn choose(&mut self) -> Option<lift_route::Candidate> {
+        let found = self.shared.choose(&self.req.service, &self.choice);
+        let host = match found {
+            Some(host) => host,
+            None => {
+                self.choice.tried.clear();
+                self.shared.choose(&self.req.service, &self.choice)?
+            }
+        };
+        self.choice.tried.push(host.place.host);
+        Some(host)
+    }
+
+    async fn attempt_or_hedge(
+        &mut self,
+        host: lift_route::Candidate,
+        attempts: u32,
+    ) -> Result<Begun, lift_route::AttemptEnd> {
+        let first = attempt(&self.shared, &self.req, host);
+        tokio::pin!(first);
+        tokio::select! {
+            begun = &mut first => return begun,
+            () = tokio::time::sleep(self.shared.limits.hedge_after) => {}
+        }
+        let idempotency = self.req.idempotency;
+        let may_hedge = self
+            .with_budget(|budget| lift_route::RetryPolicy.may_hedge(idempotency, attempts, budget));
+        let other = may_hedge
+            .then(|| self.shared.choose(&self.req.service, &self.choice))
+            .flatten();
+        let Some(other) = other else {
+            return first.await;
+        };
+        let reason = lift_types::RetryReason::Hedged;
+        self.shared
+            .counters
+            .increment_member("retry", reason.into());
+        self.is_unrun = false;
+        self.choice.tried.push(other.place.host);
+        let second = attempt(&self.shared, &self.req, other);
+        tokio::pin!(second);
+        tokio::select! {
+            begun = &mut first => if begun.is_ok() { begun } else { second.await },
+            begun = &mut second => if begun.is_ok() { begun } else { first.await },
+        }
+    }
+
+    fn answer(self, begun: Begun, permit: permit::Permit) -> response::Response {
+        let (exchange, head, host) = begun;
+        if let Some(prefix) = self.req.prefix {
+            self.shared.set_prefix_host(prefix, host);
+        }
+        let shared = sync::Arc::clone(&self.shared);
+        let req = sync::Arc::clone(&self.req);
+        let stream = answer_stream::AnswerStream::new(shared, req, exchange, host, permit)
+            .resume_on(head.version.clone());
+        caller_reply::answer(&self.shared, self.req.id, &head, stream.into_body())
+    }
+
+    fn give_up(&self, reason: lift_types::RefusalReason) -> response::Response {
+        if self.is_unrun {
+            return caller_reply::not_run(&self.shared, self.req.id, reason);
+        }
+        caller_reply::in_doubt(&self.shared, self.req.id, reason)
+    }
+
+    fn with_budget<R>(&self, f: impl FnOnce(&mut lift_route::RetryBudget) -> R) -> R {
+        self.shared
+            .with_workspace(&self.req.workspace, &self.req.limits, |state| {
+                f(&mut state.budget)
+            })
+    }
+}
+
+async fn attempt(
+    shared: &shared::Shared,
+    req: &caller_request::CallerRequest,
+    host: lift_route::Candidate,
+) -> Result<Begun, lift_route::AttemptEnd> {
+    let call = req.call(shared, None, req.version.clone(), 0);
+    let mut exchange = exchange::Exchange::start(shared, &host, call).await?;
+    let head = exchange.head(req.deadline).await?;
+    Ok((exchange, head, host.place.host))
+}
--- /dev/null
+++ b/crates/lift_serve/src/shared.rs
@@ -0,0 +1,28 @@
+//! What the parts of the request side share.
+
+use std::sync;
+
+use crate::{gate, seen_claims};
+
+/// Parts that live as long as the request side.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) place: lift_types::Place,
+    pub(crate) incarnation: lift_types::Incarnation,
+    pub(crate) keys: sync::Arc<lift_wire::LinkKeys>,
+    pub(crate) backend: sync::Arc<dyn lift_border::Backend>,
+    pub(crate) control: sync::Arc<dyn lift_rpc::ControlPort>,
+    pub(crate) policy: tokio::sync::watch::Receiver<lift_types::PolicyView>,
+    pub(crate) services: Vec<lift_types::ServiceId>,
+    pub(crate) max_in_progress: usize,
+    pub(crate) gate: sync::Arc<gate::Gate>,
+    pub(crate) claims: seen_claims::SeenClaims,
+    pub(crate) counters: sync::Arc<lift_obs::Counters>,
+    pub(crate) logger: slog::Logger,
+    /// Tasks that must end before the process does.
+    pub(crate) tasks: tokio_util::task::TaskTracker,
+    /// Set when connections are to be closed.
+    pub(crate) stopped: tokio_util::sync::CancellationToken,
+    /// Set when what the heartbeat says has changed.
+    pub(crate) changed: tokio::sync::Notify,
+}
--- /dev/null
+++ b/crates/lift_types/src/host_state.rs
@@ -0,0 +1,25 @@
+//! State of an agent.
+
+/// Whether the backend server beside an agent stays.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum HostState {
+    /// The agent takes new work if it serves a version or a plain service.
+    #[default]
+    Up,
+    /// The agent refuses new work and completes what is in progress.
+    Leaving,
+}
--- a/crates/lift_wire/src/lib.rs
+++ b/crates/lift_wire/src/lib.rs
@@ -10,10 +10,18 @@
 //! The messages themselves have a file each. No decision is made here; the decision
 //! crates do not depend on this one. See `docs/design.md`, section 6.
 
+mod answer_message;
+mod call;
+mod call_claim;
+mod call_failure;
+mod call_message;
+mod claim_query;
+mod claim_state;
 mod datagram;
 mod frame_reader;
 mod frame_writer;
 mod handshake;
+mod heartbeat;
 mod hello;
 mod link_key;
 mod link_keys;
@@ -21,10 +29,18 @@
 mod session;
 mod wire_error;
 
+pub use answer_message::AnswerMessage;
+pub use call::Call;
+pub use call_claim::CallClaim;
+pub use call_failure::CallFailure;
+pub use call_message::CallMessage;
+pub use claim_query::ClaimQuery;
+pub use claim_state::ClaimState;
 pub use datagram::{open, seal};
 pub use frame_reader::FrameReader;
 pub use frame_writer::FrameWriter;
 pub use handshake::{accept, connect};
+pub use heartbeat::Heartbeat;
 pub use hello::Hello;
 pub use link_key::LinkKey;
 pub use link_keys::LinkKeys;
