--- a/crates/liftctl/src/default.rs
+++ b/crates/liftctl/src/default.rs
@@ -17,6 +17,11 @@
         output: &output::Output,
     ) -> Result<(), cli_error::CliError> {
         let Self::Set(args) = self;
+        if !args.values.is_given() {
+            return Err(cli_error::CliError::Invalid(String::from(
+                "give a value to set; `liftctl default set --help` lists them",
+            )));
+        }
         change::send(client, output, &args.change, |policy| {
             Ok(args.values.edits(policy))
         })
@@ -35,7 +40,6 @@
 }
 
 #[derive(Debug, clap::Args)]
-#[group(required = true, multiple = true)]
 struct DefaultValues {
     /// Version that all model replicas serve.
     #[arg(long)]
@@ -62,6 +66,12 @@
 }
 
 impl DefaultValues {
+    fn is_given(&self) -> bool {
+        let lists = !self.services.is_empty() || !self.methods.is_empty();
+        let values = self.version.is_some() || self.floor.is_some() || self.goal.is_some();
+        lists || values || self.limits.is_given()
+    }
+
     /// A change of the version alone keeps concurrent changes of other values apart.
     fn edits(&self, policy: &lift_types::Policy) -> Vec<lift_state::ChangeEdit> {
         let mut default = policy.default.clone();
