--- a/crates/lift_admin/src/api_error.rs
+++ b/crates/lift_admin/src/api_error.rs
@@ -24,7 +24,11 @@
     /// carried out, so that a client repeats it under the same id.
     fn status_of(error: &lift_rpc::ControlError) -> http::StatusCode {
         match error {
-            lift_rpc::ControlError::Unavailable => http::StatusCode::SERVICE_UNAVAILABLE,
+            lift_rpc::ControlError::Unavailable
+            | lift_rpc::ControlError::NotLeader { .. }
+            | lift_rpc::ControlError::UnknownMessage { .. } => {
+                http::StatusCode::SERVICE_UNAVAILABLE
+            }
             lift_rpc::ControlError::Unknown => http::StatusCode::GATEWAY_TIMEOUT,
             lift_rpc::ControlError::Missing { .. } => http::StatusCode::NOT_FOUND,
             lift_rpc::ControlError::Invalid { .. } => http::StatusCode::UNPROCESSABLE_ENTITY,
--- a/crates/lift_control/src/control_node.rs
+++ b/crates/lift_control/src/control_node.rs
@@ -102,6 +102,10 @@
         let name = match error {
             lift_log::ProposeError::NotLeader => return Err(self.not_leader()),
             lift_log::ProposeError::Busy => lift_rpc::ControlError::Unavailable,
+            lift_log::ProposeError::TooLong { .. } => lift_rpc::ControlError::Invalid {
+                path: String::from("operation"),
+                problem: error.to_string(),
+            },
             lift_log::ProposeError::Unknown | lift_log::ProposeError::Stopped => {
                 lift_rpc::ControlError::Unknown
             }
--- a/crates/lift_standin/src/memory_log.rs
+++ b/crates/lift_standin/src/memory_log.rs
@@ -129,4 +129,30 @@
     fn leadership(&self) -> watch::Receiver<lift_log::Leadership> {
         self.group.leaders[self.member].subscribe()
     }
+
+    fn members(&self) -> lift_log::LogStatus {
+        let last = *self.group.next_index.lock();
+        lift_log::LogStatus {
+            id: self.member as lift_types::MemberId,
+            term: last,
+            commit: last,
+            last,
+            members: lift_consensus::MemberSet::new(),
+        }
+    }
+
+    /// The members of this stand-in are fixed, so every change is refused.
+    async fn change_member(
+        &self,
+        _change: lift_consensus::MemberChange,
+    ) -> Result<(), error_stack::Report<lift_log::ChangeError>> {
+        let refused = lift_log::ChangeError::Refused(lift_consensus::Refusal::NoSuchMember);
+        Err(error_stack::Report::new(refused))
+    }
+
+    async fn stop(&self) {
+        if self.is_leader() {
+            self.stop_leading();
+        }
+    }
 }
