--- a/crates/lift_rpc/src/confirm_loop.rs
+++ b/crates/lift_rpc/src/confirm_loop.rs
@@ -6,9 +6,9 @@
 
 use crate::{client_core, client_link, control_error, reply, request};
 
-/// Time after which a question that was not answered is asked elsewhere. It leaves room
-/// for two more questions within [`lift_types::PolicyView::CONFIRM_TIMEOUT`].
-const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+/// Time after which a question that was not answered is asked elsewhere. Together with the
+/// interval it finds a stalled connection within 900 ms.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
 /// Time without a confirmation after which the node asks more often and, where its server
 /// can't confirm either, elsewhere.
--- a/crates/lift_rpc/src/relay.rs
+++ b/crates/lift_rpc/src/relay.rs
@@ -17,7 +17,7 @@
 
 /// Time for which an agent's question waits for a fresh confirmation. It ends before the
 /// agent asks elsewhere.
-const FRESH_WAIT: time::Duration = time::Duration::from_millis(400);
+const FRESH_WAIT: time::Duration = time::Duration::from_millis(250);
 
 type Result<T> = std::result::Result<T, error_stack::Report<control_error::ControlError>>;
 type ManifestCell = sync::Arc<channels::OnceCell<lift_types::Manifest>>;
--- a/crates/lift_rpc/src/server_connection.rs
+++ b/crates/lift_rpc/src/server_connection.rs
@@ -65,10 +65,15 @@
                 continue;
             };
             let connection = sync::Arc::clone(&self);
-            tokio::spawn(async move {
+            let mut answering = Box::pin(async move {
                 connection.answer(packet).await;
                 drop(permit);
             });
+            // The first step is taken here, so that requests are begun in the order in which
+            // they arrive: a client may send a chain of changes without waiting in between.
+            if futures_util::poll!(answering.as_mut()).is_pending() {
+                tokio::spawn(answering);
+            }
         }
         self.closed.cancel();
     }
--- a/crates/lift_standin/src/lib.rs
+++ b/crates/lift_standin/src/lib.rs
@@ -1,30 +1,8 @@
 //! Small stand-ins for the systems at the borders, for tests and experiments.
-
-mod memory_log;
-
-pub use memory_log::MemoryLog;
 //!
 //! [`OriginStandin`] and [`WeightStoreStandin`] give weights and can fail. [`EngineOrders`]
 //! follows load orders as a model engine does; [`engine_routes`] serves it over HTTP.
 //! [`ControlStandin`] keeps policy, leases and grants in memory, without a log.
-
-mod control_standin;
-mod engine_fault;
-mod engine_orders;
-mod engine_server;
-mod engine_token_check;
-mod origin_fault;
-mod origin_standin;
-mod weight_store_standin;
-
-pub use control_standin::ControlStandin;
-pub use engine_fault::EngineFault;
-pub use engine_orders::EngineOrders;
-pub use engine_server::engine_routes;
-pub use engine_token_check::EngineTokenCheck;
-pub use origin_fault::OriginFault;
-pub use origin_standin::OriginStandin;
-pub use weight_store_standin::WeightStoreStandin;
 //!
 //! [`AnswerEngine`] answers requests like a model engine whose loaded version comes from a
 //! channel. [`PlainLedger`] is a plain service that counts what ran. Both can be made to
@@ -35,13 +13,31 @@
 mod answer_server;
 mod answer_text;
 mod control_fault;
+mod control_standin;
+mod engine_fault;
+mod engine_orders;
+mod engine_server;
+mod engine_token_check;
 mod memory_control;
+mod memory_log;
+mod origin_fault;
+mod origin_standin;
 mod plain_ledger;
+mod weight_store_standin;
 
 pub use answer_engine::AnswerEngine;
 pub use answer_fault::AnswerFault;
 pub use answer_server::AnswerServer;
 pub use answer_text::AnswerText;
 pub use control_fault::ControlFault;
+pub use control_standin::ControlStandin;
+pub use engine_fault::EngineFault;
+pub use engine_orders::EngineOrders;
+pub use engine_server::engine_routes;
+pub use engine_token_check::EngineTokenCheck;
 pub use memory_control::MemoryControl;
+pub use memory_log::MemoryLog;
+pub use origin_fault::OriginFault;
+pub use origin_standin::OriginStandin;
 pub use plain_ledger::PlainLedger;
+pub use weight_store_standin::WeightStoreStandin;
