--- /dev/null
+++ b/crates/lift_bench/examples/burst.rs
@@ -0,0 +1,35 @@
+//! Runs one burst and prints its report as JSON, without the rest of `liftctl`.
+
+use std::process;
+
+use clap::Parser as _;
+
+/// Worker threads: the experiment leaves part of the machine to others.
+const THREADS: usize = 6;
+
+#[derive(Debug, clap::Parser)]
+struct Args {
+    #[command(flatten)]
+    options: lift_bench::BurstOptions,
+}
+
+fn main() -> process::ExitCode {
+    let args = Args::parse();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(THREADS)
+        .enable_all()
+        .build();
+    let Ok(runtime) = runtime else {
+        return process::ExitCode::FAILURE;
+    };
+    match runtime.block_on(lift_bench::run_burst(&args.options)) {
+        Ok(report) => {
+            println!("{}", serde_json::json!(report));
+            process::ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error:?}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/lift_bench/src/lib.rs
+++ b/crates/lift_bench/src/lib.rs
@@ -5,5 +5,18 @@
 //! targets are in `docs/measurements.md`.
 
 mod bench_error;
+mod burst_fault;
+mod burst_fleet;
+mod burst_host;
+mod burst_live;
+mod burst_options;
+mod burst_rates;
+mod burst_report;
+mod burst_run;
+mod burst_traffic;
 
 pub use bench_error::BenchError;
+pub use burst_fault::BurstFault;
+pub use burst_options::BurstOptions;
+pub use burst_report::BurstReport;
+pub use burst_run::run_burst;
