--- a/crates/lift_standin/src/lib.rs
+++ b/crates/lift_standin/src/lib.rs
@@ -7,6 +7,8 @@
 //! [`AnswerEngine`] answers requests like a model engine whose loaded version comes from a
 //! channel. [`PlainLedger`] is a plain service that counts what ran. Both can be made to
 //! misbehave with an [`AnswerFault`]. [`MemoryControl`] stands in for control.
+//! [`ControlStandin`] keeps policy, leases and grants in memory, without a log. [`LinkNet`]
+//! holds connections to the rates of links.
 
 mod answer_engine;
 mod answer_fault;
@@ -20,6 +22,12 @@
 mod engine_token_check;
 mod memory_control;
 mod memory_log;
+mod link_net;
+mod link_node;
+mod link_pump;
+mod link_rate;
+mod link_state;
+mod link_traffic;
 mod origin_fault;
 mod origin_standin;
 mod plain_ledger;
@@ -37,6 +45,10 @@
 pub use engine_token_check::EngineTokenCheck;
 pub use memory_control::MemoryControl;
 pub use memory_log::MemoryLog;
+pub use link_net::LinkNet;
+pub use link_rate::LinkRate;
+pub use link_state::LinkState;
+pub use link_traffic::LinkTraffic;
 pub use origin_fault::OriginFault;
 pub use origin_standin::OriginStandin;
 pub use plain_ledger::PlainLedger;
