Test requests under faults, and retry a claimed request on a host that was tried

Cause: a claimed request whose only host was behind a silent connection ended as not run although the host could take the next attempt. Change: when every host was tried, the claimed path waits 50 ms and chooses again.

--- a/crates/lift_entry/src/claimed_path.rs
+++ b/crates/lift_entry/src/claimed_path.rs
@@ -5,22 +5,14 @@
 use axum::response;
 
 use crate::{
-    answer_part, answer_stream, caller_reply, caller_request, exchange, permit, sending, shared,
+    answer_part, answer_stream, caller_reply, caller_request, claim_client, exchange, permit,
+    sending, shared,
 };
 
 use lift_route::{ClaimedAction as Action, ClaimedEvent as Event};
 
-/// Pause before the second query of a claim. It doubles up to [`MAX_QUERY_PAUSE`].
-const QUERY_PAUSE: time::Duration = time::Duration::from_millis(10);
-
-/// Longest pause between two queries.
-const MAX_QUERY_PAUSE: time::Duration = time::Duration::from_millis(500);
-
-/// Time beyond the deadline in which control may confirm that a request did not run.
-const LOOK_GRACE: time::Duration = time::Duration::from_millis(500);
-
-/// Longest time for one query of an agent.
-const QUERY_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// Pause before a host is tried again, in which its heartbeat can tell its new state.
+const RECHOOSE_PAUSE: time::Duration = time::Duration::from_millis(50);
 
 /// A non-idempotent request at this entry. It performs the actions of a
 /// [`lift_route::ClaimedRequest`].
@@ -29,7 +21,7 @@
     shared: sync::Arc<shared::Shared>,
     req: sync::Arc<caller_request::CallerRequest>,
     choice: lift_route::ChoiceRequest,
-    outcome: Option<lift_state::Outcome>,
+    claims: claim_client::ClaimClient,
     answer: Option<Begun>,
 }
 
@@ -49,11 +41,13 @@
         req: sync::Arc<caller_request::CallerRequest>,
     ) -> Self {
         let choice = req.choice(&shared);
+        let claims =
+            claim_client::ClaimClient::new(sync::Arc::clone(&shared), sync::Arc::clone(&req));
         Self {
             shared,
             req,
             choice,
-            outcome: None,
+            claims,
             answer: None,
         }
     }
@@ -66,16 +60,16 @@
         loop {
             has_claim |= matches!(action, Action::Send(_) | Action::Query { .. });
             let event = match action {
-                Action::Choose => self.choose(),
-                Action::Claim { host, incarnation } => self.claim(host, incarnation).await,
+                Action::Choose => self.choose().await,
+                Action::Claim { host, incarnation } => self.claims.claim(host, incarnation).await,
                 Action::Send(holder) => self.send(holder).await,
-                Action::Query { holder, earlier } => self.query(holder, earlier).await,
+                Action::Query { holder, earlier } => self.claims.query(holder, earlier).await,
                 Action::Reassign {
                     refused,
                     host,
                     incarnation,
-                } => self.reassign(refused, host, incarnation).await,
-                Action::Look => self.look().await,
+                } => self.claims.reassign(refused, host, incarnation).await,
+                Action::Look => self.claims.look().await,
                 Action::GiveAnswer => return self.give_answer(permit),
                 Action::GiveOutcome => return self.give_outcome(),
                 Action::NotRun { reason } => return self.not_run(reason, has_claim),
@@ -89,8 +83,16 @@
         }
     }
 
-    fn choose(&mut self) -> Event {
-        let Some(host) = self.shared.choose(&self.req.service, &self.choice) else {
+    /// Chooses a host that was not tried, or any where all were: a host that was reached over
+    /// a broken connection, or was switching, may take the next attempt.
+    async fn choose(&mut self) -> Event {
+        let mut found = self.shared.choose(&self.req.service, &self.choice);
+        if found.is_none() && !self.choice.tried.is_empty() {
+            self.choice.tried.clear();
+            tokio::time::sleep(RECHOOSE_PAUSE).await;
+            found = self.shared.choose(&self.req.service, &self.choice);
+        }
+        let Some(host) = found else {
             return Event::NoHost;
         };
         self.choice.tried.push(host.place.host);
@@ -100,86 +102,6 @@
         }
     }
 
-    async fn claim(
-        &mut self,
-        host: lift_types::HostId,
-        incarnation: lift_types::Incarnation,
-    ) -> Event {
-        let req = lift_state::ClaimRequest {
-            key: self.req.claim_key(),
-            body_hash: self.req.body_hash(),
-            host,
-            incarnation,
-        };
-        let control = sync::Arc::clone(&self.shared.control);
-        self.ask(self.req.deadline, async move {
-            control.claim(req).await.map(Some)
-        })
-        .await
-    }
-
-    async fn reassign(
-        &mut self,
-        refused: lift_state::ClaimHolder,
-        host: lift_types::HostId,
-        incarnation: lift_types::Incarnation,
-    ) -> Event {
-        let reason = lift_types::RetryReason::Refused;
-        self.shared
-            .counters
-            .increment_member("retry", reason.into());
-        let req = lift_state::ReassignRequest {
-            key: self.req.claim_key(),
-            refused,
-            host,
-            incarnation,
-        };
-        let control = sync::Arc::clone(&self.shared.control);
-        self.ask(self.req.deadline, async move {
-            control.reassign(req).await.map(Some)
-        })
-        .await
-    }
-
-    async fn look(&mut self) -> Event {
-        let key = self.req.claim_key();
-        let control = sync::Arc::clone(&self.shared.control);
-        let until = self.req.deadline.max(time::Instant::now() + LOOK_GRACE);
-        self.ask(until, async move { control.find_claim(key).await })
-            .await
-    }
-
-    async fn ask(
-        &mut self,
-        until: time::Instant,
-        question: impl Future<
-            Output = Result<
-                Option<lift_state::ClaimReply>,
-                error_stack::Report<lift_rpc::ControlError>,
-            >,
-        >,
-    ) -> Event {
-        let Ok(reply) = tokio::time::timeout_at(until.into(), question).await else {
-            return Event::Deadline;
-        };
-        match reply {
-            Ok(Some(lift_state::ClaimReply::New(holder))) => Event::Held(holder),
-            Ok(Some(lift_state::ClaimReply::Pending(holder))) => Event::Pending(holder),
-            Ok(Some(lift_state::ClaimReply::Recorded(outcome))) => {
-                self.outcome = Some(outcome);
-                Event::Recorded
-            }
-            Ok(Some(lift_state::ClaimReply::Mismatch)) => Event::Mismatch,
-            Ok(Some(lift_state::ClaimReply::Full)) => Event::Full,
-            Ok(None) => Event::Absent,
-            Err(e) => {
-                let error = e.current_context();
-                slog::warn!(self.shared.logger, "claim failed"; "error" => %error);
-                Event::ControlFailed
-            }
-        }
-    }
-
     async fn send(&mut self, holder: lift_state::ClaimHolder) -> Event {
         match self.begin(holder).await {
             Ok(begun) => {
@@ -202,7 +124,7 @@
             .and_then(|hosts| hosts.find(holder.host))
             .filter(|host| host.incarnation == holder.incarnation)
             .ok_or(lift_route::AttemptEnd::NotSent)?;
-        let claim = self.claim_of(holder);
+        let claim = self.claims.claim_of(holder);
         let call = self
             .req
             .call(&self.shared, Some(claim), self.req.version.clone(), 0);
@@ -231,72 +153,6 @@
         })
     }
 
-    async fn query(&mut self, holder: lift_state::ClaimHolder, earlier: u32) -> Event {
-        if earlier > 0 {
-            let pause = QUERY_PAUSE.saturating_mul(1 << (earlier - 1).min(10));
-            tokio::time::sleep(pause.min(MAX_QUERY_PAUSE)).await;
-        }
-        if self.req.time_left().is_zero() {
-            return Event::Deadline;
-        }
-        self.shared.counters.increment("entry.claim_queries");
-        let asked = tokio::time::timeout(QUERY_TIMEOUT, self.ask_holder(holder)).await;
-        match asked.ok().flatten() {
-            None => Event::QueryFailed(holder),
-            Some(lift_wire::ClaimState::Running) => Event::Running(holder),
-            Some(lift_wire::ClaimState::Never) => Event::Never(holder),
-            Some(lift_wire::ClaimState::Unknown) => Event::Unknown(holder),
-            Some(lift_wire::ClaimState::Ran {
-                status,
-                headers,
-                body,
-            }) => {
-                self.outcome = Some(lift_state::Outcome {
-                    status,
-                    headers,
-                    body,
-                });
-                Event::Ran(holder)
-            }
-        }
-    }
-
-    async fn ask_holder(&self, holder: lift_state::ClaimHolder) -> Option<lift_wire::ClaimState> {
-        let report = self.shared.directory.find(holder.host)?;
-        if report.incarnation > holder.incarnation {
-            return Some(lift_wire::ClaimState::Unknown);
-        }
-        let link = self
-            .shared
-            .links
-            .get(holder.host, report.incarnation, report.call_addr)
-            .await?;
-        let id = self.shared.next_id();
-        let query = lift_wire::ClaimQuery {
-            id,
-            workspace: self.req.workspace.clone(),
-            service: self.req.service.clone(),
-            claim: self.claim_of(holder),
-        };
-        let message = lift_wire::CallMessage::QueryClaim(Box::new(query));
-        let mut rx = link.request(id, message).await.ok()?;
-        match rx.recv().await? {
-            crate::link_event::LinkEvent::Message(lift_wire::AnswerMessage::Claim {
-                state,
-                ..
-            }) => Some(state),
-            _ => None,
-        }
-    }
-
-    fn claim_of(&self, holder: lift_state::ClaimHolder) -> lift_wire::CallClaim {
-        lift_wire::CallClaim {
-            key: self.req.key.clone().unwrap_or_default(),
-            incarnation: holder.incarnation,
-            attempt: holder.attempt,
-        }
-    }
-
     fn give_answer(mut self, permit: permit::Permit) -> response::Response {
         let Some(begun) = self.answer.take() else {
             let reason = lift_types::RefusalReason::BackendUnreachable;
@@ -318,7 +174,7 @@
     }
 
     fn give_outcome(mut self) -> response::Response {
-        let Some(outcome) = self.outcome.take() else {
+        let Some(outcome) = self.claims.take_outcome() else {
             let reason = lift_types::RefusalReason::ClaimUnavailable;
             return caller_reply::in_doubt(&self.shared, self.req.id, reason);
         };
--- a/crates/lift_entry/src/lib.rs
+++ b/crates/lift_entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod answer_stream;
 mod caller_reply;
 mod caller_request;
+mod claim_client;
 mod claimed_path;
 mod directory;
 mod entry;
--- a/crates/lift_entry/tests/fleet/mod.rs
+++ b/crates/lift_entry/tests/fleet/mod.rs
@@ -177,19 +177,32 @@
 
     pub async fn ledger(&self, host: u32) -> Ledger {
         let ledger = lift_standin::PlainLedger::start().await.unwrap();
+        let serve = self.ledger_agent(&ledger, host, 1, None).await;
+        Ledger { ledger, serve }
+    }
+
+    /// Starts an agent in front of `ledger`, which is reached through `relay` where one is given.
+    pub async fn ledger_agent(
+        &self,
+        ledger: &lift_standin::PlainLedger,
+        host: u32,
+        incarnation: u64,
+        relay: Option<&lift_standin::AnswerRelay>,
+    ) -> sync::Arc<lift_serve::Serve> {
         let echo = lift_border::EchoCheck::Required;
         let backend = lift_border::HttpBackend::new(ledger.addr(), echo);
-        let serve = self
-            .serve_builder(host, 1)
+        let mut builder = self
+            .serve_builder(host, incarnation)
             .backend(sync::Arc::new(backend))
-            .service("ledger")
-            .start()
-            .await
-            .unwrap();
-        Ledger {
-            ledger,
-            serve: sync::Arc::new(serve),
+            .service("ledger");
+        if let Some(relay) = relay {
+            builder = builder.advertise(relay.addr());
+        }
+        let serve = builder.start().await.unwrap();
+        if let Some(relay) = relay {
+            relay.set_target(serve.call_addr());
         }
+        sync::Arc::new(serve)
     }
 
     /// Waits until each entry knows `count` agents.
--- /dev/null
+++ b/crates/lift_entry/tests/stops_and_limits.rs
@@ -0,0 +1,176 @@
+//! Guards graceful stops, the confirmation of the policy, and bounds on callers.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod fleet;
+
+use std::time;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+
+const CHAT: &str = "/v1/assistant/chat?tokens=50";
+
+fn text(tokens: usize) -> Option<String> {
+    let text = lift_standin::AnswerText::new(b"draft a spread plan", tokens);
+    Some(text.whole("v1"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_stops_completes_its_streams_and_refuses_new_work() {
+    let fleet = fleet::Fleet::start(1).await;
+    let _replica = fleet.replica(1, "v1", time::Duration::from_millis(5)).await;
+    fleet.wait_for_agents(1).await;
+    let streams = futures_util::future::join_all((0..8).map(|_| fleet.call(0, CHAT, &[])));
+    let stop = async {
+        tokio::time::sleep(time::Duration::from_millis(60)).await;
+        let refused = async {
+            tokio::time::sleep(time::Duration::from_millis(30)).await;
+            fleet.call(0, CHAT, &[]).await
+        };
+        tokio::join!(fleet.entries[0].stop(time::Duration::from_secs(5)), refused)
+    };
+    let (replies, (left, refused)) = tokio::join!(streams, stop);
+    assert_eq!(left, 0);
+    assert_eq!(refused.outcome().1, "draining");
+    assert_eq!(
+        fleet.platform.told(),
+        Some(lift_border::Readiness::NotReady)
+    );
+    for reply in replies {
+        assert_eq!(reply.body, text(50));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_that_stops_completes_its_streams() {
+    let fleet = fleet::Fleet::start(1).await;
+    let replica = fleet.replica(1, "v1", time::Duration::from_millis(5)).await;
+    fleet.wait_for_agents(1).await;
+    let streams = futures_util::future::join_all((0..8).map(|_| fleet.call(0, CHAT, &[])));
+    let stop = async {
+        tokio::time::sleep(time::Duration::from_millis(60)).await;
+        replica.serve.stop(time::Duration::from_secs(5)).await
+    };
+    let (replies, left) = tokio::join!(streams, stop);
+    assert_eq!(left, 0);
+    for reply in replies {
+        assert_eq!(reply.body, text(50));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unconfirmed_policy_stops_new_work() {
+    let fleet = fleet::Fleet::start(1).await;
+    let _replica = fleet.replica(1, "v1", time::Duration::ZERO).await;
+    fleet.wait_for_agents(1).await;
+    fleet
+        .control
+        .set_fault(lift_standin::ControlFault::Unavailable);
+    fleet.control.forget_confirmation();
+    let reply = fleet.call(0, CHAT, &[]).await;
+    assert_eq!(reply.status, 503);
+    let expected = (String::from("not_run"), String::from("config_unconfirmed"));
+    assert_eq!(reply.outcome(), expected);
+    fleet::wait_until(|| fleet.platform.told() == Some(lift_border::Readiness::NotReady)).await;
+    fleet.control.set_fault(lift_standin::ControlFault::None);
+    fleet::wait_until(|| fleet.platform.told() == Some(lift_border::Readiness::Ready)).await;
+    assert!(fleet.call(0, CHAT, &[]).await.is_ok());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flooding_workspace_does_not_starve_another() {
+    let limits = lift_entry::EntryLimits {
+        max_in_progress: 4,
+        ..lift_entry::EntryLimits::default()
+    };
+    let fleet = fleet::Fleet::with_limits(1, limits).await;
+    let _replica = fleet.replica(1, "v1", time::Duration::from_millis(1)).await;
+    fleet.wait_for_agents(1).await;
+    let flood = futures_util::future::join_all((0..300).map(|_| {
+        fleet.call(
+            0,
+            "/v1/assistant/chat?tokens=10",
+            &[("x-lift-workspace", "flood")],
+        )
+    }));
+    let small = async {
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+        let started = time::Instant::now();
+        let headers = [("x-lift-workspace", "small")];
+        let reply = fleet
+            .call(0, "/v1/assistant/chat?tokens=10", &headers)
+            .await;
+        assert!(reply.is_ok(), "{reply:?}");
+        started.elapsed()
+    };
+    let started = time::Instant::now();
+    let flood = async {
+        flood.await;
+        started.elapsed()
+    };
+    let (flooded, waited) = tokio::join!(flood, small);
+    assert!(waited * 4 < flooded, "waited {waited:?} of {flooded:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_full_queue_and_a_hopeless_deadline_are_refused_early() {
+    let limits = lift_entry::EntryLimits {
+        max_in_progress: 1,
+        ..lift_entry::EntryLimits::default()
+    };
+    let fleet = fleet::Fleet::with_limits(1, limits).await;
+    let _replica = fleet
+        .replica(1, "v1", time::Duration::from_millis(20))
+        .await;
+    fleet.wait_for_agents(1).await;
+    let headers = [("x-lift-deadline-ms", "150")];
+    let calls = (0..20).map(|_| fleet.call(0, "/v1/assistant/chat?tokens=4", &headers));
+    let started = time::Instant::now();
+    let replies = futures_util::future::join_all(calls).await;
+    assert!(started.elapsed() < time::Duration::from_millis(600));
+    let late = replies.iter().filter(|r| r.outcome().1 == "deadline_unmet");
+    assert!(late.count() > 5);
+    assert!(replies.iter().any(fleet::Reply::is_ok));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_or_head_over_its_limit_and_a_stalled_caller_are_bounded() {
+    let limits = lift_entry::EntryLimits {
+        max_body_bytes: 1_000,
+        read_timeout: time::Duration::from_millis(300),
+        ..lift_entry::EntryLimits::default()
+    };
+    let fleet = fleet::Fleet::with_limits(1, limits).await;
+    let _replica = fleet.replica(1, "v1", time::Duration::ZERO).await;
+    fleet.wait_for_agents(1).await;
+    let long = "x".repeat(1_001);
+    let reply = fleet.call_with_body(0, CHAT, &[], &long).await;
+    assert_eq!(reply.status, 413);
+    let many: Vec<_> = (0..100)
+        .map(|i| (format!("x-{i}"), String::from("1")))
+        .collect();
+    let many: Vec<_> = many.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+    assert_eq!(fleet.call(0, CHAT, &many).await.status, 431);
+    let addr = fleet.entries[0].http_addr();
+    let mut stalled = tokio::net::TcpStream::connect(addr).await.unwrap();
+    let head = "POST /v1/assistant/chat HTTP/1.1\r\nhost: a\r\nx-lift-workspace: depot\r\n\
+                content-length: 10\r\n\r\nabc";
+    stalled.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = [0; 12];
+    let read = stalled.read_exact(&mut answer);
+    let limit = time::Duration::from_secs(3);
+    tokio::time::timeout(limit, read).await.unwrap().unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 400");
+    assert_eq!(fleet.entries[0].in_progress(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_agent_is_removed_within_its_time() {
+    let fleet = fleet::Fleet::start(1).await;
+    let replica = fleet.replica(1, "v1", time::Duration::ZERO).await;
+    fleet.wait_for_agents(1).await;
+    drop(replica.serve);
+    let started = time::Instant::now();
+    fleet::wait_until(|| fleet.entries[0].live_agents().is_empty()).await;
+    assert!(started.elapsed() < time::Duration::from_millis(2_600));
+}
--- a/crates/lift_serve/src/serve_builder.rs
+++ b/crates/lift_serve/src/serve_builder.rs
@@ -23,7 +23,7 @@
     services: Vec<lift_types::ServiceId>,
     kind: lift_types::ServiceKind,
     listen: net::SocketAddr,
-    advertise: Option<net::IpAddr>,
+    advertise: Option<net::SocketAddr>,
     chunk_addr: Option<net::SocketAddr>,
     entries: Option<tokio::sync::watch::Receiver<Vec<net::SocketAddr>>>,
     max_in_progress: usize,
@@ -100,9 +100,9 @@
         self
     }
 
-    /// IP address that entries connect to, where it differs from the one to listen on.
-    pub fn advertise(mut self, ip: net::IpAddr) -> Self {
-        self.advertise = Some(ip);
+    /// Address that entries connect to, where it differs from the one to listen on.
+    pub fn advertise(mut self, addr: net::SocketAddr) -> Self {
+        self.advertise = Some(addr);
         self
     }
 
@@ -158,10 +158,8 @@
         let socket = tokio::net::UdpSocket::bind((self.listen.ip(), 0))
             .await
             .change_context(bind_error.clone())?;
-        let mut call_addr = listener.local_addr().change_context(bind_error)?;
-        if let Some(ip) = self.advertise {
-            call_addr.set_ip(ip);
-        }
+        let listen_addr = listener.local_addr().change_context(bind_error)?;
+        let call_addr = self.advertise.unwrap_or(listen_addr);
         let chunk_addr = self.chunk_addr;
         let entries = self.entries.clone();
         let shared = sync::Arc::new(self.into_shared()?);
@@ -176,7 +174,7 @@
             };
             tokio::spawn(sender.run());
         }
-        Ok(serve::Serve::new(shared, call_addr))
+        Ok(serve::Serve::new(shared, listen_addr))
     }
 
     fn into_shared(self) -> Result<shared::Shared, serve_error::ServeError> {
--- a/crates/lift_standin/src/memory_control.rs
+++ b/crates/lift_standin/src/memory_control.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::watch;
 
-use crate::control_fault;
+use crate::{control_fault, policy_edit};
 
 /// Number of shards of the claims.
 const SHARDS: usize = 64;
@@ -131,7 +131,7 @@
             }
             policy.revision += 1;
             for edit in &change.edits {
-                apply(&mut policy, edit, &change.author);
+                policy_edit::apply(&mut policy, edit, &change.author);
             }
             reply = lift_state::ChangeReply::Accepted {
                 revision: policy.revision,
@@ -271,31 +271,3 @@
         self.policy.subscribe()
     }
 }
-
-fn apply(policy: &mut lift_types::Policy, edit: &lift_state::ChangeEdit, author: &str) {
-    match edit {
-        lift_state::ChangeEdit::SetDefaultVersion(version) => {
-            policy.default.version = Some(version.clone());
-        }
-        lift_state::ChangeEdit::SetDefault(default) => policy.default = default.clone(),
-        lift_state::ChangeEdit::AddException {
-            id,
-            scope,
-            value,
-            reason,
-        } => {
-            policy.exceptions.retain(|e| e.id != *id);
-            policy.exceptions.push(lift_types::PolicyException {
-                id: id.clone(),
-                scope: scope.clone(),
-                value: value.clone(),
-                reason: reason.clone(),
-                author: String::from(author),
-                since: policy.revision,
-            });
-        }
-        lift_state::ChangeEdit::RemoveException { id } => {
-            policy.exceptions.retain(|e| e.id != *id);
-        }
-    }
-}
