--- a/crates/lift_border/src/lib.rs
+++ b/crates/lift_border/src/lib.rs
@@ -19,6 +19,11 @@
 mod engine;
 mod engine_error;
 mod engine_status;
+mod http_client;
+mod http_engine;
+mod http_origin;
+mod http_status;
+mod http_weight_store;
 mod http_backend;
 mod http_platform;
 mod load_order;
@@ -39,6 +44,9 @@
 pub use engine::Engine;
 pub use engine_error::EngineError;
 pub use engine_status::EngineStatus;
+pub use http_engine::HttpEngine;
+pub use http_origin::HttpOrigin;
+pub use http_weight_store::HttpWeightStore;
 pub use http_backend::{
     HttpBackend, PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER, TIME_LEFT_HEADER,
     VERSION_HEADER,
--- a/crates/lift_wire/src/lib.rs
+++ b/crates/lift_wire/src/lib.rs
@@ -10,6 +10,7 @@
 //! The messages themselves have a file each. No decision is made here; the decision
 //! crates do not depend on this one. See `docs/design.md`, section 6.
 
+mod chunk_message;
 mod answer_message;
 mod call;
 mod call_claim;
@@ -29,6 +30,7 @@
 mod session;
 mod wire_error;
 
+pub use chunk_message::ChunkMessage;
 pub use answer_message::AnswerMessage;
 pub use call::Call;
 pub use call_claim::CallClaim;
