--- a/crates/lift_standin/src/lib.rs
+++ b/crates/lift_standin/src/lib.rs
@@ -9,9 +9,11 @@
 //! misbehave with an [`AnswerFault`]. [`MemoryControl`] stands in for control.
 //! [`ControlStandin`] keeps policy, leases and grants in memory, without a log. [`LinkNet`]
 //! holds connections to the rates of links.
+//! misbehave with an [`AnswerFault`]; an [`AnswerRelay`] loses the state of connections. [`MemoryControl`] stands in for control.
 
 mod answer_engine;
 mod answer_fault;
+mod answer_relay;
 mod answer_server;
 mod answer_text;
 mod control_fault;
@@ -32,9 +34,11 @@
 mod origin_standin;
 mod plain_ledger;
 mod weight_store_standin;
+mod policy_edit;
 
 pub use answer_engine::AnswerEngine;
 pub use answer_fault::AnswerFault;
+pub use answer_relay::AnswerRelay;
 pub use answer_server::AnswerServer;
 pub use answer_text::AnswerText;
 pub use control_fault::ControlFault;
