Sync the head of a log segment before its first record

Cause: the model test (20,000 cases, loss 18, doubling 8, crashes 8) found a host that refused to start. A torn write had changed a byte of a new segment's head while the first record was whole, which reads as damage of synced data.

Change: the head is written and synced on its own.

--- a/crates/lift_disk/src/log_store.rs
+++ b/crates/lift_disk/src/log_store.rs
@@ -135,24 +135,16 @@
         }
         self.hard_state = record.hard_state.unwrap_or(self.hard_state);
         let full = |segment: &segment::Segment| segment.length >= SEGMENT_BYTES;
-        let mut buf = Vec::new();
         if self.segments.back().is_none_or(full) {
             // Each segment repeats term and vote, so that earlier ones can be deleted.
             record.hard_state = Some(self.hard_state);
-            let segment = segment::Segment::new(self.next_number);
-            buf = segment.head();
-            self.segments.push_back(segment);
+            self.start_segment()?;
         }
         let Some(segment) = self.segments.back_mut() else {
             return Ok(());
         };
         let number = self.next_number;
-        buf.extend(record::encode(
-            &record,
-            segment.first,
-            number,
-            &segment.name,
-        )?);
+        let buf = record::encode(&record, segment.first, number, &segment.name)?;
         self.disk.append(&segment.name, &buf)?;
         self.disk.sync(&segment.name)?;
         let last = record.entries.iter().map(|entry| entry.index).max();
@@ -162,6 +154,18 @@
         Ok(())
     }
 
+    /// Starts a segment. Its head is synced before the first record is written, so that a
+    /// wrong head with a whole record behind it is damage and not an incomplete write.
+    fn start_segment(&mut self) -> Result<(), error_stack::Report<disk_error::DiskError>> {
+        let mut segment = segment::Segment::new(self.next_number);
+        let head = segment.head();
+        self.disk.append(&segment.name, &head)?;
+        self.disk.sync(&segment.name)?;
+        segment.length = head.len();
+        self.segments.push_back(segment);
+        Ok(())
+    }
+
     /// Deletes the oldest segments whose entries are all covered by the snapshot at `index`.
     fn compact(
         &mut self,
--- a/crates/lift_log/tests/common/mod.rs
+++ b/crates/lift_log/tests/common/mod.rs
@@ -85,6 +85,8 @@
     pub initial: Vec<(lift_types::MemberId, net::SocketAddr)>,
     pub switch: sync::Arc<lift_log::LinkSwitch>,
     pub limits: lift_consensus::Limits,
+    /// Counters of all members together.
+    pub counters: sync::Arc<lift_obs::Counters>,
 }
 
 impl Cluster {
@@ -101,6 +103,7 @@
             initial,
             switch: sync::Arc::default(),
             limits,
+            counters: sync::Arc::default(),
         };
         for position in 0..count as usize {
             cluster.start_member(position).await.unwrap();
@@ -125,6 +128,7 @@
             )))
             .state_machine(sync::Arc::clone(&member.ledger) as _)
             .limits(self.limits)
+            .counters(sync::Arc::clone(&self.counters))
             .link_switch(sync::Arc::clone(&self.switch));
         let joins = !self.initial.iter().any(|(id, _)| *id == member.id);
         for (id, address) in self.initial.iter().filter(|_| !joins) {
