Let a leader with a hung disk give up the lead

Cause: a leader whose sync does not finish keeps its heartbeats and its lease, but answers no proposer.

Change: after one second without a finished sync it stops leading.

--- a/crates/lift_consensus/src/replica.rs
+++ b/crates/lift_consensus/src/replica.rs
@@ -174,7 +174,7 @@
     fn advance(&mut self, now: time::Instant) {
         self.advance_commit(now);
         self.replicate_all(now);
-        if let Some(write) = self.writes.issue(self.log.last_index()) {
+        if let Some(write) = self.writes.issue(now, self.log.last_index()) {
             self.actions.push(action::Action::Write(write));
         }
         for message in self.writes.release() {
--- a/crates/lift_consensus/src/replica_leader.rs
+++ b/crates/lift_consensus/src/replica_leader.rs
@@ -60,14 +60,15 @@
         self.actions.push(action::Action::Refused(reason));
     }
 
-    /// Stops leading where no quorum answers or a transfer took too long; else sends
-    /// heartbeats.
+    /// Stops leading where no quorum answers, the own disk does not finish a sync or a transfer
+    /// took too long; else sends heartbeats.
     pub(crate) fn on_leader_tick(&mut self, now: time::Instant) {
         let role::Role::Leader(leader) = &self.role else {
             return;
         };
         let transfer_over = leader.transfer.is_some_and(|(_, until)| now >= until);
-        if now >= self.leading_until(leader) || transfer_over {
+        let disk_stalls = self.disk_stalls(now) && self.members().quorum() > 1;
+        if now >= self.leading_until(leader) || transfer_over || disk_stalls {
             self.become_follower(now, None);
             return;
         }
@@ -84,6 +85,13 @@
         }
     }
 
+    /// Whether a sync takes so long that the disk must be taken for failed. Such a leader can't
+    /// answer proposers, although its heartbeats go on.
+    fn disk_stalls(&self, now: time::Instant) -> bool {
+        let since = self.writes.waiting_since();
+        since.is_some_and(|at| now.saturating_duration_since(at) >= self.cfg.timing.sync_stall)
+    }
+
     /// Sends an append message without entries. It renews the lease, and its reply shows
     /// whether earlier messages were lost.
     fn send_heartbeat(&mut self, now: time::Instant, to: lift_types::MemberId) {
--- a/crates/lift_consensus/src/timing.rs
+++ b/crates/lift_consensus/src/timing.rs
@@ -14,6 +14,8 @@
     /// How much faster or slower than another a member's monotonic clock may run, in
     /// percent. The leader lease is shorter than `election` by this bound on both sides.
     pub drift_percent: u32,
+    /// Time after which a leader whose disk does not finish a sync gives up the lead.
+    pub sync_stall: time::Duration,
 }
 
 impl Timing {
@@ -37,6 +39,7 @@
             election: time::Duration::from_millis(300),
             spread: time::Duration::from_millis(150),
             drift_percent: 5,
+            sync_stall: time::Duration::from_secs(1),
         }
     }
 }
--- a/crates/lift_consensus/src/write_queue.rs
+++ b/crates/lift_consensus/src/write_queue.rs
@@ -1,6 +1,6 @@
 //! Writes that are not synced yet, and the messages that wait for them.
 
-use std::{collections, mem};
+use std::{collections, mem, time};
 
 use crate::{hard_state, message, write};
 
@@ -14,8 +14,8 @@
     synced: u64,
     hard_state_in: u64,
     synced_index: lift_types::LogIndex,
-    /// Number and last entry of each write that is not synced.
-    pending: collections::VecDeque<(u64, lift_types::LogIndex)>,
+    /// Number, last entry and time of each write that is not synced.
+    pending: collections::VecDeque<(u64, lift_types::LogIndex, time::Instant)>,
     deferred: collections::VecDeque<(u64, message::Message)>,
 }
 
@@ -51,7 +51,7 @@
     /// Notes that entries from `index` on are replaced.
     pub(crate) fn truncate_from(&mut self, index: lift_types::LogIndex) {
         self.synced_index = self.synced_index.min(index - 1);
-        for (_, last) in &mut self.pending {
+        for (_, last, _) in &mut self.pending {
             *last = (*last).min(index - 1);
         }
         self.open.entries.retain(|entry| entry.index < index);
@@ -64,12 +64,16 @@
     }
 
     /// Closes the open write, after which `last_index` is the last entry.
-    pub(crate) fn issue(&mut self, last_index: lift_types::LogIndex) -> Option<write::Write> {
+    pub(crate) fn issue(
+        &mut self,
+        now: time::Instant,
+        last_index: lift_types::LogIndex,
+    ) -> Option<write::Write> {
         if self.open.is_empty() {
             return None;
         }
         self.issued += 1;
-        self.pending.push_back((self.issued, last_index));
+        self.pending.push_back((self.issued, last_index, now));
         let mut write = mem::take(&mut self.open);
         write.number = self.issued;
         Some(write)
@@ -77,7 +81,7 @@
 
     /// Notes that the write `number` and all before it are synced.
     pub(crate) fn synced(&mut self, number: u64) {
-        while let Some((first, last)) = self.pending.front().copied() {
+        while let Some((first, last, _)) = self.pending.front().copied() {
             if first > number {
                 return;
             }
@@ -87,6 +91,11 @@
         }
     }
 
+    /// When the oldest write that is not synced was issued.
+    pub(crate) fn waiting_since(&self) -> Option<time::Instant> {
+        self.pending.front().map(|(_, _, issued)| *issued)
+    }
+
     /// Messages whose writes are synced.
     pub(crate) fn release(&mut self) -> Vec<message::Message> {
         let ready = |(after, _): &(u64, message::Message)| *after <= self.synced;
--- a/crates/lift_disk/tests/model/host.rs
+++ b/crates/lift_disk/tests/model/host.rs
@@ -15,6 +15,7 @@
     election: time::Duration::from_millis(100),
     spread: time::Duration::from_millis(30),
     drift_percent: 5,
+    sync_stall: time::Duration::from_millis(200),
 };
 
 pub struct Host {
