--- a/crates/lift_disk/tests/model/world.rs
+++ b/crates/lift_disk/tests/model/world.rs
@@ -203,7 +203,7 @@
         if now >= replica.deadline() {
             host.inbox.push_back(lift_consensus::Event::Tick);
         }
-        if ms % PROPOSE_EVERY == 0 && replica.is_leading() {
+        if ms.is_multiple_of(PROPOSE_EVERY) && replica.is_leading() {
             self.proposed += 1;
             let command = bytes::Bytes::from(format!("command {}", self.proposed));
             let event = lift_consensus::Event::Propose(vec![command]);
