--- a/crates/lift_bench/src/lib.rs
+++ b/crates/lift_bench/src/lib.rs
@@ -5,5 +5,23 @@
 //! targets are in `docs/measurements.md`.
 
 mod bench_error;
+mod config_changes;
+mod config_cluster;
+mod config_fault;
+mod config_faults;
+mod config_fleet;
+mod config_forwarder;
+mod config_member;
+mod config_operator;
+mod config_options;
+mod config_report;
+mod config_run;
+mod config_tally;
+mod config_timeline;
+mod config_usage;
 
 pub use bench_error::BenchError;
+pub use config_fault::ConfigFault;
+pub use config_options::ConfigOptions;
+pub use config_report::ConfigReport;
+pub use config_run::run_config;
