Tell agents in other regions only about the groups that they read

At 64 hosts the most loaded region link carried 1.40 copies, since each host announced every chunk over its links to other regions.

--- a/crates/lift_bench/src/burst_fleet.rs
+++ b/crates/lift_bench/src/burst_fleet.rs
@@ -32,6 +32,8 @@
     pub(crate) hosts: Vec<sync::Arc<burst_host::BurstHost>>,
     pub(crate) agents: Vec<Option<lift_swarm::Swarm>>,
     pub(crate) live: sync::Arc<burst_live::BurstLive>,
+    /// Counters of all agents together.
+    pub(crate) counters: sync::Arc<lift_obs::Counters>,
     origin_base: String,
     chunk_size: u32,
     data: tempfile::TempDir,
@@ -64,6 +66,7 @@
             hosts: Vec::new(),
             agents: Vec::new(),
             live: sync::Arc::new(live),
+            counters: sync::Arc::default(),
             origin_base: format!("http://{relay}"),
             chunk_size: (options.bytes / CHUNKS) as u32,
             data: tempfile::tempdir().change_context(start)?,
@@ -218,6 +221,7 @@
             .engine(host.engine.clone())
             .serving(host.clone())
             .live_requests(host.live_requests())
+            .counters(self.counters.clone())
             .start()
             .await
             .change_context(bench_error::BenchError::Start)
--- a/crates/lift_bench/src/burst_live.rs
+++ b/crates/lift_bench/src/burst_live.rs
@@ -16,6 +16,8 @@
 /// Phase in which a live request was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
+    /// The hosts are being started; requests are not counted.
+    Start,
     Before,
     During,
 }
@@ -60,13 +62,13 @@
             mixed: 0,
         };
         Some(Self {
-            phase: parking_lot::Mutex::new(Phase::Before),
+            phase: parking_lot::Mutex::new(Phase::Start),
             counts: parking_lot::Mutex::new(counts),
         })
     }
 
-    pub(crate) fn start_burst(&self) {
-        *self.phase.lock() = Phase::During;
+    pub(crate) fn set_phase(&self, phase: Phase) {
+        *self.phase.lock() = phase;
     }
 
     pub(crate) fn figures(&self) -> LiveFigures {
@@ -124,6 +126,7 @@
         let mut counts = self.counts.lock();
         let micros = elapsed.as_micros() as u64;
         match phase {
+            Phase::Start => {}
             Phase::Before => counts.before.saturating_record(micros),
             Phase::During => {
                 counts.answers += 1;
--- a/crates/lift_bench/src/burst_report.rs
+++ b/crates/lift_bench/src/burst_report.rs
@@ -51,4 +51,6 @@
     pub wrong_answers: u64,
     /// Answers from partial weights or from two versions.
     pub mixed_answers: u64,
+    /// Counters of all agents together.
+    pub counters: indexmap::IndexMap<String, u64>,
 }
--- a/crates/lift_bench/src/burst_run.rs
+++ b/crates/lift_bench/src/burst_run.rs
@@ -4,7 +4,9 @@
 
 use rand::{SeedableRng as _, seq::SliceRandom as _};
 
-use crate::{bench_error, burst_fault, burst_fleet, burst_options, burst_report, burst_traffic};
+use crate::{
+    bench_error, burst_fault, burst_fleet, burst_live, burst_options, burst_report, burst_traffic,
+};
 
 /// Time of live requests before the burst, from which the undisturbed p99 comes.
 const QUIET: time::Duration = time::Duration::from_secs(4);
@@ -32,6 +34,7 @@
 pub async fn run_burst(options: &burst_options::BurstOptions) -> Result<burst_report::BurstReport> {
     options.check()?;
     let mut fleet = burst_fleet::BurstFleet::start(options).await?;
+    fleet.live.set_phase(burst_live::Phase::Before);
     tokio::time::sleep(QUIET).await;
     let limit = time::Duration::from_millis(options.wanted_ms * LIMIT_FACTOR);
     let measured = tokio::time::timeout(limit, measure(options, &mut fleet)).await;
@@ -64,7 +67,7 @@
         let fault = lift_standin::OriginFault::Corrupt { one_in };
         fleet.origin.set_fault(fault);
     }
-    fleet.live.start_burst();
+    fleet.live.set_phase(burst_live::Phase::During);
     let mut started_at = time::Instant::now();
     set_version(fleet, "second");
     let mut last = "second";
@@ -127,6 +130,7 @@
         live_not_run: live.not_run,
         wrong_answers: live.wrong,
         mixed_answers: live.mixed,
+        counters: fleet.counters.snapshot(),
     })
 }
 
--- a/crates/lift_swarm/src/agent.rs
+++ b/crates/lift_swarm/src/agent.rs
@@ -90,26 +90,26 @@
         *self.live.borrow()
     }
 
-    /// Sends `message` to each linked agent that fetches `version`.
+    /// Tells each linked agent that fetches the version of `manifest` about those of `chunks`
+    /// that it wants to know about.
     pub(crate) fn tell_interested(
         &self,
-        version: &lift_types::VersionId,
-        message: &lift_wire::ChunkMessage,
+        manifest: &lift_types::Manifest,
+        chunks: &[lift_types::ChunkIndex],
     ) {
         self.links.for_each(|links| {
             for link in links.values() {
-                if link.interest.as_ref() == Some(version) {
-                    link.send(message.clone());
+                let Some(interest) = &link.interest else {
+                    continue;
+                };
+                if interest.version != manifest.version {
+                    continue;
+                }
+                let chunks = interest.filter(manifest, chunks);
+                if !chunks.is_empty() {
+                    let version = manifest.version.clone();
+                    link.send(lift_wire::ChunkMessage::Have { version, chunks });
                 }
-            }
-        });
-    }
-
-    /// Sends `message` to each linked agent.
-    pub(crate) fn tell_all(&self, message: &lift_wire::ChunkMessage) {
-        self.links.for_each(|links| {
-            for link in links.values() {
-                link.send(message.clone());
             }
         });
     }
--- a/crates/lift_swarm/src/lib.rs
+++ b/crates/lift_swarm/src/lib.rs
@@ -12,6 +12,7 @@
 mod dialer;
 mod exchange;
 mod fetch;
+mod interest;
 mod lease_state;
 mod messages;
 mod peer_link;
--- a/crates/lift_swarm/src/messages.rs
+++ b/crates/lift_swarm/src/messages.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use crate::{agent, transfer};
+use crate::{agent, interest, transfer};
 
 use lift_transfer::{DownloadEvent as Event, Source};
 use lift_wire::ChunkMessage as Message;
@@ -12,7 +12,9 @@
     pub(crate) fn take_message(self: &sync::Arc<Self>, host: lift_types::HostId, message: Message) {
         match message {
             Message::Hello { .. } | Message::Ping => {}
-            Message::Interest { version } => self.take_interest(host, version),
+            Message::Interest { version, groups } => {
+                self.take_interest(host, interest::Interest::new(version, groups));
+            }
             Message::Bitmap { version, bits } => {
                 let chunks = positions(&bits);
                 self.transfer_event(&version, Event::Have { host, chunks });
@@ -37,20 +39,19 @@
         }
     }
 
-    /// Tells `host` which chunks of `version` are held here.
-    fn take_interest(self: &sync::Arc<Self>, host: lift_types::HostId, version: String) {
+    /// Tells `host` which chunks of a version are held here.
+    fn take_interest(&self, host: lift_types::HostId, interest: interest::Interest) {
+        let message = self.bitmap(&interest.version);
         self.links.with(&host, |links| {
             if let Some(link) = links.get_mut(&host) {
-                link.interest = Some(version.clone());
+                link.interest = Some(interest);
+                message.map(|message| link.send(message));
             }
         });
-        if let Some(message) = self.bitmap(&version) {
-            self.tell(host, message);
-        }
     }
 
     /// Chunks of `version` that are held, where its manifest is known.
-    pub(crate) fn bitmap(&self, version: &str) -> Option<Message> {
+    fn bitmap(&self, version: &str) -> Option<Message> {
         let manifest = self.versions.manifest(version)?;
         let mut bits = vec![0_u8; manifest.chunks.len().div_ceil(8)];
         for (i, hash) in manifest.chunks.iter().enumerate() {
--- a/crates/lift_swarm/src/peer_link.rs
+++ b/crates/lift_swarm/src/peer_link.rs
@@ -3,6 +3,8 @@
 use tokio::sync as tokio_sync;
 use tokio_util::sync as util_sync;
 
+use crate::interest;
+
 /// Messages that may wait for a connection. Above it the other end does not read, and the
 /// connection is closed.
 pub(crate) const QUEUE_MESSAGES: usize = 256;
@@ -22,8 +24,8 @@
     pub(crate) incarnation: lift_types::Incarnation,
     /// Host that opened the connection.
     pub(crate) dialer: lift_types::HostId,
-    /// Version that the other end fetches.
-    pub(crate) interest: Option<lift_types::VersionId>,
+    /// What the other end fetches.
+    pub(crate) interest: Option<interest::Interest>,
     pub(crate) tx: tokio_sync::mpsc::Sender<Outgoing>,
     /// Ends the connection.
     pub(crate) close: util_sync::CancellationToken,
--- a/crates/lift_swarm/src/serve_chunks.rs
+++ b/crates/lift_swarm/src/serve_chunks.rs
@@ -33,13 +33,9 @@
     loop {
         agent.fresh_now.notified().await;
         let chunks = std::mem::take(&mut *agent.fresh.lock());
-        let version = agent.transfer.lock().as_ref().map(|t| t.version.clone());
-        if let Some(version) = version.filter(|_| !chunks.is_empty()) {
-            let message = lift_wire::ChunkMessage::Have {
-                version: version.clone(),
-                chunks,
-            };
-            agent.tell_interested(&version, &message);
+        let manifest = agent.transfer.lock().as_ref().map(|t| t.manifest.clone());
+        if let Some(manifest) = manifest {
+            agent.tell_interested(&manifest, &chunks);
         }
         tokio_time::sleep(HAVE_INTERVAL).await;
     }
--- a/crates/lift_swarm/src/target.rs
+++ b/crates/lift_swarm/src/target.rs
@@ -114,19 +114,18 @@
         });
         let held = held.into_iter().map(|chunk| DownloadEvent::Held { chunk });
         self.transfer_events(&version, held);
-        self.tell_all(&lift_wire::ChunkMessage::Interest {
-            version: version.clone(),
-        });
-        let mut places = Vec::new();
+        let mut links = Vec::new();
         self.links
-            .for_each(|links| places.extend(links.values().map(|link| link.place.clone())));
-        let up = places
-            .into_iter()
-            .map(|place| DownloadEvent::PeerUp { place });
-        self.transfer_events(&version, up);
-        if let Some(bitmap) = self.bitmap(&version) {
-            self.tell_interested(&version, &bitmap);
+            .for_each(|shard| links.extend(shard.values().cloned()));
+        for link in &links {
+            self.link_up(link);
         }
+        let held: Vec<_> = {
+            let transfer = self.transfer.lock();
+            let download = transfer.as_ref().map(|t| &t.download);
+            download.map_or_else(Vec::new, |d| d.held_chunks().collect())
+        };
+        self.tell_interested(&manifest, &held);
         let own = self.clone();
         self.spawn_until_stop(follow_view(own, version));
     }
@@ -196,11 +195,18 @@
             lift_transfer::Upstream::Peer(peer) => Some(peer),
         });
         let all = view.neighbours.iter().chain(upstreams);
+        let mut groups = indexmap::IndexMap::<_, Vec<_>>::new();
+        for home in &view.home_groups {
+            if let lift_transfer::Upstream::Peer(peer) = &home.upstream {
+                groups.entry(peer.place.host).or_default().push(home.group);
+            }
+        }
         let by_host: indexmap::IndexMap<_, _> =
             all.map(|peer| (peer.place.host, peer.clone())).collect();
         *self.desired.lock() = by_host.into_values().collect();
         self.dial_now.notify_one();
         self.transfer_event(version, DownloadEvent::View(view));
+        self.set_upstream_groups(version, groups);
     }
 
     /// Assembles and verifies the whole, then lets the activation proceed.
--- a/crates/lift_swarm/src/transfer.rs
+++ b/crates/lift_swarm/src/transfer.rs
@@ -11,8 +11,13 @@
     pub(crate) manifest: sync::Arc<lift_types::Manifest>,
     pub(crate) download: lift_transfer::Download,
     positions: indexmap::IndexMap<lift_types::ChunkHash, Vec<lift_types::ChunkIndex>>,
+    /// Key groups that are read from agents in other regions.
+    upstream_groups: UpstreamGroups,
 }
 
+/// Key groups by the agent that they are read from.
+type UpstreamGroups = indexmap::IndexMap<lift_types::HostId, Vec<lift_types::KeyGroup>>;
+
 impl Transfer {
     pub(crate) fn new(agent: &agent::Agent, manifest: sync::Arc<lift_types::Manifest>) -> Self {
         let mut positions = indexmap::IndexMap::<_, Vec<_>>::new();
@@ -28,9 +33,22 @@
             download: lift_transfer::Download::new(&agent.place, manifest.clone(), cfg),
             manifest,
             positions,
+            upstream_groups: UpstreamGroups::new(),
         }
     }
 
+    /// What an agent at `place` is asked about: all chunks in the own region, and in another
+    /// region the groups that are read from it.
+    fn interest(&self, region: &str, place: &lift_types::Place) -> Option<lift_wire::ChunkMessage> {
+        let groups = if place.region == region {
+            None
+        } else {
+            Some(self.upstream_groups.get(&place.host)?.clone())
+        };
+        let version = self.version.clone();
+        Some(lift_wire::ChunkMessage::Interest { version, groups })
+    }
+
     /// Positions of a chunk in the version.
     pub(crate) fn positions(&self, hash: &lift_types::ChunkHash) -> &[lift_types::ChunkIndex] {
         self.positions.get(hash).map_or(&[], Vec::as_slice)
@@ -159,13 +177,43 @@
 
     /// Announces a new link to the download, and the download to the other end.
     pub(crate) fn link_up(self: &sync::Arc<Self>, link: &peer_link::PeerLink) {
-        let version = self.transfer.lock().as_ref().map(|t| t.version.clone());
-        let Some(version) = version else {
+        let region = &self.place.region;
+        let found = {
+            let transfer = self.transfer.lock();
+            let transfer = transfer.as_ref();
+            transfer.map(|t| (t.version.clone(), t.interest(region, &link.place)))
+        };
+        let Some((version, interest)) = found else {
             return;
         };
         let place = link.place.clone();
         self.transfer_event(&version, lift_transfer::DownloadEvent::PeerUp { place });
-        link.send(lift_wire::ChunkMessage::Interest { version });
+        interest.map(|message| link.send(message));
+    }
+
+    /// Asks the agents in other regions about the groups that are read from them, where
+    /// these have changed.
+    pub(crate) fn set_upstream_groups(
+        &self,
+        version: &lift_types::VersionId,
+        groups: UpstreamGroups,
+    ) {
+        let changed: Vec<_> = {
+            let mut transfer = self.transfer.lock();
+            let Some(transfer) = transfer.as_mut().filter(|t| t.version == *version) else {
+                return;
+            };
+            let old = std::mem::replace(&mut transfer.upstream_groups, groups);
+            let new = transfer.upstream_groups.iter();
+            new.filter(|(host, groups)| old.get(*host) != Some(*groups))
+                .map(|(host, groups)| (*host, groups.clone()))
+                .collect()
+        };
+        for (host, groups) in changed {
+            let version = version.clone();
+            let groups = Some(groups);
+            self.tell(host, lift_wire::ChunkMessage::Interest { version, groups });
+        }
     }
 
     /// Announces the end of a link.
--- a/crates/lift_wire/src/chunk_message.rs
+++ b/crates/lift_wire/src/chunk_message.rs
@@ -16,6 +16,9 @@
     Interest {
         /// The version.
         version: lift_types::VersionId,
+        /// Key groups of the chunks that it wants to know about, `None` for all. A host in
+        /// another region asks only for the groups that it reads there.
+        groups: Option<Vec<lift_types::KeyGroup>>,
     },
     /// All chunks of a version that the sender holds; bit `i % 8` of byte `i / 8` stands for
     /// chunk `i`.
