--- a/crates/lift_border/src/lib.rs
+++ b/crates/lift_border/src/lib.rs
@@ -19,13 +19,13 @@
 mod engine;
 mod engine_error;
 mod engine_status;
+mod http_backend;
 mod http_client;
 mod http_engine;
 mod http_origin;
+mod http_platform;
 mod http_status;
 mod http_weight_store;
-mod http_backend;
-mod http_platform;
 mod load_order;
 mod origin;
 mod origin_error;
@@ -44,14 +44,14 @@
 pub use engine::Engine;
 pub use engine_error::EngineError;
 pub use engine_status::EngineStatus;
-pub use http_engine::HttpEngine;
-pub use http_origin::HttpOrigin;
-pub use http_weight_store::HttpWeightStore;
 pub use http_backend::{
     HttpBackend, PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER, TIME_LEFT_HEADER,
     VERSION_HEADER,
 };
+pub use http_engine::HttpEngine;
+pub use http_origin::HttpOrigin;
 pub use http_platform::HttpPlatform;
+pub use http_weight_store::HttpWeightStore;
 pub use load_order::LoadOrder;
 pub use origin::Origin;
 pub use origin_error::OriginError;
--- a/crates/lift_wire/src/lib.rs
+++ b/crates/lift_wire/src/lib.rs
@@ -10,12 +10,12 @@
 //! The messages themselves have a file each. No decision is made here; the decision
 //! crates do not depend on this one. See `docs/design.md`, section 6.
 
-mod chunk_message;
 mod answer_message;
 mod call;
 mod call_claim;
 mod call_failure;
 mod call_message;
+mod chunk_message;
 mod claim_query;
 mod claim_state;
 mod datagram;
@@ -30,12 +30,12 @@
 mod session;
 mod wire_error;
 
-pub use chunk_message::ChunkMessage;
 pub use answer_message::AnswerMessage;
 pub use call::Call;
 pub use call_claim::CallClaim;
 pub use call_failure::CallFailure;
 pub use call_message::CallMessage;
+pub use chunk_message::ChunkMessage;
 pub use claim_query::ClaimQuery;
 pub use claim_state::ClaimState;
 pub use datagram::{open, seal};
