--- a/crates/lift_standin/src/lib.rs
+++ b/crates/lift_standin/src/lib.rs
@@ -6,6 +6,8 @@
 //!
 //! [`AnswerEngine`] answers requests like a model engine whose loaded version comes from a
 //! channel. [`PlainLedger`] is a plain service that counts what ran. Both can be made to
+//! misbehave with an [`AnswerFault`]; an [`AnswerRelay`] loses the state of connections.
+//! [`MemoryControl`] keeps claims in memory, and [`MemoryLog`] stands in for the log.
 //! misbehave with an [`AnswerFault`]. [`MemoryControl`] stands in for control.
 //! [`ControlStandin`] keeps policy, leases and grants in memory, without a log. [`LinkNet`]
 //! holds connections to the rates of links.
