Prove that a key is unclaimed before "not run" is told

Cause: an entry told "not run" for a sending that it refused before its claim, or whose claim got no answer, although another sending under the same key may have run. Ruled out: the claims of the agents and of control, which allowed one run only. Change: a refused sending asks control whether the key is unclaimed. Without that proof it is in doubt. Conclusion: "not run" now speaks for the key, not for one sending.

--- a/crates/lift_entry/src/caller_reply.rs
+++ b/crates/lift_entry/src/caller_reply.rs
@@ -2,7 +2,7 @@
 
 use axum::response;
 
-use crate::{caller_request, sending, shared};
+use crate::shared;
 
 /// Body of a reply that is not an answer.
 #[derive(Clone, Debug, serde::Serialize)]
@@ -18,18 +18,18 @@
 /// Header names that the reply sets itself.
 const SET_HERE: [&str; 3] = ["content-length", "transfer-encoding", "connection"];
 
-/// The request did not run. A repeat that is refused before its claim is in doubt, because
-/// the earlier sending may have run.
-pub(crate) fn refused(
+/// The head of the request could not be read, so its key can't be looked up. A caller that
+/// marks a repeat is told that it is in doubt, because the earlier sending may have run.
+pub(crate) fn refused_head(
     shared: &shared::Shared,
     id: lift_types::RequestId,
-    sending: sending::Sending,
+    headers: &http::HeaderMap,
     reason: lift_types::RefusalReason,
 ) -> response::Response {
-    match sending {
-        sending::Sending::First => not_run(shared, id, reason),
-        sending::Sending::Repeat => in_doubt(shared, id, reason),
+    if headers.contains_key(crate::REPEAT_HEADER) {
+        return in_doubt(shared, id, reason);
     }
+    not_run(shared, id, reason)
 }
 
 /// The request did not run.
@@ -82,20 +82,6 @@
     format!("{}-{id:x}", shared.place.host)
 }
 
-/// How a request that never passed its head was sent.
-pub(crate) fn sending_of(
-    request: Option<&caller_request::CallerRequest>,
-    headers: &http::HeaderMap,
-) -> sending::Sending {
-    let is_repeat = headers.contains_key(crate::REPEAT_HEADER);
-    match request {
-        Some(request) if !request.is_claimed() => sending::Sending::First,
-        Some(request) => request.sending,
-        None if is_repeat => sending::Sending::Repeat,
-        None => sending::Sending::First,
-    }
-}
-
 fn outcome(
     shared: &shared::Shared,
     id: lift_types::RequestId,
--- a/crates/lift_entry/src/caller_request.rs
+++ b/crates/lift_entry/src/caller_request.rs
@@ -4,7 +4,7 @@
 
 use http_body_util::BodyExt as _;
 
-use crate::{sending, shared};
+use crate::shared;
 
 /// Longest idempotency key and workspace name, in bytes. Control keeps them.
 const MAX_NAME_BYTES: usize = 256;
@@ -26,7 +26,6 @@
     pub(crate) idempotency: lift_types::Idempotency,
     pub(crate) limits: lift_types::WorkspaceLimits,
     pub(crate) key: Option<String>,
-    pub(crate) sending: sending::Sending,
     pub(crate) version: Option<lift_types::VersionId>,
     pub(crate) priority: lift_types::Priority,
     pub(crate) deadline: time::Instant,
@@ -56,7 +55,6 @@
         if is_claimed && key.is_none() {
             return Err(Refused::KeyMissing);
         }
-        let repeat = text(parts, crate::REPEAT_HEADER)?;
         let prefix = text(parts, crate::PREFIX_HEADER)?;
         let query = parts.uri.query().map(|query| format!("?{query}"));
         Ok(Self {
@@ -69,11 +67,6 @@
             service: String::from(service),
             method: String::from(method),
             key: key.filter(|_| is_claimed),
-            sending: if repeat.is_some() {
-                sending::Sending::Repeat
-            } else {
-                sending::Sending::First
-            },
             version: text(parts, lift_border::VERSION_HEADER)?,
             deadline: deadline_of(shared, parts)?,
             http_method: parts.method.to_string(),
--- a/crates/lift_entry/src/claimed_path.rs
+++ b/crates/lift_entry/src/claimed_path.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     answer_part, answer_stream, caller_reply, caller_request, claim_client, exchange, permit,
-    sending, shared,
+    shared,
 };
 
 use lift_route::{ClaimedAction as Action, ClaimedEvent as Event};
@@ -53,12 +53,25 @@
     }
 
     /// Runs the request to an answer, "not run" or "in doubt".
-    pub(crate) async fn run(mut self, permit: permit::Permit) -> response::Response {
-        let mut machine = lift_route::ClaimedRequest::new();
-        let mut action = Action::Choose;
-        let mut has_claim = false;
+    pub(crate) async fn run(self, permit: permit::Permit) -> response::Response {
+        let machine = lift_route::ClaimedRequest::new();
+        self.drive(machine, Action::Choose, Some(permit)).await
+    }
+
+    /// Refuses the request before anything was sent. Another sending under its key may have
+    /// run, so control is asked about the key first.
+    pub(crate) async fn refuse(self, reason: lift_types::RefusalReason) -> response::Response {
+        let machine = lift_route::ClaimedRequest::refusing(reason);
+        self.drive(machine, Action::Look, None).await
+    }
+
+    async fn drive(
+        mut self,
+        mut machine: lift_route::ClaimedRequest,
+        mut action: Action,
+        permit: Option<permit::Permit>,
+    ) -> response::Response {
         loop {
-            has_claim |= matches!(action, Action::Send(_) | Action::Query { .. });
             let event = match action {
                 Action::Choose => self.choose().await,
                 Action::Claim { host, incarnation } => self.claims.claim(host, incarnation).await,
@@ -72,7 +85,9 @@
                 Action::Look => self.claims.look().await,
                 Action::GiveAnswer => return self.give_answer(permit),
                 Action::GiveOutcome => return self.give_outcome(),
-                Action::NotRun { reason } => return self.not_run(reason, has_claim),
+                Action::NotRun { reason } => {
+                    return caller_reply::not_run(&self.shared, self.req.id, reason);
+                }
                 Action::InDoubt { reason } => {
                     return caller_reply::in_doubt(&self.shared, self.req.id, reason);
                 }
@@ -153,8 +168,8 @@
         })
     }
 
-    fn give_answer(mut self, permit: permit::Permit) -> response::Response {
-        let Some(begun) = self.answer.take() else {
+    fn give_answer(mut self, permit: Option<permit::Permit>) -> response::Response {
+        let (Some(begun), Some(permit)) = (self.answer.take(), permit) else {
             let reason = lift_types::RefusalReason::BackendUnreachable;
             return caller_reply::in_doubt(&self.shared, self.req.id, reason);
         };
@@ -181,16 +196,4 @@
         self.shared.counters.increment("entry.outcomes_repeated");
         caller_reply::recorded(&self.shared, self.req.id, outcome)
     }
-
-    /// A request that found or made a claim has proof about the key. Without a claim there is
-    /// proof about this sending only.
-    fn not_run(&self, reason: lift_types::RefusalReason, has_claim: bool) -> response::Response {
-        let is_proved = has_claim || reason == lift_types::RefusalReason::KeyReused;
-        let sending = if is_proved {
-            sending::Sending::First
-        } else {
-            self.req.sending
-        };
-        caller_reply::refused(&self.shared, self.req.id, sending, reason)
-    }
 }
--- a/crates/lift_entry/src/front.rs
+++ b/crates/lift_entry/src/front.rs
@@ -7,6 +7,10 @@
 
 use crate::{caller_reply, caller_request, claimed_path, idempotent_path, permit, shared};
 
+/// Longest time for which a refused request waits for control to confirm that its key is
+/// unclaimed.
+const REFUSAL_LOOK: time::Duration = time::Duration::from_millis(500);
+
 type Shared = sync::Arc<shared::Shared>;
 
 /// Routes of the front end.
@@ -27,24 +31,20 @@
     let id = shared.next_id();
     let (parts, body) = req.into_parts();
     let read = caller_request::CallerRequest::from_head(&shared, id, &parts);
-    let refused = |request: Option<&caller_request::CallerRequest>, reason| {
-        let sending = caller_reply::sending_of(request, &parts.headers);
-        caller_reply::refused(&shared, id, sending, reason)
-    };
     let mut request = match read {
         Ok(request) => request,
-        Err(reason) => return refused(None, reason),
+        Err(reason) => return caller_reply::refused_head(&shared, id, &parts.headers, reason),
     };
     if let Err(reason) = shared.readiness() {
-        return refused(Some(&request), reason);
+        return refuse(shared, request, reason).await;
     }
     // The place is taken before the body is read, so that bodies in memory are bounded.
     let permit = match admit(&shared, &request).await {
         Ok(permit) => permit,
-        Err(reason) => return refused(Some(&request), reason),
+        Err(reason) => return refuse(shared, request, reason).await,
     };
     if let Err(reason) = request.read_body(&shared, body).await {
-        return refused(Some(&request), reason);
+        return refuse(shared, request, reason).await;
     }
     let request = sync::Arc::new(request);
     if request.is_claimed() {
@@ -55,6 +55,21 @@
     path.run(permit).await
 }
 
+/// Refuses a request whose head was read. A non-idempotent one may have run under its key in
+/// another sending.
+async fn refuse(
+    shared: Shared,
+    mut request: caller_request::CallerRequest,
+    reason: lift_types::RefusalReason,
+) -> response::Response {
+    if !request.is_claimed() {
+        return caller_reply::not_run(&shared, request.id, reason);
+    }
+    request.deadline = request.deadline.min(time::Instant::now() + REFUSAL_LOOK);
+    let path = claimed_path::ClaimedPath::new(shared, sync::Arc::new(request));
+    path.refuse(reason).await
+}
+
 async fn admit(
     shared: &Shared,
     request: &caller_request::CallerRequest,
--- a/crates/lift_entry/src/lib.rs
+++ b/crates/lift_entry/src/lib.rs
@@ -35,7 +35,6 @@
 mod permit;
 mod readiness;
 mod routes;
-mod sending;
 mod shared;
 mod workspace_state;
 
--- /dev/null
+++ b/crates/lift_matrix/examples/fault_table.rs
@@ -0,0 +1,5 @@
+//! Writes `docs/faults.md` to standard output.
+
+fn main() {
+    print!("{}", lift_matrix::table());
+}
--- a/crates/lift_route/src/claimed_request.rs
+++ b/crates/lift_route/src/claimed_request.rs
@@ -11,9 +11,10 @@
 /// One sending of a non-idempotent request through one entry.
 ///
 /// It sends an attempt only after control gave it the claim in person, so that two entries
-/// never send the same attempt. It says "not run" before a claim exists, or where control
-/// confirms that the claim is still with a holder that has proved that its attempt did not
-/// run. See `docs/decisions/outcomes.md`.
+/// never send the same attempt. It says "not run" only where control confirms that there is
+/// no claim under the key, or that the claim is still with a holder that has proved that its
+/// attempt did not run: another sending under the key may have run. See
+/// `docs/decisions/outcomes.md`.
 #[derive(Clone, Debug)]
 pub struct ClaimedRequest {
     state: State,
@@ -29,6 +30,8 @@
     Choosing,
     /// A claim was asked for. Nothing was sent.
     Claiming,
+    /// Nothing was sent and nothing will be. Control is asked whether the key is unclaimed.
+    Unclaimed,
     /// The request was sent to the holder.
     Sent(lift_state::ClaimHolder),
     /// The holder is asked.
@@ -61,6 +64,16 @@
         }
     }
 
+    /// Starts a sending that the entry refuses before the choice of a host;
+    /// [`claimed_action::ClaimedAction::Look`] comes first.
+    pub fn refusing(reason: lift_types::RefusalReason) -> Self {
+        Self {
+            state: State::Unclaimed,
+            reason,
+            ..Self::new()
+        }
+    }
+
     /// Takes an event into account and says what to do.
     pub fn step(&mut self, event: Event) -> Action {
         match (self.state, event) {
@@ -69,7 +82,8 @@
             (State::Choosing, Event::Chosen { host, incarnation }) => {
                 self.enter(State::Claiming, Action::Claim { host, incarnation })
             }
-            (State::Choosing, Event::NoHost) => self.not_run(lift_types::RefusalReason::NoHost),
+            (State::Choosing, Event::NoHost) => self.unclaimed(lift_types::RefusalReason::NoHost),
+            (State::Unclaimed, event) => self.looked_unclaimed(event),
             (State::Claiming, event) => self.claimed(event),
             (State::Reassigning(refused), event) => self.reassigned(refused, event),
             (State::Confirming(refused), event) => self.confirmed(refused, event),
@@ -97,9 +111,19 @@
             Event::Pending(holder) => self.query(holder),
             Event::Recorded => self.enter(State::Done, Action::GiveOutcome),
             Event::Mismatch => self.not_run(lift_types::RefusalReason::KeyReused),
-            Event::Full | Event::ControlFailed => {
-                self.not_run(lift_types::RefusalReason::ClaimUnavailable)
-            }
+            // A full table refuses new keys only, so the key is unclaimed.
+            Event::Full => self.not_run(lift_types::RefusalReason::ClaimUnavailable),
+            Event::ControlFailed => self.unclaimed(lift_types::RefusalReason::ClaimUnavailable),
+            _ => Action::Ignore,
+        }
+    }
+
+    /// A claim that exists was made for a body that is not compared here, so its outcome is
+    /// not given.
+    fn looked_unclaimed(&mut self, event: Event) -> Action {
+        match event {
+            Event::Absent => self.not_run(self.reason),
+            Event::Pending(_) | Event::Recorded | Event::ControlFailed => self.in_doubt(),
             _ => Action::Ignore,
         }
     }
@@ -204,12 +228,17 @@
     fn deadline(&mut self, state: State) -> Action {
         self.reason = lift_types::RefusalReason::DeadlineUnmet;
         match state {
-            State::Choosing | State::Claiming => self.not_run(self.reason),
+            State::Choosing | State::Claiming => self.unclaimed(self.reason),
             State::Refused(refused) => self.enter(State::Confirming(refused), Action::Look),
             _ => self.in_doubt(),
         }
     }
 
+    fn unclaimed(&mut self, reason: lift_types::RefusalReason) -> Action {
+        self.reason = reason;
+        self.enter(State::Unclaimed, Action::Look)
+    }
+
     fn not_run(&mut self, reason: lift_types::RefusalReason) -> Action {
         self.enter(State::Done, Action::NotRun { reason })
     }
