--- a/crates/lift_serve/src/seen_claims.rs
+++ b/crates/lift_serve/src/seen_claims.rs
@@ -101,8 +101,10 @@
             if let Some(seen) = claims.get_mut(key) {
                 return seen.enter(now, attempt, state);
             }
-            if claims.len() >= MAX_CLAIMS {
-                claims.retain(|_, seen| now.saturating_duration_since(seen.at) < RETENTION);
+            let is_old = |seen: &Seen| now.saturating_duration_since(seen.at) >= RETENTION;
+            // The map keeps the order of insertion, so the first claim tells whether any is old.
+            if claims.len() >= MAX_CLAIMS && claims.first().is_some_and(|(_, seen)| is_old(seen)) {
+                claims.retain(|_, seen| !is_old(seen));
             }
             if claims.len() >= MAX_CLAIMS {
                 return claim_start::ClaimStart::Refused;
