--- a/crates/lift_route/tests/claimed_request.rs
+++ b/crates/lift_route/tests/claimed_request.rs
@@ -111,7 +111,7 @@
     }
 
     fn query(&mut self, holder: ClaimHolder, fate: u8) -> ClaimedEvent {
-        if fate % 5 == 0 {
+        if fate.is_multiple_of(5) {
             return ClaimedEvent::QueryFailed(holder);
         }
         if self.incarnations[holder.host as usize] != holder.incarnation {
@@ -127,9 +127,9 @@
             Attempt::Ran => ClaimedEvent::Ran(holder),
             Attempt::Unknown => ClaimedEvent::Unknown(holder),
             Attempt::Running => {
-                if fate % 2 == 0 {
+                if fate.is_multiple_of(2) {
                     seen.1 = Attempt::Ran;
-                    self.is_recorded = fate % 4 == 0 && self.claim == Some(holder);
+                    self.is_recorded = fate.is_multiple_of(4) && self.claim == Some(holder);
                 }
                 ClaimedEvent::Running(holder)
             }
@@ -159,9 +159,9 @@
     }
 
     fn perform(&mut self, world: &mut World, fate: u8) -> ClaimedEvent {
-        let is_control_lost = fate % 11 == 0;
+        let is_control_lost = fate.is_multiple_of(11);
         match self.action {
-            ClaimedAction::Choose if fate % 13 == 0 => ClaimedEvent::NoHost,
+            ClaimedAction::Choose if fate.is_multiple_of(13) => ClaimedEvent::NoHost,
             ClaimedAction::Choose => {
                 let host = u32::from(fate) % HOSTS;
                 let incarnation = world.incarnations[host as usize];
@@ -190,7 +190,7 @@
             ClaimedAction::Send(holder) => {
                 assert!(!self.sent.contains(&holder), "an attempt is sent once");
                 self.sent.push(holder);
-                if fate % 7 == 0 {
+                if fate.is_multiple_of(7) {
                     // The connection broke for the entry; the call may still arrive.
                     self.under_way = Some(holder);
                     return ClaimedEvent::Ended(holder, AttemptEnd::ConnectionSilent);
@@ -203,10 +203,10 @@
     }
 
     fn advance(&mut self, world: &mut World, fate: u8, noise: u8) {
-        if let Some(holder) = self.under_way.take_if(|_| noise % 3 == 0) {
+        if let Some(holder) = self.under_way.take_if(|_| noise.is_multiple_of(3)) {
             world.deliver(holder, fate);
         }
-        if noise % 10 == 0 {
+        if noise.is_multiple_of(10) {
             let host = usize::from(noise) % HOSTS as usize;
             world.incarnations[host] += 1;
         }
@@ -225,7 +225,7 @@
         if self.action.is_final() {
             return;
         }
-        let event = if noise % 17 == 0 {
+        let event = if noise.is_multiple_of(17) {
             ClaimedEvent::Deadline
         } else {
             self.perform(world, fate)
