Compose the roles of a node and add the demo

A node starts control, entry and agent from its settings, joins them by the traits at their borders and stops gracefully on a signal. The demo spreads a version made of a file among nodes of one process while callers send requests.

--- a/crates/lift_settings/src/entry_settings.rs
+++ b/crates/lift_settings/src/entry_settings.rs
@@ -28,6 +28,10 @@
     /// it changes.
     #[serde(default)]
     pub admin_token_file: Option<path::PathBuf>,
+    /// HTTP address at which the platform takes notice of the readiness, as
+    /// `PUT /readiness`. Without it the platform asks the caller listener for `/ready`.
+    #[serde(default)]
+    pub platform_addr: Option<net::SocketAddr>,
     /// Limits on callers.
     #[serde(default)]
     pub limits: entry_limits::EntryLimits,
--- a/crates/marjoramlift/src/cli.rs
+++ b/crates/marjoramlift/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::{path, process};
 
-use crate::check;
+use crate::{check, demo, run};
 
 /// Distributes new model weights to fleets of inference hosts while they serve requests.
 #[derive(Debug, clap::Parser)]
@@ -14,9 +14,16 @@
 
 #[derive(Debug, clap::Subcommand)]
 enum Command {
+    /// Runs a node until SIGTERM or SIGINT, then finishes the requests in progress and exits
+    /// with 0. A second signal ends it at once.
+    Run(SettingsArgs),
     /// Validates settings. Exits with 0, or with 2 and one line: the field's path, what is
     /// wrong and what is allowed.
     Check(SettingsArgs),
+    /// Runs all roles in this process on loopback, spreads a version while callers send
+    /// requests, and reports. Exits with 0 if every replica serves it and every answer is
+    /// right.
+    Demo(demo::DemoArgs),
 }
 
 /// A settings file.
@@ -31,7 +38,9 @@
     /// Runs the command.
     pub(crate) fn run(self) -> process::ExitCode {
         match self.command {
+            Command::Run(args) => run::run(&args.settings),
             Command::Check(args) => check::run(&args.settings),
+            Command::Demo(args) => args.run(),
         }
     }
 }
