--- a/crates/lift_entry/src/claimed_path.rs
+++ b/crates/lift_entry/src/claimed_path.rs
@@ -108,7 +108,12 @@
                 self.answer = Some(begun);
                 Event::Answered(holder)
             }
-            Err(end) => Event::Ended(holder, end),
+            Err(end) => {
+                if end == lift_route::AttemptEnd::Damaged {
+                    self.shared.directory.count_damage(holder.host);
+                }
+                Event::Ended(holder, end)
+            }
         }
     }
 
--- a/crates/lift_entry/src/directory.rs
+++ b/crates/lift_entry/src/directory.rs
@@ -50,6 +50,13 @@
         effect
     }
 
+    /// Counts a damaged answer of a host, which then gets less work.
+    pub(crate) fn count_damage(&self, host: lift_types::HostId) {
+        let now = time::Instant::now();
+        self.members
+            .with(&host, |members| members.count_damage(now, host));
+    }
+
     pub(crate) fn routes(&self) -> sync::Arc<routes::Routes> {
         sync::Arc::clone(&self.routes.read())
     }
--- a/crates/lift_entry/src/idempotent_path.rs
+++ b/crates/lift_entry/src/idempotent_path.rs
@@ -150,6 +150,9 @@
 ) -> Result<Begun, lift_route::AttemptEnd> {
     let call = req.call(shared, None, req.version.clone(), 0);
     let mut exchange = exchange::Exchange::start(shared, &host, call).await?;
-    let head = exchange.head(req.deadline).await?;
-    Ok((exchange, head, host.place.host))
+    let head = exchange.head(req.deadline).await;
+    if matches!(head, Err(lift_route::AttemptEnd::Damaged)) {
+        shared.directory.count_damage(host.place.host);
+    }
+    Ok((exchange, head?, host.place.host))
 }
--- a/crates/lift_entry/tests/faulty_answers.rs
+++ b/crates/lift_entry/tests/faulty_answers.rs
@@ -31,6 +31,45 @@
     assert!(damaged > 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_damages_answers_soon_gets_no_work() {
+    let fleet = fleet::Fleet::start(1).await;
+    let crossed = fleet.replica(1, "v1", time::Duration::ZERO).await;
+    let _good = fleet.replica(2, "v1", time::Duration::ZERO).await;
+    fleet.wait_for_agents(2).await;
+    crossed.engine.set_fault(AnswerFault::Crossed);
+    let damaged = || fleet.entries[0].counters().value("retry.answer_damaged");
+    let call = async |i: u32| {
+        let prefix = format!("{i}");
+        let headers = [("x-lift-prefix", prefix.as_str())];
+        fleet.call(0, "/v1/assistant/chat", &headers).await
+    };
+    for i in 0..40 {
+        call(i).await;
+    }
+    tokio::time::sleep(time::Duration::from_millis(600)).await;
+    let before = damaged();
+    for i in 0..40 {
+        call(i).await;
+    }
+    assert_eq!(damaged(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_cancels_its_call() {
+    let fleet = fleet::Fleet::start(1).await;
+    let replica = fleet
+        .replica(1, "v1", time::Duration::from_millis(20))
+        .await;
+    fleet.wait_for_agents(1).await;
+    let call = fleet.call(0, "/v1/assistant/chat?tokens=1000", &[]);
+    let limit = time::Duration::from_millis(200);
+    assert!(tokio::time::timeout(limit, call).await.is_err());
+    let started = time::Instant::now();
+    fleet::wait_until(|| replica.serve.in_progress() == 0).await;
+    assert!(started.elapsed() < time::Duration::from_secs(5));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_late_answer_is_hedged_and_does_not_reach_another_caller() {
     let limits = lift_entry::EntryLimits {
--- a/crates/lift_route/src/membership.rs
+++ b/crates/lift_route/src/membership.rs
@@ -71,6 +71,14 @@
         removed
     }
 
+    /// Counts an answer of a host that failed its checks. A host that gives several of them
+    /// is damped like one that fails repeatedly; its next report tells.
+    pub fn count_damage(&mut self, now: time::Instant, host: lift_types::HostId) {
+        if self.members.contains_key(&host) {
+            self.add_failure(now, host);
+        }
+    }
+
     /// Live hosts.
     pub fn members(&self) -> impl Iterator<Item = &member::Member> {
         self.members.values()
--- a/crates/lift_serve/src/runner.rs
+++ b/crates/lift_serve/src/runner.rs
@@ -1,6 +1,6 @@
 //! Runs one call.
 
-use std::{sync, time};
+use std::{sync, sync::atomic, time};
 
 use futures_util::StreamExt as _;
 
@@ -210,11 +210,14 @@
     }
 
     fn backend_call(&self, pin: &pin::Pin) -> lift_border::BackendCall {
-        // The incarnation keeps the ids of two agents in front of one backend server apart.
-        let id = format!(
-            "{}-{}-{}",
-            self.shared.place.host, self.shared.incarnation, self.call.id
-        );
+        // Ids of calls are unique on a connection only. The incarnation keeps the ids of two
+        // agents in front of one backend server apart.
+        let (host, incarnation) = (self.shared.place.host, self.shared.incarnation);
+        let number = self
+            .shared
+            .next_call
+            .fetch_add(1, atomic::Ordering::Relaxed);
+        let id = format!("{host}-{incarnation}-{number}");
         lift_border::BackendCall {
             id,
             method: self.call.http_method.clone(),
--- a/crates/lift_serve/src/serve_builder.rs
+++ b/crates/lift_serve/src/serve_builder.rs
@@ -1,6 +1,6 @@
 //! Describes the request side of an agent.
 
-use std::{net, sync};
+use std::{net, sync, sync::atomic};
 
 use error_stack::ResultExt as _;
 
@@ -201,6 +201,7 @@
             claims: seen_claims::SeenClaims::new(),
             counters: self.counters,
             logger: self.logger,
+            next_call: atomic::AtomicU64::new(0),
             tasks: tokio_util::task::TaskTracker::new(),
             stopped: tokio_util::sync::CancellationToken::new(),
             changed: tokio::sync::Notify::new(),
--- a/crates/lift_serve/src/shared.rs
+++ b/crates/lift_serve/src/shared.rs
@@ -1,6 +1,6 @@
 //! What the parts of the request side share.
 
-use std::sync;
+use std::{sync, sync::atomic};
 
 use crate::{gate, seen_claims};
 
@@ -19,6 +19,8 @@
     pub(crate) claims: seen_claims::SeenClaims,
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
     pub(crate) logger: slog::Logger,
+    /// Number of the next call to the backend server.
+    pub(crate) next_call: atomic::AtomicU64,
     /// Tasks that must end before the process does.
     pub(crate) tasks: tokio_util::task::TaskTracker,
     /// Set when connections are to be closed.
