Close connections of a stopping agent without losing answers

Cause: a stopping agent closed its sockets after a fixed 50 ms; unread pings in a socket reset the connection, and calls on their way to it were left in doubt. Change: the agent refuses calls until two heartbeats have told the entries, then its writers flush and its readers read until the other end closes. A stopping entry refuses new work with a reason for 1 s before its port closes. Conclusion: 400 releases during a planned stop of one of two agents are all answered.

--- a/crates/lift_entry/src/answer_stream.rs
+++ b/crates/lift_entry/src/answer_stream.rs
@@ -21,6 +21,8 @@
     version: Option<lift_types::VersionId>,
     /// Parts that came before the body was built.
     early: Vec<bytes::Bytes>,
+    /// How the stream broke before the body was built.
+    broken: Option<lift_route::AttemptEnd>,
     passed: u64,
     resumes: u32,
     tried: Vec<lift_types::HostId>,
@@ -42,6 +44,7 @@
             exchange,
             version: None,
             early: Vec::new(),
+            broken: None,
             passed: 0,
             resumes: 0,
             tried: vec![host],
@@ -72,7 +75,10 @@
             match self.exchange.part_now() {
                 Some(Ok(answer_part::AnswerPart::Data(bytes))) => whole.push(bytes),
                 Some(Ok(answer_part::AnswerPart::End)) => return one_piece(whole),
-                Some(Err(end)) => return self.early(whole).broken_body(end),
+                Some(Err(end)) => {
+                    self.broken = Some(end);
+                    return self.early(whole).streamed_body();
+                }
                 None => return self.early(whole).streamed_body(),
             }
         }
@@ -90,29 +96,14 @@
         axum::body::Body::from_stream(parts)
     }
 
-    fn broken_body(self, end: lift_route::AttemptEnd) -> axum::body::Body {
-        let parts = stream::unfold((Some(self), Some(end)), async |(stream, end)| {
-            let mut stream = stream?;
-            let part = match end {
-                Some(_) if !stream.early.is_empty() => stream.next().await,
-                Some(end_now) => stream.after(end_now).await,
-                None => stream.next().await,
-            };
-            let end = end.filter(|_| !stream.early.is_empty());
-            match part {
-                Ok(answer_part::AnswerPart::Data(bytes)) => Some((Ok(bytes), (Some(stream), end))),
-                Ok(answer_part::AnswerPart::End) => None,
-                Err(e) => Some((Err(e), (None, None))),
-            }
-        });
-        axum::body::Body::from_stream(parts)
-    }
-
     async fn next(&mut self) -> io::Result<answer_part::AnswerPart> {
         if let Some(bytes) = self.early.pop() {
             self.passed += bytes.len() as u64;
             return Ok(answer_part::AnswerPart::Data(bytes));
         }
+        if let Some(end) = self.broken.take() {
+            return self.after(end).await;
+        }
         match self.exchange.part(self.req.deadline).await {
             Ok(part) => Ok(self.count(part)),
             Err(end) => self.after(end).await,
--- a/crates/lift_entry/src/entry.rs
+++ b/crates/lift_entry/src/entry.rs
@@ -74,7 +74,9 @@
     /// requests in progress and stops. Returns the number of requests that were cut off
     /// because `limit` ran out.
     pub async fn stop(&self, limit: time::Duration) -> usize {
-        let ends_at = tokio::time::Instant::now() + limit;
+        let started = tokio::time::Instant::now();
+        let ends_at = started + limit;
+        let notice_ends = started + self.shared.limits.drain_notice;
         self.shared
             .is_draining
             .store(true, atomic::Ordering::Release);
@@ -87,6 +89,7 @@
             tokio::time::sleep(DRAIN_LOOK).await;
         }
         let left = self.in_progress();
+        tokio::time::sleep_until(notice_ends.min(ends_at)).await;
         self.closing.cancel();
         let _ = tokio::time::timeout_at(ends_at, self.shared.stopped.cancelled()).await;
         self.shared.stopped.cancel();
--- a/crates/lift_entry/src/entry_limits.rs
+++ b/crates/lift_entry/src/entry_limits.rs
@@ -24,6 +24,9 @@
     pub default_deadline: time::Duration,
     /// Longest time of a request.
     pub max_deadline: time::Duration,
+    /// Time for which a stopping entry refuses new work with a reason before it closes its
+    /// port, so that the balancer learns of it.
+    pub drain_notice: time::Duration,
     /// Time without the start of an answer after which an idempotent request is hedged.
     pub hedge_after: time::Duration,
 }
@@ -40,6 +43,7 @@
             write_timeout: time::Duration::from_secs(15),
             default_deadline: time::Duration::from_secs(30),
             max_deadline: time::Duration::from_secs(600),
+            drain_notice: time::Duration::from_secs(1),
             hedge_after: time::Duration::from_secs(1),
         }
     }
--- a/crates/lift_entry/tests/claims_under_faults.rs
+++ b/crates/lift_entry/tests/claims_under_faults.rs
@@ -225,3 +225,30 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_of_an_agent_leaves_nothing_in_doubt() {
+    let fleet = sync::Arc::new(fleet::Fleet::start(2).await);
+    let leaving = fleet.ledger(1).await;
+    let staying = fleet.ledger(2).await;
+    fleet.wait_for_agents(2).await;
+    let calls = (0..400).map(|i| {
+        let fleet = sync::Arc::clone(&fleet);
+        async move {
+            tokio::time::sleep(time::Duration::from_millis(i * 3)).await;
+            let key = format!("k{i}");
+            let headers = [("idempotency-key", key.as_str())];
+            fleet.call(i as usize % 2, RELEASE, &headers).await
+        }
+    });
+    let stop = async {
+        tokio::time::sleep(time::Duration::from_millis(200)).await;
+        leaving.serve.stop(time::Duration::from_secs(5)).await
+    };
+    let (replies, left) = tokio::join!(futures_util::future::join_all(calls), stop);
+    assert_eq!(left, 0);
+    for reply in replies {
+        assert!(reply.is_ok(), "{reply:?}");
+    }
+    assert!(staying.ledger.all_runs().len() > leaving.ledger.all_runs().len());
+}
--- a/crates/lift_serve/src/connection.rs
+++ b/crates/lift_serve/src/connection.rs
@@ -18,6 +18,9 @@
 /// Bytes that are collected before they are written.
 const FLUSH_BYTES: usize = 64 * 1024;
 
+/// Longest wait for the other end to close.
+const DRAIN_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
 /// Number of shards of the calls of a connection.
 const SHARDS: usize = 8;
 
@@ -48,10 +51,9 @@
             }
             Err(_) => return shared.counters.increment("serve.handshake_failed"),
         };
-        let (reader, writer) = ends;
+        let (mut reader, writer) = ends;
         let (tx, rx) = tokio::sync::mpsc::channel(OUTBOX_MESSAGES);
         let closed = shared.stopped.child_token();
-        let _guard = closed.clone().drop_guard();
         let connection = Self {
             shared,
             calls: sync::Arc::new(Calls::new(SHARDS, |_| indexmap::IndexMap::new())),
@@ -59,10 +61,13 @@
             tx,
         };
         tokio::spawn(write(writer, rx, closed));
-        connection.read(reader).await;
+        connection.read(&mut reader).await;
+        connection.closed.cancel();
+        drop(connection);
+        drain(reader).await;
     }
 
-    async fn read(&self, mut reader: Reader) {
+    async fn read(&self, reader: &mut Reader) {
         loop {
             let message = tokio::select! {
                 message = tokio::time::timeout(SILENCE, reader.recv()) => message,
@@ -152,6 +157,13 @@
     }
 }
 
+/// Reads on until the other end closes, too. Closing a socket with unread bytes resets the
+/// connection, and the last answers could be lost on their way.
+async fn drain(mut reader: Reader) {
+    let rest = async { while reader.recv::<lift_wire::CallMessage>().await.is_ok() {} };
+    let _ = tokio::time::timeout(DRAIN_TIMEOUT, rest).await;
+}
+
 /// Writes answers, several in one write where they wait.
 async fn write(
     mut writer: Writer,
--- a/crates/lift_serve/src/serve.rs
+++ b/crates/lift_serve/src/serve.rs
@@ -46,14 +46,18 @@
     /// Refuses new work, completes what is in progress, records outcomes and stops. Returns
     /// the number of requests that were cut off because `limit` ran out.
     pub async fn stop(&self, limit: time::Duration) -> usize {
+        let notice_ends = tokio::time::Instant::now() + LEAVE_NOTICE;
         let ends_at = tokio::time::Instant::now() + limit;
         self.close(lift_types::RefusalReason::Draining);
         let left = self.shared.gate.drain(limit).await;
         self.shared.tasks.close();
         let _ = tokio::time::timeout_at(ends_at, self.shared.tasks.wait()).await;
-        // Writers get a moment to send the last answers.
-        tokio::time::sleep(FLUSH_TIME).await;
+        // A connection that closes under a call leaves its outcome open, so calls are refused
+        // until the entries know that this agent leaves.
+        tokio::time::sleep_until(notice_ends.min(ends_at)).await;
         self.shared.stopped.cancel();
+        self.shared.connections.close();
+        let _ = tokio::time::timeout_at(ends_at, self.shared.connections.wait()).await;
         left
     }
 
@@ -63,8 +67,8 @@
     }
 }
 
-/// Time for the writers of connections to send what waits for them.
-const FLUSH_TIME: time::Duration = time::Duration::from_millis(50);
+/// Time in which entries learn from two heartbeats that an agent leaves.
+const LEAVE_NOTICE: time::Duration = time::Duration::from_millis(600);
 
 #[async_trait::async_trait]
 impl lift_border::ServingControl for Serve {
--- a/crates/lift_serve/src/serve_builder.rs
+++ b/crates/lift_serve/src/serve_builder.rs
@@ -203,6 +203,7 @@
             logger: self.logger,
             next_call: atomic::AtomicU64::new(0),
             tasks: tokio_util::task::TaskTracker::new(),
+            connections: tokio_util::task::TaskTracker::new(),
             stopped: tokio_util::sync::CancellationToken::new(),
             changed: tokio::sync::Notify::new(),
         })
@@ -217,10 +218,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(connection::Connection::serve(
-                    sync::Arc::clone(&shared),
-                    stream,
-                ));
+                let served = connection::Connection::serve(sync::Arc::clone(&shared), stream);
+                shared.connections.spawn(served);
             }
             // Accepting fails while file descriptors are short; a pause lets some close.
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
--- a/crates/lift_serve/src/shared.rs
+++ b/crates/lift_serve/src/shared.rs
@@ -23,6 +23,8 @@
     pub(crate) next_call: atomic::AtomicU64,
     /// Tasks that must end before the process does.
     pub(crate) tasks: tokio_util::task::TaskTracker,
+    /// Connections of entries.
+    pub(crate) connections: tokio_util::task::TaskTracker,
     /// Set when connections are to be closed.
     pub(crate) stopped: tokio_util::sync::CancellationToken,
     /// Set when what the heartbeat says has changed.
