Set lease and order limit together

An agent sends a load order only under a lease that outlasts it. The defaults of 10 s for a lease and 60 s for an order contradicted each other, so no replica of the demo activated a version within 60 s. Both are settings now, checked against each other.

--- a/crates/lift_node/src/agent_role.rs
+++ b/crates/lift_node/src/agent_role.rs
@@ -12,6 +12,9 @@
 /// yield to live requests bound the rate.
 const DOWNLOAD_BYTES_PER_S: u64 = 4 * 1024 * 1024 * 1024;
 
+/// Longest wait for requests in progress before a switch is given up.
+const DRAIN_LIMIT: time::Duration = time::Duration::from_secs(30);
+
 /// Pause before a failed registration is repeated.
 const REGISTER_PAUSE: time::Duration = time::Duration::from_millis(250);
 
@@ -102,8 +105,10 @@
     let missing = || error_stack::Report::new(node_error::NodeError::Settings);
     let engine = cfg.engine_addr.ok_or_else(missing)?;
     let origin = cfg.origin_addr.ok_or_else(missing)?;
-    let limits =
-        lift_swarm::SwarmLimits::default().rates(cfg.upload_bytes_per_s, DOWNLOAD_BYTES_PER_S);
+    let order = time::Duration::from_millis(cfg.order_limit_ms);
+    let limits = lift_swarm::SwarmLimits::default()
+        .rates(cfg.upload_bytes_per_s, DOWNLOAD_BYTES_PER_S)
+        .activation(order, DRAIN_LIMIT);
     let mut builder = lift_swarm::Swarm::builder()
         .place(cx.place.clone())
         .keys(cx.keys.clone())
--- a/crates/lift_node/src/control_role.rs
+++ b/crates/lift_node/src/control_role.rs
@@ -1,6 +1,6 @@
 //! The control role of a node.
 
-use std::{net, sync};
+use std::{net, sync, time};
 
 use error_stack::ResultExt as _;
 use lift_log::ReplicatedLog as _;
@@ -47,6 +47,7 @@
         let node = lift_control::ControlNode::builder()
             .log(log.clone())
             .machine(machine)
+            .lease(time::Duration::from_millis(cfg.lease_ms))
             .logger(cx.log.clone())
             .counters(cx.counters.clone())
             .start()
--- a/crates/lift_node/src/demo_settings.rs
+++ b/crates/lift_node/src/demo_settings.rs
@@ -11,6 +11,9 @@
 /// Most bytes per second that a replica sends to others: half of a 1 Gbit/s link.
 const UPLOAD_BYTES_PER_S: u64 = 64 * 1024 * 1024;
 
+/// Lease of the agents.
+const LEASE_MS: u64 = 20_000;
+
 /// Service of the model replicas.
 pub(crate) const MODEL: &str = "assistant";
 
@@ -36,6 +39,7 @@
                 peer_addr: any_port(),
                 client_addr: any_port(),
             }],
+            lease_ms: LEASE_MS,
             data_dir,
         });
         settings
@@ -79,6 +83,7 @@
             heartbeat_addrs: entry.heartbeat.into_iter().collect(),
             data_dir,
             services: vec![String::from(LEDGER)],
+            order_limit_ms: LEASE_MS / 2,
             upload_bytes_per_s: UPLOAD_BYTES_PER_S,
         });
         settings
--- a/crates/lift_settings/src/agent_settings.rs
+++ b/crates/lift_settings/src/agent_settings.rs
@@ -8,6 +8,9 @@
 /// link to live requests.
 const DEFAULT_UPLOAD_BYTES_PER_S: u64 = 64 * 1024 * 1024;
 
+/// Longest load order without a setting. It is half of the default lease.
+const DEFAULT_ORDER_LIMIT_MS: u64 = 15_000;
+
 /// Listeners and neighbours of an agent.
 #[derive(
     Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize, schemars::JsonSchema,
@@ -41,6 +44,10 @@
     pub data_dir: path::PathBuf,
     /// Services that the backend server answers.
     pub services: Vec<lift_types::ServiceId>,
+    /// Longest time of a load order in milliseconds. It must be at most half of
+    /// `control.lease_ms`, since the agent sends an order only under a lease that outlasts it.
+    #[serde(default = "default_order_limit")]
+    pub order_limit_ms: u64,
     /// Most bytes of chunks that are sent to other agents per second.
     #[serde(default = "default_upload")]
     pub upload_bytes_per_s: u64,
@@ -49,3 +56,7 @@
 fn default_upload() -> u64 {
     DEFAULT_UPLOAD_BYTES_PER_S
 }
+
+fn default_order_limit() -> u64 {
+    DEFAULT_ORDER_LIMIT_MS
+}
--- a/crates/lift_settings/src/check.rs
+++ b/crates/lift_settings/src/check.rs
@@ -15,6 +15,10 @@
 /// Longest grace time. A platform waits no longer than this for a process to end.
 const MAX_GRACE_MS: u64 = 600_000;
 
+/// Times of a lease. A shorter one would end between two renewals on a busy network; a longer
+/// one would hold up activations for too long after a change of leader.
+const LEASE_MS: std::ops::RangeInclusive<u64> = 2_000..=600_000;
+
 /// Checks settings and the files that they name.
 pub(crate) fn check(cfg: &settings::Settings) -> Checked {
     check_node(cfg)?;
@@ -26,6 +30,7 @@
     if let Some(agent) = cfg.agent.as_ref().filter(|_| cfg.has(role::Role::Agent)) {
         check_agent(agent)?;
     }
+    check_lease(cfg)?;
     if let Some(control) = cfg
         .control
         .as_ref()
@@ -210,6 +215,27 @@
     check_folder("control.data_dir", &control.data_dir)
 }
 
+/// Checks both times where one file has them. Agents and control members on different hosts
+/// are configured separately.
+fn check_lease(cfg: &settings::Settings) -> Checked {
+    let lease = cfg.control.as_ref().map(|control| control.lease_ms);
+    if let Some(lease) = lease.filter(|lease| !LEASE_MS.contains(lease)) {
+        let problem = format!("{lease} ms is out of range");
+        let allowed = format!("{} to {}", LEASE_MS.start(), LEASE_MS.end());
+        return fail("control.lease_ms", problem, &allowed);
+    }
+    let Some(agent) = &cfg.agent else {
+        return Ok(());
+    };
+    let longest = lease.unwrap_or(*LEASE_MS.end()) / 2;
+    if !(1..=longest).contains(&agent.order_limit_ms) {
+        let problem = format!("{} ms is out of range", agent.order_limit_ms);
+        let allowed = format!("1 to {longest}, half of the lease");
+        return fail("agent.order_limit_ms", problem, &allowed);
+    }
+    Ok(())
+}
+
 fn check_addrs(path: &str, addrs: &[net::SocketAddr]) -> Checked {
     if addrs.is_empty() {
         return fail(path, "no address is given", "one or more of IP:PORT");
--- a/crates/lift_settings/src/control_settings.rs
+++ b/crates/lift_settings/src/control_settings.rs
@@ -4,6 +4,9 @@
 
 use crate::control_member;
 
+/// Lease without a setting. Twice the longest load order of an agent fits into it.
+const DEFAULT_LEASE_MS: u64 = 30_000;
+
 /// Listeners, members and data folder of a control member.
 #[derive(
     Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize, schemars::JsonSchema,
@@ -18,6 +21,14 @@
     pub member: lift_types::MemberId,
     /// All members, this one included. They are the same on every member.
     pub members: Vec<control_member::ControlMember>,
+    /// Time of an agent's lease and of a grant, in milliseconds. It is the same on every
+    /// member. A new leader grants nothing for as long.
+    #[serde(default = "default_lease")]
+    pub lease_ms: u64,
     /// Folder for log and snapshots. Its files are synced before a change is acknowledged.
     pub data_dir: path::PathBuf,
 }
+
+fn default_lease() -> u64 {
+    DEFAULT_LEASE_MS
+}
--- a/crates/lift_settings/tests/check.rs
+++ b/crates/lift_settings/tests/check.rs
@@ -192,6 +192,16 @@
             json!("127.0.0.1:1"),
             "control.members[0].peer_addr: port 1 is not",
         ),
+        (
+            "/control/lease_ms",
+            json!(20),
+            "control.lease_ms: 20 ms is out of range",
+        ),
+        (
+            "/agent/order_limit_ms",
+            json!(15_001),
+            "agent.order_limit_ms: 15001 ms is out of range",
+        ),
     ];
     for (pointer, value, expected) in cases {
         let mut settings = good(dir);
