Add the fault matrix of the spread journey

Cause: no test put every fault at every step of the spread of a version. Change: one test for each cell through downloads, assignment, activation, leases and the gate, with engines that check or ignore fencing tokens.

--- a/crates/lift_matrix/tests/fault_matrix.rs
+++ b/crates/lift_matrix/tests/fault_matrix.rs
@@ -7,7 +7,9 @@
     /// Seeds for each cell. The same seed gives the same run.
     const SEEDS: u64 = 20;
 
+    mod engine;
     mod request;
+    mod spread;
 
     /// Writes one test for each fault at a step.
     macro_rules! cells {
@@ -25,6 +27,12 @@
         };
     }
 
+    mod spread_cells {
+        cells! { super::super::spread::run, lift_matrix::SpreadStep, manifest_read
+        chunk_requested chunk_arrived whole_verified grant_requested draining load_ordered
+        engine_confirmed advertised }
+    }
+
     mod request_cells {
         cells! { super::super::request::run, lift_matrix::RequestStep, host_chosen
         claim_requested claim_held call_sent backend_started backend_finished answer_sent }
--- a/crates/lift_matrix/tests/fault_matrix/request.rs
+++ b/crates/lift_matrix/tests/fault_matrix/request.rs
@@ -294,10 +294,10 @@
             }
             ClaimedAction::Look => self.ask_control(sending, None),
             ClaimedAction::Send(holder) => {
-                self.to_agent(sending, holder, false);
+                self.send_to_agent(sending, holder, false);
                 self.reach(RequestStep::CallSent, sending, Some(holder));
             }
-            ClaimedAction::Query { holder, .. } => self.to_agent(sending, holder, true),
+            ClaimedAction::Query { holder, .. } => self.send_to_agent(sending, holder, true),
             ClaimedAction::GiveAnswer => {
                 let value = self.sendings[sending].answer;
                 self.tell(sending, Told::Answer(value.expect("an answer has a value")));
@@ -373,7 +373,7 @@
         self.after(delay, delivery);
     }
 
-    fn to_agent(&mut self, sending: usize, holder: ClaimHolder, is_query: bool) {
+    fn send_to_agent(&mut self, sending: usize, holder: ClaimHolder, is_query: bool) {
         let agent = holder.host as usize;
         let connection = self.sendings[sending].connection;
         // A silent connection is noticed by its missing pings. Queries open a new one.
