--- a/crates/lift_bench/src/lib.rs
+++ b/crates/lift_bench/src/lib.rs
@@ -5,6 +5,34 @@
 //! targets are in `docs/measurements.md`.
 
 mod bench_error;
+mod burst_fault;
+mod burst_fleet;
+mod burst_host;
+mod burst_live;
+mod burst_options;
+mod burst_rates;
+mod burst_report;
+mod burst_run;
+mod burst_traffic;
+mod requests_balancer;
+mod requests_caller;
+mod requests_claims;
+mod requests_control;
+mod requests_fault;
+mod requests_fleet;
+mod requests_host;
+mod requests_load;
+mod requests_options;
+mod requests_report;
+mod requests_role;
+mod requests_run;
+mod requests_tally;
+
+pub use bench_error::BenchError;
+pub use burst_fault::BurstFault;
+pub use burst_options::BurstOptions;
+pub use burst_report::BurstReport;
+pub use burst_run::run_burst;
 mod config_changes;
 mod config_cluster;
 mod config_fault;
@@ -20,8 +48,11 @@
 mod config_timeline;
 mod config_usage;
 
-pub use bench_error::BenchError;
 pub use config_fault::ConfigFault;
 pub use config_options::ConfigOptions;
 pub use config_report::ConfigReport;
 pub use config_run::run_config;
+pub use requests_fault::RequestsFault;
+pub use requests_options::RequestsOptions;
+pub use requests_report::RequestsReport;
+pub use requests_run::run_requests;
--- a/crates/lift_disk/src/log_store.rs
+++ b/crates/lift_disk/src/log_store.rs
@@ -61,7 +61,7 @@
             store.disk.sync(&last.name)?;
         }
         store.hard_state = replay.hard_state();
-        let restored = replay.finish(snapshot).map_err(|problem| {
+        let (restored, dropped) = replay.finish(snapshot).map_err(|problem| {
             let name = store.segments.front().map(|segment| segment.name.clone());
             error_stack::Report::new(disk_error::DiskError::Damaged {
                 file: name.unwrap_or_default(),
@@ -69,6 +69,12 @@
                 problem,
             })
         })?;
+        if dropped.is_some() {
+            store.append(record::Record {
+                reset: dropped,
+                ..record::Record::default()
+            })?;
+        }
         Ok((store, restored))
     }
 
@@ -106,7 +112,7 @@
             if let Some(snapshot) = write.install {
                 self.append(mem::take(&mut record))?;
                 self.snapshots.save(&snapshot)?;
-                record.reset = Some(snapshot.index);
+                record.reset = Some((snapshot.index, snapshot.term));
             }
             record.hard_state = write.hard_state.or(record.hard_state);
             record.entries.extend(write.entries);
@@ -129,24 +135,16 @@
         }
         self.hard_state = record.hard_state.unwrap_or(self.hard_state);
         let full = |segment: &segment::Segment| segment.length >= SEGMENT_BYTES;
-        let mut buf = Vec::new();
         if self.segments.back().is_none_or(full) {
             // Each segment repeats term and vote, so that earlier ones can be deleted.
             record.hard_state = Some(self.hard_state);
-            let segment = segment::Segment::new(self.next_number);
-            buf = segment.head();
-            self.segments.push_back(segment);
+            self.start_segment()?;
         }
         let Some(segment) = self.segments.back_mut() else {
             return Ok(());
         };
         let number = self.next_number;
-        buf.extend(record::encode(
-            &record,
-            segment.first,
-            number,
-            &segment.name,
-        )?);
+        let buf = record::encode(&record, segment.first, number, &segment.name)?;
         self.disk.append(&segment.name, &buf)?;
         self.disk.sync(&segment.name)?;
         let last = record.entries.iter().map(|entry| entry.index).max();
@@ -156,6 +154,18 @@
         Ok(())
     }
 
+    /// Starts a segment. Its head is synced before the first record is written, so that a
+    /// wrong head with a whole record behind it is damage and not an incomplete write.
+    fn start_segment(&mut self) -> Result<(), error_stack::Report<disk_error::DiskError>> {
+        let mut segment = segment::Segment::new(self.next_number);
+        let head = segment.head();
+        self.disk.append(&segment.name, &head)?;
+        self.disk.sync(&segment.name)?;
+        segment.length = head.len();
+        self.segments.push_back(segment);
+        Ok(())
+    }
+
     /// Deletes the oldest segments whose entries are all covered by the snapshot at `index`.
     fn compact(
         &mut self,
--- a/crates/lift_entry/src/lib.rs
+++ b/crates/lift_entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod answer_stream;
 mod caller_reply;
 mod caller_request;
+mod claim_client;
 mod claimed_path;
 mod directory;
 mod entry;
@@ -34,7 +35,6 @@
 mod permit;
 mod readiness;
 mod routes;
-mod sending;
 mod shared;
 mod workspace_state;
 
