--- a/crates/lift_control/src/control_machine.rs
+++ b/crates/lift_control/src/control_machine.rs
@@ -86,14 +86,14 @@
     }
 
     fn snapshot(&self) -> bytes::Bytes {
-        encoding::encode_image(&self.state.image())
+        encoding::encode_state(&self.state)
     }
 
     fn restore(&self, buf: &[u8]) -> bool {
-        let Some(image) = encoding::decode_image(buf) else {
+        let Some(parts) = encoding::decode_state(buf) else {
             return false;
         };
-        if !self.state.restore(image) {
+        if !self.state.import(parts) {
             return false;
         }
         self.notify();
--- a/crates/lift_control/src/encoding.rs
+++ b/crates/lift_control/src/encoding.rs
@@ -47,18 +47,29 @@
     postcard::from_bytes(buf).ok()
 }
 
-/// Encodes a snapshot, with its format number before it.
-pub(crate) fn encode_image(image: &lift_state::StateImage) -> bytes::Bytes {
-    let format = lift_state::StateImage::FORMAT.to_le_bytes();
-    let buf = postcard::to_extend(image, format.to_vec()).unwrap_or_default();
-    bytes::Bytes::from(buf)
+/// Encodes a snapshot, with its format number before it. It is empty, which no member reads,
+/// where a part can't be encoded.
+pub(crate) fn encode_state(state: &lift_state::State) -> bytes::Bytes {
+    let mut buf = Some(lift_state::StatePart::FORMAT.to_le_bytes().to_vec());
+    state.export(&mut |part| {
+        buf = buf
+            .take()
+            .and_then(|buf| postcard::to_extend(&part, buf).ok());
+    });
+    buf.map(bytes::Bytes::from).unwrap_or_default()
 }
 
 /// Reads a snapshot. `None` where its format is not known.
-pub(crate) fn decode_image(buf: &[u8]) -> Option<lift_state::StateImage> {
-    let (format, buf) = buf.split_first_chunk::<2>()?;
-    if u16::from_le_bytes(*format) != lift_state::StateImage::FORMAT {
+pub(crate) fn decode_state(buf: &[u8]) -> Option<Vec<lift_state::StatePart<'static>>> {
+    let (format, mut buf) = buf.split_first_chunk::<2>()?;
+    if u16::from_le_bytes(*format) != lift_state::StatePart::FORMAT {
         return None;
     }
-    postcard::from_bytes(buf).ok()
+    let mut parts = Vec::new();
+    while !buf.is_empty() {
+        let (part, rest) = postcard::take_from_bytes(buf).ok()?;
+        parts.push(part);
+        buf = rest;
+    }
+    Some(parts)
 }
--- a/crates/lift_control/tests/machine.rs
+++ b/crates/lift_control/tests/machine.rs
@@ -19,6 +19,13 @@
     builder.start().unwrap()
 }
 
+fn parts(machine: &ControlMachine) -> Vec<lift_state::StatePart<'static>> {
+    let mut parts = Vec::new();
+    let export = &mut |part: lift_state::StatePart<'_>| parts.push(part.into_owned());
+    machine.state().export(export);
+    parts
+}
+
 async fn fill(node: &ControlNode) -> RecordRequest {
     node.publish(support::manifest("v1")).await.unwrap();
     let change = support::set_version("c1", 0, "v1");
@@ -52,7 +59,7 @@
     let record = fill(&node(&machine)).await;
     let restored = Arc::new(ControlMachine::new());
     assert!(restored.restore(&machine.snapshot()));
-    assert_eq!(restored.state().image(), machine.state().image());
+    assert_eq!(parts(&restored), parts(&machine));
     let node = node(&restored);
     let reply = node.change(support::set_version("c1", 0, "v1")).await;
     assert_eq!(reply.unwrap(), ChangeReply::Accepted { revision: 1 });
@@ -67,14 +74,14 @@
 async fn a_snapshot_of_another_format_changes_nothing() {
     let machine = Arc::new(ControlMachine::new());
     fill(&node(&machine)).await;
-    let before = machine.state().image();
+    let before = parts(&machine);
     let mut snapshot = machine.snapshot().to_vec();
     snapshot[0] += 1;
     assert!(!machine.restore(&snapshot));
     assert!(!machine.restore(&[]));
     let cut = machine.snapshot();
     assert!(!machine.restore(&cut[..cut.len() / 2]));
-    assert_eq!(machine.state().image(), before);
+    assert_eq!(parts(&machine), before);
 }
 
 #[tokio::test]
--- a/crates/lift_state/src/change_answers.rs
+++ b/crates/lift_state/src/change_answers.rs
@@ -7,9 +7,9 @@
 /// Time for which the answer to a change is kept.
 const RETENTION: time::Duration = time::Duration::from_hours(24);
 
-/// Answers that one shard keeps. Without a bound a program that resends under new ids
-/// could fill the memory.
-const MAX_ANSWERS: usize = 8_192;
+/// Answers that one of 16 shards keeps: three times the changes of a day at 22,000. Without
+/// a bound a program that resends under new ids could fill the memory.
+const MAX_ANSWERS: usize = 4_096;
 
 /// Answer to a change, with what it takes to recognise the change.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
--- a/crates/lift_state/src/claim_group.rs
+++ b/crates/lift_state/src/claim_group.rs
@@ -11,24 +11,28 @@
 
 /// Claims that a key group keeps. A new claim above it is refused with
 /// [`claim_reply::ClaimReply::Full`]: dropping an earlier one could run a request twice.
-pub const MAX_CLAIMS_PER_GROUP: usize = 8_192;
+pub const MAX_CLAIMS_PER_GROUP: usize = 6_144;
 
-/// Bytes of recorded bodies and headers that a key group keeps. An outcome above it is kept
-/// without its body.
-const MAX_OUTCOME_BYTES_PER_GROUP: usize = 1024 * 1024;
+/// Bytes of recorded outcomes that a key group keeps, 32 MiB in all groups. An outcome above
+/// it is kept without its body and headers.
+const MAX_OUTCOME_BYTES_PER_GROUP: usize = 512 * 1024;
+
+/// Memory of an outcome and of each header besides their text, in bytes.
+const OUTCOME_HEAD_BYTES: usize = 128;
 
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 struct Claim {
     body_hash: lift_types::ChunkHash,
     holder: claim_holder::ClaimHolder,
-    outcome: Option<outcome::Outcome>,
+    outcome: Option<Box<outcome::Outcome>>,
 }
 
-/// The claims whose keys fall into one group.
+/// The claims whose keys fall into one group. They are found by the hash of their key,
+/// which takes less memory than the key itself in two places.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub(crate) struct ClaimGroup {
-    claims: collections::HashMap<claim_key::ClaimKey, Claim>,
-    oldest_first: collections::VecDeque<(time::SystemTime, claim_key::ClaimKey)>,
+    claims: collections::HashMap<lift_types::ChunkHash, Claim>,
+    oldest_first: collections::VecDeque<(time::SystemTime, lift_types::ChunkHash)>,
     outcome_bytes: usize,
 }
 
@@ -40,7 +44,8 @@
         at: time::SystemTime,
     ) -> claim_reply::ClaimReply {
         self.expire(at);
-        if let Some(claim) = self.claims.get(&req.key) {
+        let key = hash_of(&req.key);
+        if let Some(claim) = self.claims.get(&key) {
             if claim.body_hash != req.body_hash {
                 return claim_reply::ClaimReply::Mismatch;
             }
@@ -59,8 +64,8 @@
             holder,
             outcome: None,
         };
-        self.claims.insert(req.key.clone(), claim);
-        self.oldest_first.push_back((at, req.key.clone()));
+        self.claims.insert(key, claim);
+        self.oldest_first.push_back((at, key));
         claim_reply::ClaimReply::New(holder)
     }
 
@@ -69,7 +74,7 @@
         &mut self,
         req: &reassign_request::ReassignRequest,
     ) -> Option<claim_reply::ClaimReply> {
-        let claim = self.claims.get_mut(&req.key)?;
+        let claim = self.claims.get_mut(&hash_of(&req.key))?;
         if claim.outcome.is_some() || claim.holder != req.refused {
             return Some(claim.known());
         }
@@ -86,15 +91,18 @@
         &mut self,
         req: &record_request::RecordRequest,
     ) -> Option<claim_reply::ClaimReply> {
-        let claim = self.claims.get_mut(&req.key)?;
+        let claim = self.claims.get_mut(&hash_of(&req.key))?;
         if claim.outcome.is_some() || claim.holder != req.holder {
             return Some(claim.known());
         }
-        let mut outcome = req.outcome.clone();
+        let mut outcome = Box::new(req.outcome.clone());
         let over_limit = |body: &bytes::Bytes| body.len() > outcome::MAX_OUTCOME_BODY_BYTES;
-        let full = self.outcome_bytes + bytes_of(&outcome) > MAX_OUTCOME_BYTES_PER_GROUP;
-        if full || outcome.body.as_ref().is_some_and(over_limit) {
+        if outcome.body.as_ref().is_some_and(over_limit) {
+            outcome.body = None;
+        }
+        if self.outcome_bytes + bytes_of(&outcome) > MAX_OUTCOME_BYTES_PER_GROUP {
             outcome.body = None;
+            outcome.headers = Vec::new();
         }
         self.outcome_bytes += bytes_of(&outcome);
         claim.outcome = Some(outcome);
@@ -103,7 +111,7 @@
 
     /// What is known of a claim.
     pub(crate) fn find(&self, key: &claim_key::ClaimKey) -> Option<claim_reply::ClaimReply> {
-        self.claims.get(key).map(Claim::known)
+        self.claims.get(&hash_of(key)).map(Claim::known)
     }
 
     /// Number of claims that are kept.
@@ -120,7 +128,7 @@
                 return;
             };
             let outcome = self.claims.remove(&key).and_then(|claim| claim.outcome);
-            self.outcome_bytes -= outcome.as_ref().map_or(0, bytes_of);
+            self.outcome_bytes -= outcome.as_deref().map_or(0, bytes_of);
         }
     }
 }
@@ -128,13 +136,28 @@
 impl Claim {
     fn known(&self) -> claim_reply::ClaimReply {
         match &self.outcome {
-            Some(outcome) => claim_reply::ClaimReply::Recorded(outcome.clone()),
+            Some(outcome) => claim_reply::ClaimReply::Recorded(outcome.as_ref().clone()),
             None => claim_reply::ClaimReply::Pending(self.holder),
         }
     }
 }
 
+/// Memory that counts towards the limit. An outcome without body and headers is free.
 fn bytes_of(outcome: &outcome::Outcome) -> usize {
-    let headers = outcome.headers.iter().map(|(n, v)| n.len() + v.len());
-    outcome.body.as_ref().map_or(0, bytes::Bytes::len) + headers.sum::<usize>()
+    let headers = outcome.headers.iter();
+    let headers: usize = headers
+        .map(|(name, value)| name.len() + value.len() + OUTCOME_HEAD_BYTES)
+        .sum();
+    let body = outcome.body.as_ref();
+    headers + body.map_or(0, |body| body.len() + OUTCOME_HEAD_BYTES)
+}
+
+/// Hash of a key. The lengths keep keys apart whose texts are the same when joined.
+fn hash_of(key: &claim_key::ClaimKey) -> lift_types::ChunkHash {
+    let mut buf = Vec::new();
+    for text in [&key.workspace, &key.service, &key.key] {
+        buf.extend_from_slice(&(text.len() as u64).to_le_bytes());
+        buf.extend_from_slice(text.as_bytes());
+    }
+    lift_types::ChunkHash::of(&buf)
 }
--- a/crates/lift_state/src/config_state.rs
+++ b/crates/lift_state/src/config_state.rs
@@ -4,9 +4,9 @@
 
 use crate::{audit_record, change_reply, config_change, invalid_value, policy_edits};
 
-/// Accepted changes that the audit log keeps: more than four days at 22,000 changes a day.
+/// Accepted changes that the audit log keeps: about three days at 22,000 changes a day.
 /// Control holds them in memory.
-pub const MAX_AUDIT_RECORDS: usize = 100_000;
+pub const MAX_AUDIT_RECORDS: usize = 65_536;
 
 /// Versions that are kept. The manifest of a large version takes about 1 MB, and agents
 /// keep the chunks of a few versions only.
--- a/crates/lift_state/src/lib.rs
+++ b/crates/lift_state/src/lib.rs
@@ -37,7 +37,7 @@
 mod serving_domain;
 mod state;
 mod state_copy;
-mod state_image;
+mod state_part;
 
 pub use activation_reply::ActivationReply;
 pub use activation_request::ActivationRequest;
@@ -65,4 +65,4 @@
 pub use record_request::RecordRequest;
 pub use registration::Registration;
 pub use state::{CLAIM_KEY_GROUPS, State};
-pub use state_image::StateImage;
+pub use state_part::StatePart;
--- a/crates/lift_state/src/state.rs
+++ b/crates/lift_state/src/state.rs
@@ -11,10 +11,10 @@
 pub const CLAIM_KEY_GROUPS: lift_types::KeyGroup = 64;
 
 /// Shards of answers, versions and registrations. More than the threads that read them.
-const SHARDS: usize = 16;
+pub(crate) const SHARDS: usize = 16;
 
 /// Numbers that only grow.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub(crate) struct Counters {
     pub(crate) incarnation: lift_types::Incarnation,
     pub(crate) fencing: lift_types::FencingToken,
--- a/crates/lift_state/src/state_copy.rs
+++ b/crates/lift_state/src/state_copy.rs
@@ -1,66 +1,81 @@
-//! Copy and replacement of the whole state.
+//! Export and import of the whole state.
 
-use std::collections;
+use std::borrow;
 
-use crate::{state, state_image};
+use crate::{state, state_part};
+
+/// Parts besides manifests: counters, configuration, hosts, answers and claims.
+const FIXED_PARTS: usize = 2 + 2 * state::SHARDS + state::CLAIM_KEY_GROUPS as usize;
 
 impl state::State {
-    /// Copies the whole state. Must not run while a command is applied.
-    pub fn image(&self) -> state_image::StateImage {
-        let counters = self.counters.with_position(0, |c| *c);
-        let config = self.config.with_position(0, |config| config.clone());
-        let manifests = config.versions().iter().filter_map(|v| self.manifest(v));
-        let manifests = manifests.collect();
-        let mut image = state_image::StateImage {
-            config,
-            manifests,
-            last_incarnation: counters.incarnation,
-            last_fencing: counters.fencing,
-            last_claim_at: counters.claim_at,
-            ..state_image::StateImage::default()
-        };
-        self.answers
-            .for_each(|answers| image.answers.push(answers.clone()));
+    /// Calls `f` with each part of the state. Must not run while a command is applied.
+    pub fn export(&self, f: &mut dyn FnMut(state_part::StatePart<'_>)) {
+        let mut emit = |part: state_part::Part<'_>| f(state_part::StatePart(part));
+        let counters = self.counters.with_position(0, |counters| *counters);
+        emit(state_part::Part::Counters(counters));
+        self.config.with_position(0, |config| {
+            emit(state_part::Part::Config(borrow::Cow::Borrowed(config)));
+        });
+        self.manifests.for_each(|manifests| {
+            for manifest in manifests.values() {
+                emit(state_part::Part::Manifest(borrow::Cow::Borrowed(manifest)));
+            }
+        });
+        let mut at = 0..;
         self.hosts.for_each(|hosts| {
-            image
-                .hosts
-                .extend(hosts.iter().map(|(k, v)| (*k, v.clone())))
+            let at = at.next().unwrap_or_default();
+            emit(state_part::Part::Hosts(at, borrow::Cow::Borrowed(hosts)));
+        });
+        let mut at = 0..;
+        self.answers.for_each(|answers| {
+            let at = at.next().unwrap_or_default();
+            emit(state_part::Part::Answers(
+                at,
+                borrow::Cow::Borrowed(answers),
+            ));
+        });
+        let mut at = 0..;
+        self.claims.for_each(|group| {
+            let at = at.next().unwrap_or_default();
+            emit(state_part::Part::Claims(at, borrow::Cow::Borrowed(group)));
         });
-        self.claims
-            .for_each(|group| image.claims.push(group.clone()));
-        image
     }
 
-    /// Replaces the whole state. Returns `false`, and changes nothing, where the number of
-    /// shards in the image is not that of this version.
-    pub fn restore(&self, image: state_image::StateImage) -> bool {
-        if image.answers.len() != self.answers.count() || image.claims.len() != self.claims.count()
-        {
+    /// Replaces the whole state. Returns `false`, and changes nothing, where parts are
+    /// missing.
+    pub fn import(&self, parts: Vec<state_part::StatePart<'_>>) -> bool {
+        let is_manifest =
+            |part: &&state_part::StatePart<'_>| matches!(part.0, state_part::Part::Manifest(_));
+        let manifests = parts.iter().filter(is_manifest).count();
+        if parts.len() != FIXED_PARTS + manifests {
             return false;
         }
-        let counters = state::Counters {
-            incarnation: image.last_incarnation,
-            fencing: image.last_fencing,
-            claim_at: image.last_claim_at,
-        };
-        self.counters.with_position(0, |c| *c = counters);
-        self.config
-            .with_position(0, |config| *config = image.config);
-        self.manifests.for_each(collections::HashMap::clear);
-        for manifest in image.manifests {
-            self.keep_manifest(manifest);
-        }
-        self.hosts.for_each(collections::HashMap::clear);
-        for (host, registered) in image.hosts {
-            self.hosts
-                .with(&host, |hosts| hosts.insert(host, registered));
-        }
-        for (i, answers) in image.answers.into_iter().enumerate() {
-            self.answers.with_position(i, |shard| *shard = answers);
-        }
-        for (i, group) in image.claims.into_iter().enumerate() {
-            self.claims.with_position(i, |shard| *shard = group);
+        self.manifests.for_each(|manifests| manifests.clear());
+        for part in parts {
+            self.import_part(part.0);
         }
         true
     }
+
+    fn import_part(&self, part: state_part::Part<'_>) {
+        match part {
+            state_part::Part::Counters(new) => self.counters.with_position(0, |c| *c = new),
+            state_part::Part::Config(new) => {
+                self.config.with_position(0, |c| *c = new.into_owned());
+            }
+            state_part::Part::Manifest(new) => self.keep_manifest(new.into_owned()),
+            state_part::Part::Hosts(at, new) => {
+                self.hosts
+                    .with_position(usize::from(at), |hosts| *hosts = new.into_owned());
+            }
+            state_part::Part::Answers(at, new) => {
+                self.answers
+                    .with_position(usize::from(at), |answers| *answers = new.into_owned());
+            }
+            state_part::Part::Claims(at, new) => {
+                self.claims
+                    .with_position(usize::from(at), |group| *group = new.into_owned());
+            }
+        }
+    }
 }
--- a/crates/lift_state/tests/claims.rs
+++ b/crates/lift_state/tests/claims.rs
@@ -101,9 +101,10 @@
             }
             14 => self.start_agent(host),
             15 => {
-                let image = self.state.image();
+                let mut parts = Vec::new();
+                self.state.export(&mut |part| parts.push(part.into_owned()));
                 self.state = State::new();
-                assert!(self.state.restore(image));
+                assert!(self.state.import(parts));
             }
             _ => {}
         }
--- a/crates/lift_state/tests/configuration.rs
+++ b/crates/lift_state/tests/configuration.rs
@@ -220,9 +220,10 @@
                     prop_assert!(is_refused, "{:?}", reply);
                 }
                 Step::Restart => {
-                    let image = state.image();
+                    let mut parts = Vec::new();
+                    state.export(&mut |part| parts.push(part.into_owned()));
                     state = State::new();
-                    prop_assert!(state.restore(image));
+                    prop_assert!(state.import(parts));
                 }
                 _ => {}
             }
