--- a/crates/lift_bench/src/burst_fleet.rs
+++ b/crates/lift_bench/src/burst_fleet.rs
@@ -202,8 +202,10 @@
         host: &sync::Arc<burst_host::BurstHost>,
     ) -> Result<lift_swarm::Swarm> {
         let share = (self.rates.host as f64 * CHUNK_SHARE) as u64;
+        let download = lift_transfer::DownloadConfig::default().origin_rate(self.rates.origin);
         let limits = lift_swarm::SwarmLimits::default()
-            .rates(share, share)
+            .download(download)
+            .upload_rate(share)
             .activation(time::Duration::from_secs(20), time::Duration::from_secs(10));
         let origin = lift_border::HttpOrigin::from_ip(&self.origin_base, host.ip);
         let key = lift_wire::LinkKey::new(1, [7; 32]);
--- a/crates/lift_standin/src/control_standin.rs
+++ b/crates/lift_standin/src/control_standin.rs
@@ -24,7 +24,8 @@
     manifests: indexmap::IndexMap<lift_types::VersionId, lift_types::Manifest>,
     hosts: indexmap::IndexMap<lift_types::HostId, Host>,
     peers: indexmap::IndexMap<lift_types::HostId, lift_transfer::SwarmPeer>,
-    homes: Option<sync::Arc<lift_transfer::HomeTable>>,
+    /// Homes for each version among the agents that want it.
+    homes: indexmap::IndexMap<lift_types::VersionId, sync::Arc<lift_transfer::HomeTable>>,
     fencing: lift_types::FencingToken,
     incarnation: lift_types::Incarnation,
 }
@@ -57,14 +58,14 @@
             policy.revision += 1;
             *current = view(policy);
         });
-        self.state.lock().homes = None;
+        self.state.lock().homes.clear();
     }
 
     /// Adds an agent to the views.
     pub fn add_peer(&self, peer: lift_transfer::SwarmPeer) {
         let mut state = self.state.lock();
         state.peers.insert(peer.place.host, peer);
-        state.homes = None;
+        state.homes.clear();
     }
 
     /// Removes an agent, as an entry does when heartbeats stop.
@@ -72,18 +73,24 @@
         let mut state = self.state.lock();
         state.peers.shift_remove(&host);
         state.hosts.shift_remove(&host);
-        state.homes = None;
+        state.homes.clear();
     }
 
-    fn homes(&self) -> sync::Arc<lift_transfer::HomeTable> {
-        let goal = self.policy.borrow().policy.default.transfer_goal;
+    /// Homes among the agents whose policy asks for `version`. A region that is held at
+    /// another version would never pass its chunks on.
+    fn homes(&self, version: &str) -> sync::Arc<lift_transfer::HomeTable> {
+        let policy = self.policy.borrow().policy.clone();
         let mut state = self.state.lock();
-        if let Some(homes) = &state.homes {
+        if let Some(homes) = state.homes.get(version) {
             return homes.clone();
         }
-        let peers = state.peers.values().cloned().collect();
+        let wants = |peer: &&lift_transfer::SwarmPeer| {
+            policy.version_at(&peer.place).map(String::as_str) == Some(version)
+        };
+        let peers = state.peers.values().filter(wants).cloned().collect();
+        let goal = policy.default.transfer_goal;
         let homes = sync::Arc::new(lift_transfer::HomeTable::new(peers, goal));
-        state.homes = Some(homes.clone());
+        state.homes.insert(String::from(version), homes.clone());
         homes
     }
 
@@ -237,6 +244,6 @@
 #[async_trait::async_trait]
 impl lift_rpc::SwarmPort for ControlStandin {
     async fn view(&self, req: lift_transfer::SwarmViewRequest) -> Result<lift_transfer::SwarmView> {
-        Ok(self.homes().view(&req.place))
+        Ok(self.homes(&req.version).view(&req.place))
     }
 }
--- a/crates/lift_standin/src/link_rate.rs
+++ b/crates/lift_standin/src/link_rate.rs
@@ -6,7 +6,7 @@
 
 /// Unused time that may be caught up, so that timers that fire late by a millisecond or two
 /// do not lower the rate.
-const BURST: time::Duration = time::Duration::from_millis(4);
+const BURST: time::Duration = time::Duration::from_millis(25);
 
 /// Token bucket that holds all connections over one direction of a link to a rate, first
 /// come, first served.
--- a/crates/lift_swarm/src/agent.rs
+++ b/crates/lift_swarm/src/agent.rs
@@ -2,10 +2,11 @@
 
 use std::{fmt, net, sync};
 
+use rand::seq::SliceRandom as _;
 use tokio::sync as tokio_sync;
 use tokio_util::{sync as util_sync, task};
 
-use crate::{chunk_store, peer_link, swarm_limits, swarm_status, transfer, version_store};
+use crate::{chunk_store, peer_link, seeds, swarm_limits, swarm_status, transfer, version_store};
 
 /// Shards of the links, by host.
 const LINK_SHARDS: usize = 8;
@@ -43,11 +44,11 @@
     pub(crate) transfer: parking_lot::Mutex<Option<transfer::Transfer>>,
     /// Chunks that were stored since the last message to the neighbours.
     pub(crate) fresh: parking_lot::Mutex<Vec<lift_types::ChunkIndex>>,
+    pub(crate) seeds: parking_lot::Mutex<seeds::Seeds>,
     pub(crate) fresh_now: tokio_sync::Notify,
     pub(crate) uploads: parking_lot::Mutex<lift_transfer::UploadQueue>,
     pub(crate) upload_now: tokio_sync::Notify,
     pub(crate) upload_pacer: parking_lot::Mutex<Option<lift_transfer::Pacer>>,
-    pub(crate) download_pacer: parking_lot::Mutex<Option<lift_transfer::Pacer>>,
     pub(crate) activation: parking_lot::Mutex<lift_transfer::Activation>,
     /// What the request side should serve.
     pub(crate) gate: tokio_sync::watch::Sender<Option<lift_types::ServingVersion>>,
@@ -102,9 +103,6 @@
                 let Some(interest) = &link.interest else {
                     continue;
                 };
-                if interest.version != manifest.version {
-                    continue;
-                }
                 let chunks = interest.filter(manifest, chunks);
                 if !chunks.is_empty() {
                     let version = manifest.version.clone();
@@ -114,6 +112,33 @@
         });
     }
 
+    /// Tells a few neighbours, and the agents of other regions that ask for it, about a chunk
+    /// that this host has brought into its region.
+    pub(crate) fn tell_first(
+        &self,
+        manifest: &lift_types::Manifest,
+        chunk: lift_types::ChunkIndex,
+    ) {
+        let mut links = Vec::new();
+        self.links.for_each(|shard| {
+            let interested = shard.values().filter(|link| {
+                let interest = link.interest.as_ref();
+                interest.is_some_and(|i| !i.filter(manifest, &[chunk]).is_empty())
+            });
+            links.extend(interested.cloned());
+        });
+        links.shuffle(&mut rand::rng());
+        let region = &self.place.region;
+        let (near, far): (Vec<_>, Vec<_>) =
+            links.iter().partition(|link| link.place.region == *region);
+        let first = near.into_iter().take(seeds::FIRST_TOLD).chain(far);
+        for link in first {
+            let version = manifest.version.clone();
+            let chunks = vec![chunk];
+            link.send(lift_wire::ChunkMessage::Have { version, chunks });
+        }
+    }
+
     /// Sends `message` to one agent, where it is linked.
     pub(crate) fn tell(&self, host: lift_types::HostId, message: lift_wire::ChunkMessage) -> bool {
         self.links.with(&host, |links| {
--- a/crates/lift_swarm/src/fetch.rs
+++ b/crates/lift_swarm/src/fetch.rs
@@ -23,8 +23,6 @@
         let Some(hash) = manifest.chunks.get(chunk as usize).copied() else {
             return;
         };
-        let at = self.reserve_download(&manifest, chunk);
-        tokio::time::sleep_until(at.into()).await;
         if let Some(bytes) = self.read_store(&hash).await {
             self.store_chunk(Source::Origin, hash, bytes).await;
             return;
--- a/crates/lift_swarm/src/interest.rs
+++ b/crates/lift_swarm/src/interest.rs
@@ -23,6 +23,9 @@
         manifest: &lift_types::Manifest,
         chunks: &[lift_types::ChunkIndex],
     ) -> Vec<lift_types::ChunkIndex> {
+        if self.version != manifest.version {
+            return Vec::new();
+        }
         let Some(groups) = &self.groups else {
             return chunks.to_vec();
         };
--- a/crates/lift_swarm/src/lib.rs
+++ b/crates/lift_swarm/src/lib.rs
@@ -16,6 +16,7 @@
 mod lease_state;
 mod messages;
 mod peer_link;
+mod seeds;
 mod serve_chunks;
 mod swarm;
 mod swarm_builder;
--- a/crates/lift_swarm/src/messages.rs
+++ b/crates/lift_swarm/src/messages.rs
@@ -1,6 +1,6 @@
 //! What an agent does with messages from other agents.
 
-use std::sync;
+use std::{sync, time};
 
 use crate::{agent, interest, transfer};
 
@@ -27,11 +27,13 @@
                 let upload = lift_transfer::Upload { host, hash };
                 self.uploads.lock().cancel(&upload);
             }
-            Message::Busy { hash } => self.chunk_event(&hash, |chunk| Event::Refused {
-                chunk,
-                source: Source::Peer(host),
-                retry_after: None,
-            }),
+            Message::Busy { hash } => {
+                self.chunk_event(&hash, |chunk| Event::Refused {
+                    chunk,
+                    source: Source::Peer(host),
+                    retry_after: None,
+                });
+            }
             Message::Missing { hash } => {
                 self.chunk_event(&hash, |chunk| Event::Missing { chunk, host });
             }
@@ -51,7 +53,7 @@
     }
 
     /// Chunks of `version` that are held, where its manifest is known.
-    fn bitmap(&self, version: &str) -> Option<Message> {
+    pub(crate) fn bitmap(&self, version: &str) -> Option<Message> {
         let manifest = self.versions.manifest(version)?;
         let mut bits = vec![0_u8; manifest.chunks.len().div_ceil(8)];
         for (i, hash) in manifest.chunks.iter().enumerate() {
@@ -114,9 +116,7 @@
         let stored = Self::block(move || chunks.put(&hash, &bytes)).await;
         match stored {
             Some(Ok(())) => {
-                let positions = self.current(|t| t.positions(&hash).to_vec());
-                self.fresh.lock().extend(positions);
-                self.fresh_now.notify_one();
+                self.announce(source, &hash);
                 self.chunk_event(&hash, |chunk| Event::Arrived { chunk, source });
             }
             Some(Err(error)) => {
@@ -133,6 +133,32 @@
         }
     }
 
+    /// Tells others about a stored chunk: a chunk from a neighbour to all, one that is new in
+    /// the region to a few first.
+    fn announce(&self, source: Source, hash: &lift_types::ChunkHash) {
+        let positions = self.current(|t| t.positions(hash).to_vec());
+        let is_near = match source {
+            Source::Origin => false,
+            Source::Peer(host) => self.links.with(&host, |links| {
+                let link = links.get(&host);
+                link.is_some_and(|link| link.place.region == self.place.region)
+            }),
+        };
+        if is_near {
+            self.fresh.lock().extend(positions);
+            self.fresh_now.notify_one();
+            return;
+        }
+        let manifest = self.transfer.lock().as_ref().map(|t| t.manifest.clone());
+        let Some(manifest) = manifest else {
+            return;
+        };
+        for chunk in positions {
+            self.seeds.lock().insert(time::Instant::now(), chunk);
+            self.tell_first(&manifest, chunk);
+        }
+    }
+
     /// Gives an event for each position of a chunk to the current download.
     pub(crate) fn chunk_event(
         self: &sync::Arc<Self>,
@@ -145,7 +171,7 @@
     }
 
     /// Reads from the current transfer, or gives the default where there is none.
-    fn current<T: Default>(&self, f: impl FnOnce(&transfer::Transfer) -> T) -> T {
+    pub(crate) fn current<T: Default>(&self, f: impl FnOnce(&transfer::Transfer) -> T) -> T {
         self.transfer.lock().as_ref().map(f).unwrap_or_default()
     }
 }
--- a/crates/lift_swarm/src/serve_chunks.rs
+++ b/crates/lift_swarm/src/serve_chunks.rs
@@ -9,6 +9,9 @@
 /// Interval in which new chunks are gathered into one message to the neighbours.
 const HAVE_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
+/// Interval at which chunks that were announced to a few are announced to all.
+const SEED_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
 /// Longest time of one upload. Above it the slot is given to another request.
 const UPLOAD_LIMIT: time::Duration = time::Duration::from_secs(10);
 
@@ -31,8 +34,13 @@
 /// Tells interested agents about stored chunks.
 pub(crate) async fn announce(agent: sync::Arc<agent::Agent>) {
     loop {
-        agent.fresh_now.notified().await;
-        let chunks = std::mem::take(&mut *agent.fresh.lock());
+        let wait = agent.fresh_now.notified();
+        let _ = tokio_time::timeout(SEED_INTERVAL, wait).await;
+        let mut chunks = std::mem::take(&mut *agent.fresh.lock());
+        chunks.extend(agent.seeds.lock().take_ready(time::Instant::now()));
+        if chunks.is_empty() {
+            continue;
+        }
         let manifest = agent.transfer.lock().as_ref().map(|t| t.manifest.clone());
         if let Some(manifest) = manifest {
             agent.tell_interested(&manifest, &chunks);
@@ -91,6 +99,10 @@
     let send = async {
         if tx.send(outgoing).await.is_ok() && written_rx.await.is_ok() {
             agent.counters.add("chunk_bytes_to_agents", length as u64);
+            for chunk in agent.current(|t| t.positions(&hash).to_vec()) {
+                agent.seeds.lock().sent(chunk);
+            }
+            agent.fresh_now.notify_one();
         }
     };
     if tokio_time::timeout(UPLOAD_LIMIT, send).await.is_err() {
--- a/crates/lift_swarm/src/swarm_builder.rs
+++ b/crates/lift_swarm/src/swarm_builder.rs
@@ -180,11 +180,11 @@
             dial_now: tokio_sync::Notify::new(),
             transfer: parking_lot::Mutex::new(None),
             fresh: parking_lot::Mutex::default(),
+            seeds: parking_lot::Mutex::default(),
             fresh_now: tokio_sync::Notify::new(),
             uploads: parking_lot::Mutex::new(lift_transfer::UploadQueue::new(limits.upload_queue)),
             upload_now: tokio_sync::Notify::new(),
             upload_pacer: pacer(limits.upload_rate),
-            download_pacer: pacer(limits.download_rate),
             activation: parking_lot::Mutex::new(lift_transfer::Activation::new(
                 lift_transfer::ActivationConfig {
                     order_limit: limits.order_limit,
--- a/crates/lift_swarm/src/swarm_limits.rs
+++ b/crates/lift_swarm/src/swarm_limits.rs
@@ -9,8 +9,6 @@
     pub(crate) download: lift_transfer::DownloadConfig,
     /// Rate of chunk uploads in bytes per second, `None` for no limit.
     pub(crate) upload_rate: Option<u64>,
-    /// Rate of chunk requests in bytes per second, `None` for no limit.
-    pub(crate) download_rate: Option<u64>,
     /// Uploads in progress at a time.
     pub(crate) upload_slots: usize,
     /// Upload requests that may wait.
@@ -36,11 +34,10 @@
         self
     }
 
-    /// Holds chunk traffic below these rates, in bytes per second each way, and lower still
-    /// while live requests are in progress.
-    pub fn rates(mut self, upload: u64, download: u64) -> Self {
-        self.upload_rate = Some(upload);
-        self.download_rate = Some(download);
+    /// Holds chunk uploads below this rate in bytes per second, and lower still while live
+    /// requests are in progress.
+    pub fn upload_rate(mut self, bytes_per_second: u64) -> Self {
+        self.upload_rate = Some(bytes_per_second);
         self
     }
 
@@ -83,9 +80,8 @@
         Self {
             download: lift_transfer::DownloadConfig::default(),
             upload_rate: None,
-            download_rate: None,
-            upload_slots: 4,
-            upload_queue: 8,
+            upload_slots: 2,
+            upload_queue: 4,
             kept_versions: 2,
             order_limit: time::Duration::from_secs(60),
             drain_limit: time::Duration::from_secs(30),
--- a/crates/lift_swarm/src/target.rs
+++ b/crates/lift_swarm/src/target.rs
@@ -49,7 +49,8 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        agent.current_transfer_event(DownloadEvent::Clock);
+        let live = agent.live_requests();
+        agent.current_transfer_event(DownloadEvent::Clock { live });
         agent.activation_event(ActivationEvent::Clock);
     }
 }
@@ -91,6 +92,7 @@
         self.current_transfer_event(DownloadEvent::Superseded);
         *self.transfer.lock() = None;
         self.fresh.lock().clear();
+        self.seeds.lock().clear();
         let Some(version) = wanted else {
             return;
         };
@@ -120,12 +122,11 @@
         for link in &links {
             self.link_up(link);
         }
-        let held: Vec<_> = {
-            let transfer = self.transfer.lock();
-            let download = transfer.as_ref().map(|t| &t.download);
-            download.map_or_else(Vec::new, |d| d.held_chunks().collect())
-        };
-        self.tell_interested(&manifest, &held);
+        for link in &links {
+            if link.interest.as_ref().is_some_and(|i| i.version == version) {
+                self.bitmap(&version).map(|message| link.send(message));
+            }
+        }
         let own = self.clone();
         self.spawn_until_stop(follow_view(own, version));
     }
--- a/crates/lift_swarm/src/transfer.rs
+++ b/crates/lift_swarm/src/transfer.rs
@@ -143,36 +143,8 @@
         let Some(hash) = manifest.chunks.get(chunk as usize).copied() else {
             return;
         };
-        let message = lift_wire::ChunkMessage::Request { hash };
-        let at = self.reserve_download(manifest, chunk);
-        if at <= time::Instant::now() {
-            // A request that can't be sent is answered by the end of the link.
-            self.tell(host, message);
-            return;
-        }
-        let own = self.clone();
-        self.spawn_until_stop(async move {
-            tokio::time::sleep_until(at.into()).await;
-            own.tell(host, message);
-        });
-    }
-
-    /// Time at which a chunk may be requested, so that its answer leaves room for live
-    /// requests on the inbound link.
-    pub(crate) fn reserve_download(
-        &self,
-        manifest: &lift_types::Manifest,
-        chunk: lift_types::ChunkIndex,
-    ) -> time::Instant {
-        let now = time::Instant::now();
-        let length = manifest
-            .range(chunk)
-            .map_or(0, |range| range.end - range.start);
-        let live = self.live_requests();
-        let mut pacer = self.download_pacer.lock();
-        pacer
-            .as_mut()
-            .map_or(now, |pacer| pacer.reserve(now, length as usize, live))
+        // A request that can't be sent is answered by the end of the link.
+        self.tell(host, lift_wire::ChunkMessage::Request { hash });
     }
 
     /// Announces a new link to the download, and the download to the other end.
--- a/crates/lift_swarm/tests/fleet/mod.rs
+++ b/crates/lift_swarm/tests/fleet/mod.rs
@@ -83,7 +83,10 @@
 
     /// Publishes weights of `length` bytes made from `seed`.
     pub async fn publish(&self, version: &str, seed: u64, length: usize) {
-        let bytes = weights(seed, length);
+        self.publish_bytes(version, weights(seed, length)).await;
+    }
+
+    pub async fn publish_bytes(&self, version: &str, bytes: bytes::Bytes) {
         let manifest = self.origin.publish(version, bytes, CHUNK_BYTES);
         self.control.publish(manifest).await.unwrap();
     }
--- a/crates/lift_transfer/src/activation.rs
+++ b/crates/lift_transfer/src/activation.rs
@@ -39,7 +39,7 @@
             serving: None,
             engine: None,
             trust: Trust::Reports,
-            step: Step::Idle,
+            step: Step::Starting,
         }
     }
 
@@ -59,7 +59,7 @@
         self.serving.as_ref()
     }
 
-    /// Whether the version is known to be held whole.
+    /// Whether the version is held whole.
     pub fn holds(&self, version: &lift_types::VersionId) -> bool {
         self.whole.contains_key(version)
     }
@@ -223,14 +223,15 @@
         fencing: lift_types::FencingToken,
         actions: &mut Vec<Action>,
     ) {
+        let engine = loaded(version, hash, fencing);
         let Step::Loading {
             version: ordered,
             fencing: token,
         } = self.step.clone()
         else {
+            self.reported(engine, actions);
             return;
         };
-        let engine = loaded(version, hash, fencing);
         let is_confirmed = engine.as_ref().is_some_and(|e| {
             e.version == ordered && e.fencing == token && self.whole.get(&ordered) == Some(&e.hash)
         });
@@ -262,12 +263,13 @@
 
     /// Compares what the engine reports with what is advertised.
     fn reported(&mut self, engine: Option<Loaded>, actions: &mut Vec<Action>) {
-        if !matches!(
-            self.step,
-            Step::Idle | Step::Waiting { .. } | Step::Asking { .. }
-        ) {
+        // The state before an order says nothing about the state after it.
+        if self.is_loading() {
             return;
         }
+        if self.step == Step::Starting {
+            self.step = Step::Idle;
+        }
         let matches = match (&engine, &self.serving) {
             (Some(engine), Some(serving)) => {
                 engine.version == serving.version
--- a/crates/lift_transfer/src/activation_state.rs
+++ b/crates/lift_transfer/src/activation_state.rs
@@ -21,6 +21,8 @@
 /// Step of a switch that waits for an event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Step {
+    /// The engine has not been asked yet what it serves.
+    Starting,
     Idle,
     Waiting {
         until: time::Instant,
--- a/crates/lift_transfer/src/chunk_choice.rs
+++ b/crates/lift_transfer/src/chunk_choice.rs
@@ -28,13 +28,15 @@
         rng: download::Rng<'_>,
     ) -> Vec<Chosen> {
         let mut chosen = Vec::new();
+        self.refused.retain(|_, until| *until > now);
         if wanted.is_empty() || self.is_full(cfg) {
             return chosen;
         }
         let start = rng.random_range(0..wanted.len());
         let mut ranked: Vec<_> = (0..wanted.len().min(SCAN_LIMIT))
             .filter_map(|i| wanted.get_index((start + i) % wanted.len()))
-            .map(|chunk| (self.holders[*chunk as usize], rng.random::<u32>(), *chunk))
+            .filter(|chunk| !self.refused.contains_key(*chunk))
+            .map(|chunk| (self.rarity(*chunk), rng.random::<u32>(), *chunk))
             .collect();
         ranked.sort_unstable();
         for (_, _, chunk) in ranked {
@@ -58,7 +60,7 @@
         first: source::Source,
         rng: download::Rng<'_>,
     ) -> Option<source::Source> {
-        if self.peers_in_flight >= cfg.window {
+        if self.is_window_full(cfg) {
             return None;
         }
         let source = self.best_neighbour(now, cfg, chunk, Some(first), rng)?;
@@ -66,8 +68,25 @@
         Some(source)
     }
 
+    /// While live requests are in progress the window is halved, so that their answers wait
+    /// for less chunk traffic on the inbound link.
+    fn is_window_full(&self, cfg: &download_config::DownloadConfig) -> bool {
+        let window = if self.yielding {
+            cfg.window.div_ceil(2)
+        } else {
+            cfg.window
+        };
+        self.peers_in_flight >= window
+    }
+
+    /// Holders of a chunk in powers of two. Exact numbers would send all agents after the
+    /// same few chunks at the same time.
+    fn rarity(&self, chunk: lift_types::ChunkIndex) -> u32 {
+        u16::BITS - self.holders[chunk as usize].leading_zeros()
+    }
+
     fn is_full(&self, cfg: &download_config::DownloadConfig) -> bool {
-        self.peers_in_flight >= cfg.window && self.origin.in_flight >= cfg.origin_window
+        self.is_window_full(cfg) && self.origin.in_flight >= cfg.origin_window
     }
 
     fn best(
@@ -83,12 +102,14 @@
         }
         match self.upstream(now, cfg, group)? {
             source::Source::Origin => {
-                let is_ready = self.origin.is_ready(now, cfg.origin_window);
+                let turns = self.turns.as_ref();
+                let is_ready = self.origin.is_ready(now, cfg.origin_window)
+                    && turns.is_none_or(|turns| turns.has_come(now, chunk));
                 is_ready.then_some(source::Source::Origin)
             }
             source::Source::Peer(host) => {
                 let peer = self.peers.get(&host)?;
-                let is_ready = self.peers_in_flight < cfg.window
+                let is_ready = !self.is_window_full(cfg)
                     && peer.have[chunk as usize]
                     && peer.is_ready(now, cfg.per_peer);
                 is_ready.then_some(source::Source::Peer(host))
@@ -105,7 +126,7 @@
         except: Option<source::Source>,
         rng: download::Rng<'_>,
     ) -> Option<source::Source> {
-        if self.peers_in_flight >= cfg.window {
+        if self.is_window_full(cfg) {
             return None;
         }
         let holders = self.peers.iter().filter(|(host, peer)| {
--- a/crates/lift_transfer/src/chunk_sources.rs
+++ b/crates/lift_transfer/src/chunk_sources.rs
@@ -2,7 +2,10 @@
 
 use std::time;
 
-use crate::{download_peer, home_group, source, upstream};
+use crate::{download_peer, home_group, origin_turns, source, upstream};
+
+/// Time for which a refused chunk is left to others, who will soon pass it on.
+const REFUSED_PAUSE: time::Duration = time::Duration::from_millis(30);
 
 /// Upstream of a home group, and since when there is no connection to it.
 #[derive(Clone, Copy, Debug)]
@@ -24,6 +27,12 @@
     pub(crate) holders: Vec<u16>,
     pub(crate) homes: indexmap::IndexMap<lift_types::KeyGroup, Home>,
     pub(crate) origin: download_peer::DownloadPeer,
+    /// Turns of reads from the origin, where its rate is known.
+    pub(crate) turns: Option<origin_turns::OriginTurns>,
+    /// Chunks that were refused, and until when others are requested in their place.
+    pub(crate) refused: indexmap::IndexMap<lift_types::ChunkIndex, time::Instant>,
+    /// Whether live requests are in progress, so that the window is smaller.
+    pub(crate) yielding: bool,
     /// Requests in progress to agents.
     pub(crate) peers_in_flight: usize,
 }
@@ -37,6 +46,9 @@
             holders: vec![0; chunks],
             homes: indexmap::IndexMap::new(),
             origin: download_peer::DownloadPeer::new(0),
+            turns: None,
+            refused: indexmap::IndexMap::new(),
+            yielding: false,
             peers_in_flight: 0,
         }
     }
@@ -60,7 +72,10 @@
     ) -> Home {
         let lost_since = match self.homes.get(&group) {
             Some(Home::Peer { host, lost_since }) if *host == upstream => *lost_since,
-            _ => (!self.peers.contains_key(&upstream)).then_some(now),
+            _ => {
+                let told = self.peers.get(&upstream).is_some_and(|peer| peer.told);
+                (!told).then_some(now)
+            }
         };
         Home::Peer {
             host: upstream,
@@ -73,7 +88,6 @@
         let mut peer = download_peer::DownloadPeer::new(self.chunks);
         peer.is_neighbour = place.region == self.region;
         self.peers.insert(place.host, peer);
-        self.set_lost(place.host, None);
     }
 
     pub(crate) fn peer_down(&mut self, now: time::Instant, host: lift_types::HostId) {
@@ -106,9 +120,13 @@
     }
 
     pub(crate) fn have(&mut self, host: lift_types::HostId, chunks: &[lift_types::ChunkIndex]) {
+        // An agent that says what it holds fetches this version too; one in a region where
+        // another version is wanted never does.
+        self.set_lost(host, None);
         let Some(peer) = self.peers.get_mut(&host) else {
             return;
         };
+        peer.told = true;
         for chunk in chunks {
             let Some(have) = peer.have.get_mut(*chunk as usize) else {
                 continue;
@@ -157,17 +175,24 @@
     pub(crate) fn busy(
         &mut self,
         now: time::Instant,
+        chunk: lift_types::ChunkIndex,
         source: source::Source,
         retry_after: Option<time::Duration>,
     ) {
+        self.refused.insert(chunk, now + REFUSED_PAUSE);
         if let Some(peer) = self.peer(source) {
             peer.pause_busy(now, retry_after);
         }
     }
 
     pub(crate) fn fault(&mut self, now: time::Instant, source: source::Source) {
-        if let Some(peer) = self.peer(source) {
-            peer.pause_fault(now);
+        match source {
+            source::Source::Origin => self.origin.pause_origin(now),
+            source::Source::Peer(host) => {
+                if let Some(peer) = self.peers.get_mut(&host) {
+                    peer.pause_fault(now);
+                }
+            }
         }
     }
 
--- a/crates/lift_transfer/src/download.rs
+++ b/crates/lift_transfer/src/download.rs
@@ -3,7 +3,8 @@
 use std::{sync, time};
 
 use crate::{
-    chunk_sources, download_action, download_config, download_event, flights, source, swarm_view,
+    chunk_sources, download_action, download_config, download_event, flights, origin_turns, source,
+    swarm_view,
 };
 
 /// Source of the random order among equally rare chunks.
@@ -122,18 +123,26 @@
                 retry_after,
             } => {
                 self.end_flight(chunk, source);
-                self.sources.busy(now, source, retry_after);
+                self.sources.busy(now, chunk, source, retry_after);
             }
             Event::Missing { chunk, host } => {
                 self.end_flight(chunk, source::Source::Peer(host));
                 self.sources.have_not(host, chunk);
             }
             Event::WholeCorrupt | Event::Superseded => self.stop(actions),
-            Event::Clock => self.expire(now, actions),
+            Event::Clock { live } => {
+                self.sources.yielding = live > 0;
+                self.expire(now, actions);
+            }
         }
     }
 
     fn set_view(&mut self, now: time::Instant, view: &swarm_view::SwarmView) {
+        if let (None, Some(rate)) = (&self.sources.turns, self.cfg.origin_rate) {
+            let size = self.manifest.chunk_size;
+            let turns = origin_turns::OriginTurns::new(now, &self.held, size, rate);
+            self.sources.turns = Some(turns);
+        }
         self.sources.set_home_groups(now, &view.home_groups);
     }
 
--- a/crates/lift_transfer/src/download_config.rs
+++ b/crates/lift_transfer/src/download_config.rs
@@ -12,6 +12,8 @@
     pub(crate) per_peer: usize,
     /// Most requests in progress to the origin.
     pub(crate) origin_window: usize,
+    /// Rate in bytes per second at which the fleet reads the origin, `None` where unknown.
+    pub(crate) origin_rate: Option<u64>,
     /// Shortest time-out of a request; the time-out grows with the measured response times.
     pub(crate) min_timeout: time::Duration,
     /// Time-out of a request before any response time is known.
@@ -35,6 +37,14 @@
         self
     }
 
+    /// Sets the rate in bytes per second at which the fleet together reads the origin. Home
+    /// hosts then take turns, so that each chunk arrives soon after its turn. Without turns
+    /// all first reads share the origin link and all of them end late.
+    pub fn origin_rate(mut self, bytes_per_second: u64) -> Self {
+        self.origin_rate = Some(bytes_per_second.max(1));
+        self
+    }
+
     /// Sets the time-out of a request at the start and the shortest one later.
     pub fn timeouts(mut self, first: time::Duration, shortest: time::Duration) -> Self {
         self.first_timeout = first;
@@ -52,9 +62,10 @@
 impl Default for DownloadConfig {
     fn default() -> Self {
         Self {
-            window: 8,
+            window: 10,
             per_peer: 2,
             origin_window: 2,
+            origin_rate: None,
             min_timeout: time::Duration::from_millis(500),
             first_timeout: time::Duration::from_secs(5),
             upstream_timeout: time::Duration::from_secs(3),
--- a/crates/lift_transfer/src/download_event.rs
+++ b/crates/lift_transfer/src/download_event.rs
@@ -67,5 +67,8 @@
     /// Another version is wanted now.
     Superseded,
     /// Time has passed.
-    Clock,
+    Clock {
+        /// Live requests in progress at the host, to which the download yields.
+        live: u32,
+    },
 }
--- a/crates/lift_transfer/src/download_peer.rs
+++ b/crates/lift_transfer/src/download_peer.rs
@@ -3,11 +3,14 @@
 use std::time;
 
 /// Shortest pause after an agent has refused a request.
-const BUSY_PAUSE: time::Duration = time::Duration::from_millis(10);
+const BUSY_PAUSE: time::Duration = time::Duration::from_millis(4);
 
 /// Pause after the first fault of an agent. It doubles with each further fault.
 const FAULT_PAUSE: time::Duration = time::Duration::from_millis(500);
 
+/// Pause after a fault of the origin.
+const ORIGIN_PAUSE: time::Duration = time::Duration::from_millis(100);
+
 /// Most doublings of the pause after faults: 500 ms to 32 s.
 const MAX_FAULT_DOUBLINGS: u32 = 6;
 
@@ -19,6 +22,8 @@
 pub(crate) struct DownloadPeer {
     pub(crate) have: Vec<bool>,
     pub(crate) is_neighbour: bool,
+    /// Whether it has said what it holds.
+    pub(crate) told: bool,
     pub(crate) in_flight: usize,
     /// Corrupt chunks and time-outs. An agent with fewer faults is chosen first.
     pub(crate) faults: u32,
@@ -31,6 +36,7 @@
         Self {
             have: vec![false; chunks],
             is_neighbour: false,
+            told: false,
             in_flight: 0,
             faults: 0,
             successes: 0,
@@ -55,6 +61,12 @@
         }
     }
 
+    /// Pauses the origin after a fault. There is nothing to ask in its place, so the pause
+    /// stays short.
+    pub(crate) fn pause_origin(&mut self, now: time::Instant) {
+        self.pause(now + ORIGIN_PAUSE);
+    }
+
     pub(crate) fn pause_fault(&mut self, now: time::Instant) {
         let doublings = self.faults.min(MAX_FAULT_DOUBLINGS);
         self.faults = self.faults.saturating_add(1);
--- a/crates/lift_transfer/src/lib.rs
+++ b/crates/lift_transfer/src/lib.rs
@@ -26,6 +26,7 @@
 mod flights;
 mod home_group;
 mod home_table;
+mod origin_turns;
 mod pacer;
 mod response_times;
 mod source;
--- a/crates/lift_transfer/src/pacer.rs
+++ b/crates/lift_transfer/src/pacer.rs
@@ -3,13 +3,13 @@
 use std::time;
 
 /// Share of the rate that chunk traffic gets while live requests are in progress.
-const LIVE_SHARE: f64 = 0.75;
+const LIVE_SHARE: f64 = 0.85;
 
 /// Time in which the rate rises from the lowered to the full one after the last request.
 const RECOVERY: time::Duration = time::Duration::from_millis(50);
 
 /// Unused time that may be caught up. A timer may fire late by this much without a loss.
-const BURST: time::Duration = time::Duration::from_millis(8);
+const BURST: time::Duration = time::Duration::from_millis(30);
 
 /// Spaces chunk traffic on a link so that live requests on the same link find it idle.
 ///
--- a/crates/lift_transfer/src/upload_queue.rs
+++ b/crates/lift_transfer/src/upload_queue.rs
@@ -5,6 +5,17 @@
 /// Requests of one requester that may wait.
 const MAX_PER_HOST: usize = 4;
 
+/// Requests for one chunk that may wait. Others do better to wait for one of the first
+/// receivers to pass it on; this doubles the holders of a new chunk in each round.
+const MAX_PER_CHUNK: usize = 2;
+
+/// Requests that may go before one for a chunk that was sent once.
+const DELAY_PER_SEND: u64 = 2;
+
+/// Sends above which a request is not delayed further. Without a bound a home host that
+/// gets new chunks all the time would never answer requests for its older ones.
+const MAX_DELAYED_SENDS: u32 = 2;
+
 /// Requests that wait for an upload slot, at most a fixed number.
 ///
 /// The chunk that was sent least often goes first: a chunk that a home host has sent once
@@ -38,7 +49,13 @@
             .keys()
             .filter(|w| w.host == upload.host)
             .count();
-        if self.waiting.len() >= self.limit || of_host >= MAX_PER_HOST {
+        let of_chunk = self
+            .waiting
+            .keys()
+            .filter(|w| w.hash == upload.hash)
+            .count();
+        let is_full = self.waiting.len() >= self.limit;
+        if is_full || of_host >= MAX_PER_HOST || of_chunk >= MAX_PER_CHUNK {
             return upload_reply::UploadReply::Busy;
         }
         self.sequence += 1;
@@ -61,7 +78,7 @@
         let next = self
             .waiting
             .iter()
-            .min_by_key(|(upload, sequence)| (self.sent_count(upload), **sequence))
+            .min_by_key(|(upload, sequence)| **sequence + self.delay(upload))
             .map(|(upload, _)| *upload)?;
         self.waiting.shift_remove(&next);
         *self.sent.entry(next.hash).or_default() += 1;
@@ -83,7 +100,9 @@
         self.sent.retain(|hash, _| is_held(hash));
     }
 
-    fn sent_count(&self, upload: &upload::Upload) -> u32 {
-        self.sent.get(&upload.hash).copied().unwrap_or_default()
+    /// Number of later requests that may go before this one.
+    fn delay(&self, upload: &upload::Upload) -> u64 {
+        let sent = self.sent.get(&upload.hash).copied().unwrap_or_default();
+        u64::from(sent.min(MAX_DELAYED_SENDS)) * DELAY_PER_SEND
     }
 }
