Retry an idempotent answer that breaks before its first byte is passed on

Cause: a damaged answer whose parts came together with its head cut the caller's connection although another host could have answered. Change: parts that have come with the head are checked while the request can still be sent elsewhere. Tests with an agent that doubles, swaps, crosses and cuts messages.

--- a/crates/lift_entry/src/answer_stream.rs
+++ b/crates/lift_entry/src/answer_stream.rs
@@ -4,7 +4,7 @@
 
 use futures_util::stream;
 
-use crate::{answer_part, caller_request, exchange, permit, shared};
+use crate::{answer_part, begun, caller_request, exchange, permit, shared};
 
 /// Resumptions of one stream.
 const MAX_RESUMES: u32 = 3;
@@ -19,10 +19,8 @@
     exchange: exchange::Exchange,
     /// Version that a resumed stream must have; `None` where it can't resume.
     version: Option<lift_types::VersionId>,
-    /// Parts that came before the body was built.
+    /// Parts that came before the body was built, the last one first.
     early: Vec<bytes::Bytes>,
-    /// How the stream broke before the body was built.
-    broken: Option<lift_route::AttemptEnd>,
     passed: u64,
     resumes: u32,
     tried: Vec<lift_types::HostId>,
@@ -30,24 +28,24 @@
 }
 
 impl AnswerStream {
-    /// Passes on the answer of `exchange`, whose head has come from `host`.
+    /// Passes on an answer that has begun.
     pub(crate) fn new(
         shared: sync::Arc<shared::Shared>,
         req: sync::Arc<caller_request::CallerRequest>,
-        exchange: exchange::Exchange,
-        host: lift_types::HostId,
+        begun: begun::Begun,
         permit: permit::Permit,
     ) -> Self {
+        let mut early = begun.early;
+        early.reverse();
         Self {
             shared,
             req,
-            exchange,
+            exchange: begun.exchange,
             version: None,
-            early: Vec::new(),
-            broken: None,
+            early,
             passed: 0,
             resumes: 0,
-            tried: vec![host],
+            tried: vec![begun.host],
             _permit: permit,
         }
     }
@@ -58,33 +56,8 @@
         self
     }
 
-    /// Passes on `parts` first.
-    pub(crate) fn early(mut self, mut parts: Vec<bytes::Bytes>) -> Self {
-        parts.reverse();
-        self.early = parts;
-        self
-    }
-
-    /// Body for the reply. A short answer that is whole by now becomes one piece.
-    pub(crate) fn into_body(mut self) -> axum::body::Body {
-        let mut whole = Vec::new();
-        while let Some(bytes) = self.early.pop() {
-            whole.push(bytes);
-        }
-        loop {
-            match self.exchange.part_now() {
-                Some(Ok(answer_part::AnswerPart::Data(bytes))) => whole.push(bytes),
-                Some(Ok(answer_part::AnswerPart::End)) => return one_piece(whole),
-                Some(Err(end)) => {
-                    self.broken = Some(end);
-                    return self.early(whole).streamed_body();
-                }
-                None => return self.early(whole).streamed_body(),
-            }
-        }
-    }
-
-    fn streamed_body(self) -> axum::body::Body {
+    /// Body for the reply.
+    pub(crate) fn into_body(self) -> axum::body::Body {
         let parts = stream::unfold(Some(self), async |stream| {
             let mut stream = stream?;
             match stream.next().await {
@@ -101,9 +74,6 @@
             self.passed += bytes.len() as u64;
             return Ok(answer_part::AnswerPart::Data(bytes));
         }
-        if let Some(end) = self.broken.take() {
-            return self.after(end).await;
-        }
         match self.exchange.part(self.req.deadline).await {
             Ok(part) => Ok(self.count(part)),
             Err(end) => self.after(end).await,
@@ -165,10 +135,3 @@
         part
     }
 }
-
-fn one_piece(mut parts: Vec<bytes::Bytes>) -> axum::body::Body {
-    if parts.len() == 1 {
-        return axum::body::Body::from(parts.pop().unwrap_or_default());
-    }
-    axum::body::Body::from(parts.concat())
-}
--- a/crates/lift_entry/src/claimed_path.rs
+++ b/crates/lift_entry/src/claimed_path.rs
@@ -5,8 +5,8 @@
 use axum::response;
 
 use crate::{
-    answer_part, answer_stream, caller_reply, caller_request, claim_client, exchange, permit,
-    shared,
+    answer_part, answer_stream, begun, caller_reply, caller_request, claim_client, exchange,
+    permit, shared,
 };
 
 use lift_route::{ClaimedAction as Action, ClaimedEvent as Event};
@@ -22,17 +22,7 @@
     req: sync::Arc<caller_request::CallerRequest>,
     choice: lift_route::ChoiceRequest,
     claims: claim_client::ClaimClient,
-    answer: Option<Begun>,
-}
-
-/// An answer that has begun.
-#[derive(Debug)]
-struct Begun {
-    exchange: exchange::Exchange,
-    head: lift_border::AnswerHead,
-    early: Vec<bytes::Bytes>,
-    host: lift_types::HostId,
-    is_whole: bool,
+    answer: Option<begun::Begun>,
 }
 
 impl ClaimedPath {
@@ -137,7 +127,7 @@
     async fn begin(
         &self,
         holder: lift_state::ClaimHolder,
-    ) -> Result<Begun, lift_route::AttemptEnd> {
+    ) -> Result<begun::Begun, lift_route::AttemptEnd> {
         let routes = self.shared.directory.routes();
         let hosts = routes.services.get(&self.req.service);
         let host = hosts
@@ -164,7 +154,7 @@
                 break false;
             }
         };
-        Ok(Begun {
+        Ok(begun::Begun {
             exchange,
             head,
             early,
@@ -182,15 +172,11 @@
             let body = axum::body::Body::from(begun.early.concat());
             return caller_reply::answer(&self.shared, self.req.id, &begun.head, body);
         }
-        let stream = answer_stream::AnswerStream::new(
-            sync::Arc::clone(&self.shared),
-            sync::Arc::clone(&self.req),
-            begun.exchange,
-            begun.host,
-            permit,
-        );
-        let body = stream.early(begun.early).into_body();
-        caller_reply::answer(&self.shared, self.req.id, &begun.head, body)
+        let head = begun.head.clone();
+        let shared = sync::Arc::clone(&self.shared);
+        let req = sync::Arc::clone(&self.req);
+        let stream = answer_stream::AnswerStream::new(shared, req, begun, permit);
+        caller_reply::answer(&self.shared, self.req.id, &head, stream.into_body())
     }
 
     fn give_outcome(mut self) -> response::Response {
--- a/crates/lift_entry/src/exchange.rs
+++ b/crates/lift_entry/src/exchange.rs
@@ -74,13 +74,18 @@
         self.checked(message)
     }
 
-    /// Next part of the body, where it has come already.
-    pub(crate) fn part_now(
-        &mut self,
-    ) -> Option<Result<answer_part::AnswerPart, lift_route::AttemptEnd>> {
-        let event = self.registration.mailbox.take()?;
-        let message = self.opened(event);
-        Some(message.and_then(|message| self.checked(message)))
+    /// Takes the parts of the body that have come already, and tells whether they are the
+    /// whole of it. A short answer mostly comes with its head.
+    pub(crate) fn early(&mut self) -> Result<(Vec<bytes::Bytes>, bool), lift_route::AttemptEnd> {
+        let mut early = Vec::new();
+        while let Some(event) = self.registration.mailbox.take() {
+            let message = self.opened(event)?;
+            match self.checked(message)? {
+                answer_part::AnswerPart::Data(bytes) => early.push(bytes),
+                answer_part::AnswerPart::End => return Ok((early, true)),
+            }
+        }
+        Ok((early, false))
     }
 
     async fn message(
--- a/crates/lift_entry/src/idempotent_path.rs
+++ b/crates/lift_entry/src/idempotent_path.rs
@@ -4,7 +4,7 @@
 
 use axum::response;
 
-use crate::{answer_stream, caller_reply, caller_request, exchange, permit, shared};
+use crate::{answer_stream, begun, caller_reply, caller_request, exchange, permit, shared};
 
 /// An idempotent request at this entry.
 #[derive(Debug)]
@@ -16,13 +16,6 @@
     is_unrun: bool,
 }
 
-/// An attempt whose answer has begun.
-type Begun = (
-    exchange::Exchange,
-    lift_border::AnswerHead,
-    lift_types::HostId,
-);
-
 impl IdempotentPath {
     pub(crate) fn new(
         shared: sync::Arc<shared::Shared>,
@@ -86,7 +79,7 @@
         &mut self,
         host: lift_route::Candidate,
         attempts: u32,
-    ) -> Result<Begun, lift_route::AttemptEnd> {
+    ) -> Result<begun::Begun, lift_route::AttemptEnd> {
         let first = attempt(&self.shared, &self.req, host);
         tokio::pin!(first);
         tokio::select! {
@@ -116,14 +109,18 @@
         }
     }
 
-    fn answer(self, begun: Begun, permit: permit::Permit) -> response::Response {
-        let (exchange, head, host) = begun;
+    fn answer(self, mut begun: begun::Begun, permit: permit::Permit) -> response::Response {
         if let Some(prefix) = self.req.prefix {
-            self.shared.set_prefix_host(prefix, host);
+            self.shared.set_prefix_host(prefix, begun.host);
+        }
+        let head = begun.head.clone();
+        if begun.is_whole {
+            let body = one_piece(&mut begun.early);
+            return caller_reply::answer(&self.shared, self.req.id, &head, body);
         }
         let shared = sync::Arc::clone(&self.shared);
         let req = sync::Arc::clone(&self.req);
-        let stream = answer_stream::AnswerStream::new(shared, req, exchange, host, permit)
+        let stream = answer_stream::AnswerStream::new(shared, req, begun, permit)
             .resume_on(head.version.clone());
         caller_reply::answer(&self.shared, self.req.id, &head, stream.into_body())
     }
@@ -147,12 +144,37 @@
     shared: &shared::Shared,
     req: &caller_request::CallerRequest,
     host: lift_route::Candidate,
-) -> Result<Begun, lift_route::AttemptEnd> {
+) -> Result<begun::Begun, lift_route::AttemptEnd> {
     let call = req.call(shared, None, req.version.clone(), 0);
     let mut exchange = exchange::Exchange::start(shared, &host, call).await?;
-    let head = exchange.head(req.deadline).await;
-    if matches!(head, Err(lift_route::AttemptEnd::Damaged)) {
+    let begun = begin(&mut exchange, req).await;
+    if matches!(begun, Err(lift_route::AttemptEnd::Damaged)) {
         shared.directory.count_damage(host.place.host);
     }
-    Ok((exchange, head?, host.place.host))
+    let (head, early, is_whole) = begun?;
+    Ok(begun::Begun {
+        exchange,
+        head,
+        early,
+        is_whole,
+        host: host.place.host,
+    })
+}
+
+/// Waits for the head and checks what has come by then, while the request can still be
+/// sent to another host.
+async fn begin(
+    exchange: &mut exchange::Exchange,
+    req: &caller_request::CallerRequest,
+) -> Result<(lift_border::AnswerHead, Vec<bytes::Bytes>, bool), lift_route::AttemptEnd> {
+    let head = exchange.head(req.deadline).await?;
+    let (early, is_whole) = exchange.early()?;
+    Ok((head, early, is_whole))
+}
+
+fn one_piece(parts: &mut Vec<bytes::Bytes>) -> axum::body::Body {
+    if parts.len() == 1 {
+        return axum::body::Body::from(parts.pop().unwrap_or_default());
+    }
+    axum::body::Body::from(parts.concat())
 }
--- a/crates/lift_entry/src/lib.rs
+++ b/crates/lift_entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod answer_check;
 mod answer_part;
 mod answer_stream;
+mod begun;
 mod caller_reply;
 mod caller_request;
 mod claim_client;
--- /dev/null
+++ b/crates/lift_entry/tests/faulty_agent.rs
@@ -0,0 +1,165 @@
+//! Guards against an agent whose messages are doubled, out of order, crossed, cut or late, and
+//! against a refusal that proves nothing.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod fleet;
+
+use std::{sync, time};
+
+use lift_wire::{AnswerMessage, CallMessage};
+
+/// What the agent answers to a call with this id and attempt.
+type Script = fn(u64, Option<u32>) -> Vec<AnswerMessage>;
+
+fn head(id: u64) -> AnswerMessage {
+    AnswerMessage::Head {
+        id,
+        status: 200,
+        headers: Vec::new(),
+        version: None,
+        length: None,
+    }
+}
+
+fn data(id: u64, sequence: u32, text: &'static str) -> AnswerMessage {
+    AnswerMessage::Data {
+        id,
+        sequence,
+        bytes: bytes::Bytes::from_static(text.as_bytes()),
+    }
+}
+
+fn end(id: u64, total: u64, count: u32) -> AnswerMessage {
+    AnswerMessage::End { id, total, count }
+}
+
+/// An agent of the ledger on host 1 that follows `script`, and answers queries as unknown.
+async fn start(fleet: &fleet::Fleet, script: Script) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let call_addr = listener.local_addr().unwrap();
+    let keys = sync::Arc::clone(&fleet.keys);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let keys = sync::Arc::clone(&keys);
+            tokio::spawn(async move {
+                let purpose = lift_wire::Purpose::Calls;
+                let (mut rx, mut tx) = lift_wire::accept(stream, &keys, purpose).await.unwrap();
+                while let Ok(message) = rx.recv::<CallMessage>().await {
+                    let answers = match message {
+                        CallMessage::Call(call) => {
+                            script(call.id, call.claim.map(|claim| claim.attempt))
+                        }
+                        CallMessage::QueryClaim(query) => vec![AnswerMessage::Claim {
+                            id: query.id,
+                            state: lift_wire::ClaimState::Unknown,
+                        }],
+                        CallMessage::Ping => vec![AnswerMessage::Pong],
+                        _ => Vec::new(),
+                    };
+                    for answer in answers {
+                        tx.send(&answer).await.unwrap();
+                    }
+                }
+            });
+        }
+    });
+    let entry = fleet.entries[0].heartbeat_addr();
+    let keys = sync::Arc::clone(&fleet.keys);
+    tokio::spawn(async move {
+        let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        for sequence in 1.. {
+            let heartbeat = lift_wire::Heartbeat {
+                place: fleet::place(1),
+                incarnation: 1,
+                sequence,
+                state: lift_types::HostState::Up,
+                serving: None,
+                in_progress: 0,
+                call_addr,
+                chunk_addr: None,
+                services: vec![String::from("ledger")],
+            };
+            let datagram = lift_wire::seal(&keys, &heartbeat).unwrap();
+            let _ = socket.send_to(&datagram, entry).await;
+            tokio::time::sleep(time::Duration::from_millis(100)).await;
+        }
+    });
+    fleet.wait_for_agents(1).await;
+}
+
+async fn lookup(script: Script) -> fleet::Reply {
+    let fleet = fleet::Fleet::start(1).await;
+    start(&fleet, script).await;
+    let headers = [("x-lift-deadline-ms", "700")];
+    fleet.call(0, "/v1/ledger/lookup", &headers).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_answer_is_passed_on() {
+    let reply = lookup(|id, _| {
+        let (first, second) = (data(id, 0, "four "), data(id, 1, "tons"));
+        vec![head(id), first, second, end(id, 9, 2)]
+    });
+    assert_eq!(reply.await.body.as_deref(), Some("four tons"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn doubled_swapped_and_missing_parts_are_never_passed_for_an_answer() {
+    let scripts: [Script; 5] = [
+        |id, _| {
+            let part = data(id, 0, "four ");
+            vec![head(id), part.clone(), part, end(id, 10, 2)]
+        },
+        |id, _| {
+            let (first, second) = (data(id, 0, "four "), data(id, 1, "tons"));
+            vec![head(id), second, first, end(id, 9, 2)]
+        },
+        |id, _| vec![head(id), data(id, 0, "four "), end(id, 9, 2)],
+        |id, _| vec![head(id), head(id), end(id, 0, 0)],
+        |id, _| vec![head(id), data(id, 0, "four ")],
+    ];
+    for script in scripts {
+        let reply = lookup(script).await;
+        let is_seen_as_broken = reply.body.is_none() || !reply.is_ok();
+        assert!(is_seen_as_broken, "{reply:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn messages_of_other_requests_are_dropped() {
+    let reply = lookup(|id, _| {
+        let crossed = [head(id + 7), data(id + 7, 0, "wrong"), end(id + 7, 5, 1)];
+        let own = [head(id), data(id, 0, "right"), end(id, 5, 1)];
+        crossed.into_iter().chain(own).collect()
+    });
+    assert_eq!(reply.await.body.as_deref(), Some("right"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_of_another_attempt_does_not_prove_not_run() {
+    let fleet = fleet::Fleet::start(1).await;
+    start(&fleet, |id, attempt| {
+        vec![AnswerMessage::Refused {
+            id,
+            reason: lift_types::RefusalReason::Switching,
+            attempt: attempt.map(|attempt| attempt + 1),
+        }]
+    })
+    .await;
+    let headers = [("idempotency-key", "k"), ("x-lift-deadline-ms", "700")];
+    let reply = fleet.call(0, "/v1/ledger/release", &headers).await;
+    assert_eq!(reply.outcome().0, "in_doubt", "{reply:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idempotent_request_that_was_dispatched_is_not_reported_as_not_run() {
+    let reply = lookup(|id, _| {
+        vec![AnswerMessage::Failed {
+            id,
+            failure: lift_wire::CallFailure::Broken,
+        }]
+    })
+    .await;
+    assert_eq!(reply.outcome().0, "in_doubt", "{reply:?}");
+}
