--- a/crates/liftctl/src/command.rs
+++ b/crates/liftctl/src/command.rs
@@ -1,8 +1,8 @@
 //! Commands of `liftctl`.
 
 use crate::{
-    audit, cli_error, client, completions, default, exception, members, output, policy, rollout,
-    token, version,
+    audit, cli_error, client, completions, default, exception, experiment, members, output, policy,
+    rollout, token, version,
 };
 
 /// What to do.
@@ -32,6 +32,9 @@
     /// Makes bearer tokens of the administration API.
     #[command(subcommand)]
     Token(token::TokenCommand),
+    /// Measures bursts, requests and configuration changes on loopback.
+    #[command(subcommand)]
+    Experiment(experiment::ExperimentCommand),
     /// Prints a completion script.
     Completions(completions::CompletionsArgs),
 }
@@ -53,6 +56,7 @@
             Self::Drain(args) => args.run(client, output).await,
             Self::Audit(args) => args.run(client, output).await,
             Self::Token(command) => command.run(output),
+            Self::Experiment(command) => command.run(output).await,
             Self::Completions(args) => args.run(output),
         }
     }
