--- a/crates/lift_node/src/entry_fleet.rs
+++ b/crates/lift_node/src/entry_fleet.rs
@@ -35,7 +35,7 @@
         if !agents.iter().any(|agent| agent.place.host == host) {
             return Err(lift_admin::FleetError::UnknownHost(host).into());
         }
-        Err(lift_admin::FleetError::Unconfirmed(host).into())
+        Err(lift_admin::FleetError::Unsupported(host).into())
     }
 }
 
--- a/crates/marjoramlift/src/demo.rs
+++ b/crates/marjoramlift/src/demo.rs
@@ -4,6 +4,12 @@
 
 use crate::run;
 
+/// Exit code for a part that could not be started.
+const FAILED: u8 = 1;
+
+/// Exit code for an option that is not valid.
+const INVALID_OPTION: u8 = 2;
+
 /// Options of the demo.
 #[derive(Debug, clap::Args)]
 pub(crate) struct DemoArgs {
@@ -29,9 +35,9 @@
     pub(crate) fn run(self) -> process::ExitCode {
         let report = match self.report() {
             Ok(report) => report,
-            Err(problem) => {
+            Err((code, problem)) => {
                 eprintln!("marjoramlift: {problem}");
-                return process::ExitCode::FAILURE;
+                return process::ExitCode::from(code);
             }
         };
         if self.json {
@@ -46,18 +52,24 @@
         }
     }
 
-    fn report(&self) -> Result<lift_node::DemoReport, String> {
+    /// Runs the demo. A failure comes with its exit code.
+    fn report(&self) -> Result<lift_node::DemoReport, (u8, String)> {
         let log = lift_obs::LogConfig::new().level(&self.log_level);
-        let log = log.map_err(|e| e.to_string())?.build();
+        let log = log.map_err(|e| (INVALID_OPTION, e.to_string()))?.build();
         let options = lift_node::DemoOptions {
             weights: self.weights.clone(),
             replicas: self.replicas,
         };
-        let runtime = run::runtime()?;
+        let runtime = run::runtime().map_err(|e| (FAILED, e))?;
         let progress = lift_node::DemoProgress::new();
         let report = runtime.block_on(lift_node::demo(&options, &progress, &log));
         runtime.shutdown_background();
-        report.map_err(|e| format!("{e:?}"))
+        report.map_err(|e| match e.current_context() {
+            lift_node::DemoError::Weights { .. } | lift_node::DemoError::Replicas { .. } => {
+                (INVALID_OPTION, e.to_string())
+            }
+            _ => (FAILED, format!("{e:?}")),
+        })
     }
 }
 
