Stop the roles that have started when a later one fails

A failed start of the entry left the control role's files in use, so that a second start in the same process failed too. The TLS test of the caller listener found it.

--- a/crates/lift_node/src/node.rs
+++ b/crates/lift_node/src/node.rs
@@ -15,6 +15,9 @@
 /// handing over the lead and closing files.
 const DRAIN_PERCENT: u32 = 90;
 
+/// Longest time to stop the roles that have started when a later one fails.
+const FAILED_START_GRACE: time::Duration = time::Duration::from_secs(2);
+
 /// The roles of one process.
 #[derive(Debug)]
 pub struct Node {
@@ -33,7 +36,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error where a role can't start. Roles that have started are dropped.
+    /// Returns an error where a role can't start. Roles that have started are stopped.
     pub async fn start(settings: &lift_settings::Settings, log: slog::Logger) -> Result<Self> {
         let cx = node_context::NodeContext::new(settings, log)?;
         let exporting = tokio_util::sync::CancellationToken::new();
@@ -43,27 +46,36 @@
             let task = export(exporter, cx.counters.clone());
             tokio::spawn(exporting.clone().run_until_cancelled_owned(task));
         }
-        let control = match section(settings, lift_settings::Role::Control, &settings.control)? {
-            Some(cfg) => Some(control_role::ControlRole::start(&cx, cfg).await?),
-            None => None,
-        };
-        let entry = match section(settings, lift_settings::Role::Entry, &settings.entry)? {
-            Some(cfg) => Some(entry_role::EntryRole::start(&cx, cfg).await?),
-            None => None,
-        };
-        let agent = match section(settings, lift_settings::Role::Agent, &settings.agent)? {
-            Some(cfg) => Some(agent_role::AgentRole::start(&cx, cfg).await?),
-            None => None,
+        let mut node = Self {
+            control: None,
+            entry: None,
+            agent: None,
+            cx,
+            _exporting: exporting.drop_guard(),
         };
+        if let Err(e) = node.start_roles(settings).await {
+            // Files are closed before the error is returned, so that a new try finds them free.
+            node.stop(FAILED_START_GRACE).await;
+            return Err(e);
+        }
+        let cx = &node.cx;
         slog::info!(cx.log, "node started"; "host" => cx.place.host,
             "region" => &cx.place.region, "version" => env!("CARGO_PKG_VERSION"));
-        Ok(Self {
-            control,
-            entry,
-            agent,
-            cx,
-            _exporting: exporting.drop_guard(),
-        })
+        Ok(node)
+    }
+
+    async fn start_roles(&mut self, settings: &lift_settings::Settings) -> Result<()> {
+        let cx = &self.cx;
+        if let Some(cfg) = section(settings, lift_settings::Role::Control, &settings.control)? {
+            self.control = Some(control_role::ControlRole::start(cx, cfg).await?);
+        }
+        if let Some(cfg) = section(settings, lift_settings::Role::Entry, &settings.entry)? {
+            self.entry = Some(entry_role::EntryRole::start(cx, cfg).await?);
+        }
+        if let Some(cfg) = section(settings, lift_settings::Role::Agent, &settings.agent)? {
+            self.agent = Some(agent_role::AgentRole::start(cx, cfg).await?);
+        }
+        Ok(())
     }
 
     /// Addresses that the node listens on.
