--- a/crates/lift_bench/src/burst_fleet.rs
+++ b/crates/lift_bench/src/burst_fleet.rs
@@ -32,6 +32,8 @@
     pub(crate) hosts: Vec<sync::Arc<burst_host::BurstHost>>,
     pub(crate) agents: Vec<Option<lift_swarm::Swarm>>,
     pub(crate) live: sync::Arc<burst_live::BurstLive>,
+    /// Counters of all agents together.
+    pub(crate) counters: sync::Arc<lift_obs::Counters>,
     origin_base: String,
     chunk_size: u32,
     data: tempfile::TempDir,
@@ -64,6 +66,7 @@
             hosts: Vec::new(),
             agents: Vec::new(),
             live: sync::Arc::new(live),
+            counters: sync::Arc::default(),
             origin_base: format!("http://{relay}"),
             chunk_size: (options.bytes / CHUNKS) as u32,
             data: tempfile::tempdir().change_context(start)?,
@@ -199,8 +202,10 @@
         host: &sync::Arc<burst_host::BurstHost>,
     ) -> Result<lift_swarm::Swarm> {
         let share = (self.rates.host as f64 * CHUNK_SHARE) as u64;
+        let download = lift_transfer::DownloadConfig::default().origin_rate(self.rates.origin);
         let limits = lift_swarm::SwarmLimits::default()
-            .rates(share, share)
+            .download(download)
+            .upload_rate(share)
             .activation(time::Duration::from_secs(20), time::Duration::from_secs(10));
         let origin = lift_border::HttpOrigin::from_ip(&self.origin_base, host.ip);
         let key = lift_wire::LinkKey::new(1, [7; 32]);
@@ -218,6 +223,7 @@
             .engine(host.engine.clone())
             .serving(host.clone())
             .live_requests(host.live_requests())
+            .counters(self.counters.clone())
             .start()
             .await
             .change_context(bench_error::BenchError::Start)
--- a/crates/lift_entry/src/claimed_path.rs
+++ b/crates/lift_entry/src/claimed_path.rs
@@ -5,8 +5,8 @@
 use axum::response;
 
 use crate::{
-    answer_part, answer_stream, caller_reply, caller_request, claim_client, exchange, permit,
-    sending, shared,
+    answer_part, answer_stream, begun, caller_reply, caller_request, claim_client, exchange,
+    permit, shared,
 };
 
 use lift_route::{ClaimedAction as Action, ClaimedEvent as Event};
@@ -22,17 +22,7 @@
     req: sync::Arc<caller_request::CallerRequest>,
     choice: lift_route::ChoiceRequest,
     claims: claim_client::ClaimClient,
-    answer: Option<Begun>,
-}
-
-/// An answer that has begun.
-#[derive(Debug)]
-struct Begun {
-    exchange: exchange::Exchange,
-    head: lift_border::AnswerHead,
-    early: Vec<bytes::Bytes>,
-    host: lift_types::HostId,
-    is_whole: bool,
+    answer: Option<begun::Begun>,
 }
 
 impl ClaimedPath {
@@ -53,12 +43,25 @@
     }
 
     /// Runs the request to an answer, "not run" or "in doubt".
-    pub(crate) async fn run(mut self, permit: permit::Permit) -> response::Response {
-        let mut machine = lift_route::ClaimedRequest::new();
-        let mut action = Action::Choose;
-        let mut has_claim = false;
+    pub(crate) async fn run(self, permit: permit::Permit) -> response::Response {
+        let machine = lift_route::ClaimedRequest::new();
+        self.drive(machine, Action::Choose, Some(permit)).await
+    }
+
+    /// Refuses the request before anything was sent. Another sending under its key may have
+    /// run, so control is asked about the key first.
+    pub(crate) async fn refuse(self, reason: lift_types::RefusalReason) -> response::Response {
+        let machine = lift_route::ClaimedRequest::refusing(reason);
+        self.drive(machine, Action::Look, None).await
+    }
+
+    async fn drive(
+        mut self,
+        mut machine: lift_route::ClaimedRequest,
+        mut action: Action,
+        permit: Option<permit::Permit>,
+    ) -> response::Response {
         loop {
-            has_claim |= matches!(action, Action::Send(_) | Action::Query { .. });
             let event = match action {
                 Action::Choose => self.choose().await,
                 Action::Claim { host, incarnation } => self.claims.claim(host, incarnation).await,
@@ -72,7 +75,9 @@
                 Action::Look => self.claims.look().await,
                 Action::GiveAnswer => return self.give_answer(permit),
                 Action::GiveOutcome => return self.give_outcome(),
-                Action::NotRun { reason } => return self.not_run(reason, has_claim),
+                Action::NotRun { reason } => {
+                    return caller_reply::not_run(&self.shared, self.req.id, reason);
+                }
                 Action::InDoubt { reason } => {
                     return caller_reply::in_doubt(&self.shared, self.req.id, reason);
                 }
@@ -108,7 +113,12 @@
                 self.answer = Some(begun);
                 Event::Answered(holder)
             }
-            Err(end) => Event::Ended(holder, end),
+            Err(end) => {
+                if end == lift_route::AttemptEnd::Damaged {
+                    self.shared.directory.count_damage(holder.host);
+                }
+                Event::Ended(holder, end)
+            }
         }
     }
 
@@ -117,7 +127,7 @@
     async fn begin(
         &self,
         holder: lift_state::ClaimHolder,
-    ) -> Result<Begun, lift_route::AttemptEnd> {
+    ) -> Result<begun::Begun, lift_route::AttemptEnd> {
         let routes = self.shared.directory.routes();
         let hosts = routes.services.get(&self.req.service);
         let host = hosts
@@ -144,7 +154,7 @@
                 break false;
             }
         };
-        Ok(Begun {
+        Ok(begun::Begun {
             exchange,
             head,
             early,
@@ -153,8 +163,8 @@
         })
     }
 
-    fn give_answer(mut self, permit: permit::Permit) -> response::Response {
-        let Some(begun) = self.answer.take() else {
+    fn give_answer(mut self, permit: Option<permit::Permit>) -> response::Response {
+        let (Some(begun), Some(permit)) = (self.answer.take(), permit) else {
             let reason = lift_types::RefusalReason::BackendUnreachable;
             return caller_reply::in_doubt(&self.shared, self.req.id, reason);
         };
@@ -162,15 +172,11 @@
             let body = axum::body::Body::from(begun.early.concat());
             return caller_reply::answer(&self.shared, self.req.id, &begun.head, body);
         }
-        let stream = answer_stream::AnswerStream::new(
-            sync::Arc::clone(&self.shared),
-            sync::Arc::clone(&self.req),
-            begun.exchange,
-            begun.host,
-            permit,
-        );
-        let body = stream.early(begun.early).into_body();
-        caller_reply::answer(&self.shared, self.req.id, &begun.head, body)
+        let head = begun.head.clone();
+        let shared = sync::Arc::clone(&self.shared);
+        let req = sync::Arc::clone(&self.req);
+        let stream = answer_stream::AnswerStream::new(shared, req, begun, permit);
+        caller_reply::answer(&self.shared, self.req.id, &head, stream.into_body())
     }
 
     fn give_outcome(mut self) -> response::Response {
@@ -181,16 +187,4 @@
         self.shared.counters.increment("entry.outcomes_repeated");
         caller_reply::recorded(&self.shared, self.req.id, outcome)
     }
-
-    /// A request that found or made a claim has proof about the key. Without a claim there is
-    /// proof about this sending only.
-    fn not_run(&self, reason: lift_types::RefusalReason, has_claim: bool) -> response::Response {
-        let is_proved = has_claim || reason == lift_types::RefusalReason::KeyReused;
-        let sending = if is_proved {
-            sending::Sending::First
-        } else {
-            self.req.sending
-        };
-        caller_reply::refused(&self.shared, self.req.id, sending, reason)
-    }
 }
--- a/crates/lift_swarm/src/agent.rs
+++ b/crates/lift_swarm/src/agent.rs
@@ -2,10 +2,11 @@
 
 use std::{fmt, net, sync};
 
+use rand::seq::SliceRandom as _;
 use tokio::sync as tokio_sync;
 use tokio_util::{sync as util_sync, task};
 
-use crate::{chunk_store, peer_link, swarm_limits, swarm_status, transfer, version_store};
+use crate::{chunk_store, peer_link, seeds, swarm_limits, swarm_status, transfer, version_store};
 
 /// Shards of the links, by host.
 const LINK_SHARDS: usize = 8;
@@ -43,11 +44,11 @@
     pub(crate) transfer: parking_lot::Mutex<Option<transfer::Transfer>>,
     /// Chunks that were stored since the last message to the neighbours.
     pub(crate) fresh: parking_lot::Mutex<Vec<lift_types::ChunkIndex>>,
+    pub(crate) seeds: parking_lot::Mutex<seeds::Seeds>,
     pub(crate) fresh_now: tokio_sync::Notify,
     pub(crate) uploads: parking_lot::Mutex<lift_transfer::UploadQueue>,
     pub(crate) upload_now: tokio_sync::Notify,
     pub(crate) upload_pacer: parking_lot::Mutex<Option<lift_transfer::Pacer>>,
-    pub(crate) download_pacer: parking_lot::Mutex<Option<lift_transfer::Pacer>>,
     pub(crate) activation: parking_lot::Mutex<lift_transfer::Activation>,
     /// What the request side should serve.
     pub(crate) gate: tokio_sync::watch::Sender<Option<lift_types::ServingVersion>>,
@@ -90,28 +91,52 @@
         *self.live.borrow()
     }
 
-    /// Sends `message` to each linked agent that fetches `version`.
+    /// Tells each linked agent that fetches the version of `manifest` about those of `chunks`
+    /// that it wants to know about.
     pub(crate) fn tell_interested(
         &self,
-        version: &lift_types::VersionId,
-        message: &lift_wire::ChunkMessage,
+        manifest: &lift_types::Manifest,
+        chunks: &[lift_types::ChunkIndex],
     ) {
         self.links.for_each(|links| {
             for link in links.values() {
-                if link.interest.as_ref() == Some(version) {
-                    link.send(message.clone());
+                let Some(interest) = &link.interest else {
+                    continue;
+                };
+                let chunks = interest.filter(manifest, chunks);
+                if !chunks.is_empty() {
+                    let version = manifest.version.clone();
+                    link.send(lift_wire::ChunkMessage::Have { version, chunks });
                 }
             }
         });
     }
 
-    /// Sends `message` to each linked agent.
-    pub(crate) fn tell_all(&self, message: &lift_wire::ChunkMessage) {
-        self.links.for_each(|links| {
-            for link in links.values() {
-                link.send(message.clone());
-            }
+    /// Tells a few neighbours, and the agents of other regions that ask for it, about a chunk
+    /// that this host has brought into its region.
+    pub(crate) fn tell_first(
+        &self,
+        manifest: &lift_types::Manifest,
+        chunk: lift_types::ChunkIndex,
+    ) {
+        let mut links = Vec::new();
+        self.links.for_each(|shard| {
+            let interested = shard.values().filter(|link| {
+                let interest = link.interest.as_ref();
+                interest.is_some_and(|i| !i.filter(manifest, &[chunk]).is_empty())
+            });
+            links.extend(interested.cloned());
         });
+        links.shuffle(&mut rand::rng());
+        let region = &self.place.region;
+        let (near, far): (Vec<_>, Vec<_>) =
+            links.iter().partition(|link| link.place.region == *region);
+        let first = near.into_iter().take(seeds::FIRST_TOLD).chain(far);
+        for link in first {
+            let version = manifest.version.clone();
+            let chunks = vec![chunk];
+            link.send(lift_wire::ChunkMessage::Have { version, chunks });
+        }
     }
 
     /// Sends `message` to one agent, where it is linked.
--- a/crates/lift_swarm/src/target.rs
+++ b/crates/lift_swarm/src/target.rs
@@ -49,7 +49,8 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        agent.current_transfer_event(DownloadEvent::Clock);
+        let live = agent.live_requests();
+        agent.current_transfer_event(DownloadEvent::Clock { live });
         agent.activation_event(ActivationEvent::Clock);
     }
 }
@@ -91,6 +92,7 @@
         self.current_transfer_event(DownloadEvent::Superseded);
         *self.transfer.lock() = None;
         self.fresh.lock().clear();
+        self.seeds.lock().clear();
         let Some(version) = wanted else {
             return;
         };
@@ -114,18 +116,16 @@
         });
         let held = held.into_iter().map(|chunk| DownloadEvent::Held { chunk });
         self.transfer_events(&version, held);
-        self.tell_all(&lift_wire::ChunkMessage::Interest {
-            version: version.clone(),
-        });
-        let mut places = Vec::new();
+        let mut links = Vec::new();
         self.links
-            .for_each(|links| places.extend(links.values().map(|link| link.place.clone())));
-        let up = places
-            .into_iter()
-            .map(|place| DownloadEvent::PeerUp { place });
-        self.transfer_events(&version, up);
-        if let Some(bitmap) = self.bitmap(&version) {
-            self.tell_interested(&version, &bitmap);
+            .for_each(|shard| links.extend(shard.values().cloned()));
+        for link in &links {
+            self.link_up(link);
+        }
+        for link in &links {
+            if link.interest.as_ref().is_some_and(|i| i.version == version) {
+                self.bitmap(&version).map(|message| link.send(message));
+            }
         }
         let own = self.clone();
         self.spawn_until_stop(follow_view(own, version));
@@ -196,11 +196,18 @@
             lift_transfer::Upstream::Peer(peer) => Some(peer),
         });
         let all = view.neighbours.iter().chain(upstreams);
+        let mut groups = indexmap::IndexMap::<_, Vec<_>>::new();
+        for home in &view.home_groups {
+            if let lift_transfer::Upstream::Peer(peer) = &home.upstream {
+                groups.entry(peer.place.host).or_default().push(home.group);
+            }
+        }
         let by_host: indexmap::IndexMap<_, _> =
             all.map(|peer| (peer.place.host, peer.clone())).collect();
         *self.desired.lock() = by_host.into_values().collect();
         self.dial_now.notify_one();
         self.transfer_event(version, DownloadEvent::View(view));
+        self.set_upstream_groups(version, groups);
     }
 
     /// Assembles and verifies the whole, then lets the activation proceed.
