--- a/crates/lift_bench/src/config_fault.rs
+++ b/crates/lift_bench/src/config_fault.rs
@@ -21,8 +21,8 @@
     None,
     /// The leader is killed and restarted 3 s later.
     KillLeader,
-    /// The leader is cut off from members and clients, without an error, and reconnected
-    /// 5 s later.
+    /// The leader is cut off from members and clients, and the nodes of one region from
+    /// their entries, without an error. They are reconnected 5 s later.
     CutLeader,
     /// A follower loses its disk and is replaced under a new identity; then the leader is
     /// killed for good.
--- a/crates/lift_bench/src/config_faults.rs
+++ b/crates/lift_bench/src/config_faults.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::watch;
 
-use crate::{bench_error, config_cluster, config_fault, config_options};
+use crate::{bench_error, config_cluster, config_fault, config_fleet, config_options};
 
 type Result<T> = std::result::Result<T, error_stack::Report<bench_error::BenchError>>;
 
@@ -20,6 +20,7 @@
 pub(crate) async fn inject(
     options: &config_options::ConfigOptions,
     cluster: &mut config_cluster::ConfigCluster,
+    fleet: &config_fleet::ConfigFleet,
     mut progress: watch::Receiver<u64>,
 ) -> Result<Option<time::Instant>> {
     let third = options.changes / 3;
@@ -40,8 +41,10 @@
             let at = time::Instant::now();
             let path = cluster.members[leader].forwarder.path();
             cluster.cut(leader);
+            fleet.cut_region();
             tokio::time::sleep(CUT).await;
             cluster.heal(leader, path);
+            fleet.heal_region();
             Ok(Some(at))
         }
         config_fault::ConfigFault::LoseDisk => lose_disk(cluster, leader).await.map(Some),
--- a/crates/lift_bench/src/config_fleet.rs
+++ b/crates/lift_bench/src/config_fleet.rs
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 struct Entry {
     client: sync::Arc<lift_rpc::ControlClient>,
-    _server: lift_rpc::ControlServer,
+    server: lift_rpc::ControlServer,
     forwarder: config_forwarder::ConfigForwarder,
 }
 
@@ -117,6 +117,21 @@
         sync::Arc::clone(&self.entries[at % self.entries.len()].client)
     }
 
+    /// Cuts the nodes of the first region off from their entries, without an error.
+    pub(crate) fn cut_region(&self) {
+        for entry in self.entries.iter().step_by(REGIONS as usize) {
+            entry.forwarder.set(config_forwarder::Path::Cut);
+        }
+    }
+
+    /// Connects the first region again. Open connections stay silent.
+    pub(crate) fn heal_region(&self) {
+        for entry in self.entries.iter().step_by(REGIONS as usize) {
+            let path = config_forwarder::Path::To(entry.server.address());
+            entry.forwarder.set(path);
+        }
+    }
+
     /// Bytes between entries and nodes, both ways.
     pub(crate) fn node_bytes(&self) -> u64 {
         self.entries.iter().map(|e| e.forwarder.bytes()).sum()
@@ -147,7 +162,7 @@
             .change_context(bench_error::BenchError::Start)?;
         Ok(Self {
             client,
-            _server: server,
+            server,
             forwarder,
         })
     }
--- a/crates/lift_bench/src/config_run.rs
+++ b/crates/lift_bench/src/config_run.rs
@@ -66,7 +66,7 @@
         let changing = config_changes::make(options, clients, &progress);
         Usage::over(&fleet, changing).await
     };
-    let injecting = config_faults::inject(options, &mut cluster, followed);
+    let injecting = config_faults::inject(options, &mut cluster, &fleet, followed);
     let ((busy, sent), fault_at) = tokio::join!(changing, injecting);
     let last = sent
         .iter()
