Read late chunks from the origin under the goal time

Under both goals one region reads a group from the origin. Under time a home host reads a chunk itself once all turns have passed and its upstream still lacks it, so that the free part of the origin link shortens the end.

--- a/crates/lift_bench/examples/burst.rs
+++ b/crates/lift_bench/examples/burst.rs
@@ -7,6 +7,10 @@
 /// Worker threads: the experiment leaves part of the machine to others.
 const THREADS: usize = 6;
 
+/// Threads for files. Each host has these for itself in a real fleet; here all hosts verify
+/// their weights at the same time.
+const FILE_THREADS: usize = 8;
+
 #[derive(Debug, clap::Parser)]
 struct Args {
     #[command(flatten)]
@@ -17,6 +21,7 @@
     let args = Args::parse();
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(THREADS)
+        .max_blocking_threads(FILE_THREADS)
         .enable_all()
         .build();
     let Ok(runtime) = runtime else {
--- a/crates/lift_node/src/agent_role.rs
+++ b/crates/lift_node/src/agent_role.rs
@@ -8,10 +8,6 @@
 
 use crate::{node_context, node_error, serving_slot};
 
-/// Limit of chunk requests. Nothing asks for one yet; the uploads of the other agents and the
-/// yield to live requests bound the rate.
-const DOWNLOAD_BYTES_PER_S: u64 = 4 * 1024 * 1024 * 1024;
-
 /// Longest wait for requests in progress before a switch is given up.
 const DRAIN_LIMIT: time::Duration = time::Duration::from_secs(30);
 
@@ -107,7 +103,7 @@
     let origin = cfg.origin_addr.ok_or_else(missing)?;
     let order = time::Duration::from_millis(cfg.order_limit_ms);
     let limits = lift_swarm::SwarmLimits::default()
-        .rates(cfg.upload_bytes_per_s, DOWNLOAD_BYTES_PER_S)
+        .upload_rate(cfg.upload_bytes_per_s)
         .activation(order, DRAIN_LIMIT);
     let mut builder = lift_swarm::Swarm::builder()
         .place(cx.place.clone())
--- a/crates/lift_transfer/src/activation.rs
+++ b/crates/lift_transfer/src/activation.rs
@@ -19,12 +19,12 @@
     cfg: activation_config::ActivationConfig,
     wanted: Option<lift_types::VersionId>,
     revision: lift_types::Revision,
-    whole: indexmap::IndexMap<lift_types::VersionId, lift_types::ChunkHash>,
+    pub(crate) whole: indexmap::IndexMap<lift_types::VersionId, lift_types::ChunkHash>,
     lease_until: Option<time::Instant>,
-    serving: Option<lift_types::ServingVersion>,
-    engine: Option<Loaded>,
+    pub(crate) serving: Option<lift_types::ServingVersion>,
+    pub(crate) engine: Option<Loaded>,
     trust: Trust,
-    step: Step,
+    pub(crate) step: Step,
 }
 
 impl Activation {
@@ -261,29 +261,6 @@
         }
     }
 
-    /// Compares what the engine reports with what is advertised.
-    fn reported(&mut self, engine: Option<Loaded>, actions: &mut Vec<Action>) {
-        // The state before an order says nothing about the state after it.
-        if self.is_loading() {
-            return;
-        }
-        if self.step == Step::Starting {
-            self.step = Step::Idle;
-        }
-        let matches = match (&engine, &self.serving) {
-            (Some(engine), Some(serving)) => {
-                engine.version == serving.version
-                    && self.whole.get(&engine.version) == Some(&engine.hash)
-            }
-            (None, Some(_)) => false,
-            (_, None) => true,
-        };
-        if !matches {
-            self.withdraw(actions);
-        }
-        self.engine = engine;
-    }
-
     fn remove(&mut self, version: &lift_types::VersionId, actions: &mut Vec<Action>) {
         self.whole.shift_remove(version);
         if self.serving.as_ref().is_some_and(|s| s.version == *version) {
@@ -291,7 +268,7 @@
         }
     }
 
-    fn withdraw(&mut self, actions: &mut Vec<Action>) {
+    pub(crate) fn withdraw(&mut self, actions: &mut Vec<Action>) {
         self.engine = None;
         if self.serving.take().is_some() {
             actions.push(Action::Withdraw);
--- a/crates/lift_transfer/src/chunk_choice.rs
+++ b/crates/lift_transfer/src/chunk_choice.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt as _;
 
-use crate::{chunk_sources, download, download_config, source};
+use crate::{chunk_sources, download, download_config, download_peer, source};
 
 /// Most wanted chunks that one choice looks at. It bounds the work for versions with many
 /// chunks; a random part of them is as good as all of them.
@@ -68,6 +68,20 @@
         Some(source)
     }
 
+    /// Whether an upstream still lacks a chunk when the origin link has room again. Under the
+    /// goal `time` the chunk is then read from the origin a second time.
+    fn is_overdue(
+        &self,
+        now: time::Instant,
+        upstream: lift_types::HostId,
+        chunk: lift_types::ChunkIndex,
+    ) -> bool {
+        let has = |peer: &download_peer::DownloadPeer| peer.have[chunk as usize];
+        self.goal == lift_types::TransferGoal::Time
+            && self.turns.as_ref().is_some_and(|turns| turns.are_over(now))
+            && !self.peers.get(&upstream).is_some_and(has)
+    }
+
     /// While live requests are in progress the window is halved, so that their answers wait
     /// for less chunk traffic on the inbound link.
     fn is_window_full(&self, cfg: &download_config::DownloadConfig) -> bool {
@@ -100,7 +114,7 @@
         if self.holders[chunk as usize] > 0 {
             return self.best_neighbour(now, cfg, chunk, None, rng);
         }
-        match self.upstream(now, cfg, group)? {
+        match self.upstream(now, cfg, chunk, group)? {
             source::Source::Origin => {
                 let turns = self.turns.as_ref();
                 let is_ready = self.origin.is_ready(now, cfg.origin_window)
@@ -146,6 +160,7 @@
         &self,
         now: time::Instant,
         cfg: &download_config::DownloadConfig,
+        chunk: lift_types::ChunkIndex,
         group: lift_types::KeyGroup,
     ) -> Option<source::Source> {
         let chunk_sources::Home::Peer { host, lost_since } = self.homes.get(&group)? else {
@@ -154,7 +169,7 @@
         let is_lost = lost_since
             .is_some_and(|since| now.saturating_duration_since(since) >= cfg.upstream_timeout);
         let faults = self.peers.get(host).map_or(0, |peer| peer.faults);
-        if is_lost || faults >= MAX_UPSTREAM_FAULTS {
+        if is_lost || faults >= MAX_UPSTREAM_FAULTS || self.is_overdue(now, *host, chunk) {
             return Some(source::Source::Origin);
         }
         Some(source::Source::Peer(*host))
--- a/crates/lift_transfer/src/chunk_sources.rs
+++ b/crates/lift_transfer/src/chunk_sources.rs
@@ -27,6 +27,8 @@
     pub(crate) holders: Vec<u16>,
     pub(crate) homes: indexmap::IndexMap<lift_types::KeyGroup, Home>,
     pub(crate) origin: download_peer::DownloadPeer,
+    /// What the transfer saves.
+    pub(crate) goal: lift_types::TransferGoal,
     /// Turns of reads from the origin, where its rate is known.
     pub(crate) turns: Option<origin_turns::OriginTurns>,
     /// Chunks that were refused, and until when others are requested in their place.
@@ -46,6 +48,7 @@
             holders: vec![0; chunks],
             homes: indexmap::IndexMap::new(),
             origin: download_peer::DownloadPeer::new(0),
+            goal: lift_types::TransferGoal::Origin,
             turns: None,
             refused: indexmap::IndexMap::new(),
             yielding: false,
--- a/crates/lift_transfer/src/download.rs
+++ b/crates/lift_transfer/src/download.rs
@@ -143,6 +143,7 @@
             let turns = origin_turns::OriginTurns::new(now, &self.held, size, rate);
             self.sources.turns = Some(turns);
         }
+        self.sources.goal = view.goal;
         self.sources.set_home_groups(now, &view.home_groups);
     }
 
--- a/crates/lift_transfer/src/home_table.rs
+++ b/crates/lift_transfer/src/home_table.rs
@@ -28,7 +28,7 @@
     homes: indexmap::IndexMap<lift_types::RegionId, Vec<usize>>,
     /// For each group the position of its home region in `regions`.
     home_regions: Vec<usize>,
-    origin_regions: usize,
+    goal: lift_types::TransferGoal,
 }
 
 impl HomeTable {
@@ -53,7 +53,7 @@
             peers,
             homes,
             home_regions,
-            origin_regions: origin_regions(goal, regions.len()),
+            goal,
             regions,
         }
     }
@@ -62,6 +62,7 @@
     /// then has neighbours but no home groups.
     pub fn view(&self, place: &lift_types::Place) -> swarm_view::SwarmView {
         swarm_view::SwarmView {
+            goal: self.goal,
             neighbours: self.neighbours(place),
             home_groups: self.home_groups(place),
         }
@@ -99,8 +100,10 @@
 
     fn upstream(&self, region: usize, group: lift_types::KeyGroup) -> upstream::Upstream {
         let first = self.home_regions[usize::from(group)];
-        let distance = (region + self.regions.len() - first) % self.regions.len();
-        if distance < self.origin_regions {
+        // Under either goal one region reads a group from the origin. A second reader would
+        // use the origin link for a copy that a region link carries sooner; `docs/burst.md`
+        // has the reasons.
+        if region == first {
             return upstream::Upstream::Origin;
         }
         let home = self.homes[first][usize::from(group)];
@@ -108,16 +111,6 @@
     }
 }
 
-/// Number of regions that read each group from the origin. Under `time` a second region
-/// reads the origin where there are enough regions for it to shorten the path; see
-/// `docs/burst.md` for the measurements.
-fn origin_regions(goal: lift_types::TransferGoal, _regions: usize) -> usize {
-    match goal {
-        lift_types::TransferGoal::Origin => 1,
-        lift_types::TransferGoal::Time => 1,
-    }
-}
-
 fn homes_of(peers: &[swarm_peer::SwarmPeer], members: &[usize]) -> Vec<usize> {
     (0..lift_types::CHUNK_KEY_GROUPS)
         .map(|group| {
--- a/crates/lift_transfer/src/lib.rs
+++ b/crates/lift_transfer/src/lib.rs
@@ -14,6 +14,7 @@
 mod activation_action;
 mod activation_config;
 mod activation_event;
+mod activation_report;
 mod activation_state;
 mod assign;
 mod chunk_choice;
--- a/crates/lift_transfer/src/origin_turns.rs
+++ b/crates/lift_transfer/src/origin_turns.rs
@@ -38,6 +38,12 @@
         }
     }
 
+    /// Whether all turns have passed at `now`, so that the origin link has room.
+    pub(crate) fn are_over(&self, now: time::Instant) -> bool {
+        let last = self.turns.last().copied().unwrap_or_default();
+        now > self.start + self.interval * last * 2
+    }
+
     /// Whether the turn of `chunk` has come at `now`.
     pub(crate) fn has_come(&self, now: time::Instant, chunk: lift_types::ChunkIndex) -> bool {
         let turn = self.turns.get(chunk as usize).copied().unwrap_or_default();
--- a/crates/lift_transfer/src/swarm_view.rs
+++ b/crates/lift_transfer/src/swarm_view.rs
@@ -6,6 +6,8 @@
 /// the number of hosts: at most 16 neighbours and 256 home groups.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct SwarmView {
+    /// What the transfer saves.
+    pub goal: lift_types::TransferGoal,
     /// Agents to exchange chunks with.
     pub neighbours: Vec<swarm_peer::SwarmPeer>,
     /// Key groups that this agent reads first in its region.
