--- a/crates/lift_matrix/tests/fault_matrix.rs
+++ b/crates/lift_matrix/tests/fault_matrix.rs
@@ -7,6 +7,8 @@
     /// Seeds for each cell. The same seed gives the same run.
     const SEEDS: u64 = 20;
 
+    mod config;
+    mod config_parts;
     mod engine;
     mod request;
     mod spread;
@@ -27,6 +29,11 @@
         };
     }
 
+    mod config_cells {
+        cells! { super::super::config::run, lift_matrix::ConfigStep, change_received
+        leader_synced follower_synced committed answered applied confirmed }
+    }
+
     mod spread_cells {
         cells! { super::super::spread::run, lift_matrix::SpreadStep, manifest_read
         chunk_requested chunk_arrived whole_verified grant_requested draining load_ordered
--- a/crates/lift_matrix/tests/fault_matrix/spread.rs
+++ b/crates/lift_matrix/tests/fault_matrix/spread.rs
@@ -349,7 +349,7 @@
             .is_some_and(|download| !download.is_whole())
         {
             self.exchange(host);
-            self.download(host, DownloadEvent::Clock);
+            self.download(host, DownloadEvent::Clock { live: 0 });
         }
         self.activate(host, ActivationEvent::Clock);
     }
