--- a/crates/lift_consensus/tests/decisions.rs
+++ b/crates/lift_consensus/tests/decisions.rs
@@ -254,6 +254,8 @@
         message(from, 1, term, body)
     };
     run(&mut follower, now, append(2, 1, (0, 0), 5));
+    // The new term is synced before the entries, so that they alone hold the reply back.
+    run(&mut follower, now, append(3, 2, (2, 1), 0));
     follower.step(now, append(3, 2, (2, 1), 3));
     let confirmed = |actions: &[Action]| {
         let matched = actions.iter().filter_map(|action| match action {
@@ -267,6 +269,6 @@
     };
     let unsynced = follower.step(now, append(3, 2, (5, 2), 0));
     assert!(confirmed(&unsynced).is_none_or(|matched| matched <= 2));
-    let synced = follower.step(now, Event::Synced(2));
+    let synced = follower.step(now, Event::Synced(3));
     assert_eq!(confirmed(&synced), Some(5));
 }
--- a/crates/lift_log/src/lib.rs
+++ b/crates/lift_log/src/lib.rs
@@ -16,6 +16,7 @@
 mod log_driver_builder;
 mod log_status;
 mod member_files;
+mod member_start;
 mod node;
 mod peer_frame;
 mod peer_link;
--- a/crates/lift_log/src/log_driver.rs
+++ b/crates/lift_log/src/log_driver.rs
@@ -25,7 +25,7 @@
     pub(crate) node: sync::Arc<node::Node>,
     pub(crate) threads: parking_lot::Mutex<Vec<thread::JoinHandle<()>>>,
     pub(crate) tasks: tokio_util::task::TaskTracker,
-    pub(crate) waiting: tokio::sync::Semaphore,
+    waiting: tokio::sync::Semaphore,
 }
 
 impl LogDriver {
@@ -34,9 +34,14 @@
         log_driver_builder::LogDriverBuilder::new()
     }
 
-    /// Number of commands that may wait.
-    pub(crate) fn new_waiting() -> tokio::sync::Semaphore {
-        tokio::sync::Semaphore::new(MAX_WAITING)
+    /// A member whose threads are not started yet.
+    pub(crate) fn new(node: sync::Arc<node::Node>) -> Self {
+        Self {
+            node,
+            threads: parking_lot::Mutex::new(Vec::new()),
+            tasks: tokio_util::task::TaskTracker::new(),
+            waiting: tokio::sync::Semaphore::new(MAX_WAITING),
+        }
     }
 
     /// Stops at once, without handing over the lead, and returns when all files are closed.
--- a/crates/lift_log/src/log_driver_builder.rs
+++ b/crates/lift_log/src/log_driver_builder.rs
@@ -1,17 +1,10 @@
 //! Settings of a member.
 
-use std::{net, path, sync, thread, time};
+use std::{net, path, sync};
 
 use error_stack::ResultExt as _;
-use rand::SeedableRng as _;
-use sync::{atomic, mpsc};
-use tokio::sync::watch;
 
-use crate::{
-    apply_thread, bindings, disk_thread, leadership, link_switch, log_driver, member_files, node,
-    peer_link, peer_links, peer_port, snapshot_thread, start_error, state_machine, timer_thread,
-    waiters,
-};
+use crate::{link_switch, log_driver, member_files, member_start, start_error, state_machine};
 
 type Result<T> = std::result::Result<T, error_stack::Report<start_error::StartError>>;
 
@@ -138,94 +131,24 @@
     /// can't be used. Damaged files are named in the report.
     pub async fn start(self) -> Result<log_driver::LogDriver> {
         let keys = self.keys.clone().ok_or_else(|| missing("keys"))?;
-        let machine = self
-            .machine
-            .clone()
-            .ok_or_else(|| missing("state_machine"))?;
+        let machine = self.machine.clone();
+        let machine = machine.ok_or_else(|| missing("state_machine"))?;
         let listener = self.listen()?;
-        let own_address = listener
-            .local_addr()
-            .change_context(start_error::StartError::Port)?;
         let files = self.open_files().await?;
-        let (store, snapshots, identities) = (files.store, files.snapshots, files.identities);
-
-        let counters = self.counters.clone().unwrap_or_default();
-        let (to_disk, disk_jobs) = mpsc::channel();
-        let (to_apply, apply_jobs) = mpsc::channel();
-        let (to_snapshot, snapshot_jobs) = mpsc::channel();
-        let (new_links, mut links) = tokio::sync::mpsc::unbounded_channel();
-        let (leadership, _) = watch::channel(leadership::Leadership::Follower { leader: None });
-        let rng = rand::rngs::StdRng::from_rng(&mut rand::rng());
-        let id = self.replica.id;
-        let mut cfg = self.replica;
+        let mut replica = self.replica;
         if !files.identity.confirmed {
-            cfg.voting = lift_consensus::Voting::Withheld;
+            replica.voting = lift_consensus::Voting::Withheld;
         }
-        let now = time::Instant::now();
-        let replica = lift_consensus::Replica::new(cfg, files.restored, now, rng);
-        let node = sync::Arc::new(node::Node {
-            id,
-            log: self.log.new(slog::o!("member" => id)),
-            replica: parking_lot::Mutex::new(replica),
-            queue: parking_lot::Mutex::new(Vec::new()),
-            waiters: waiters::Waiters::new(),
-            bindings: bindings::Bindings::new(files.identity),
-            leadership,
-            links: peer_links::PeerLinks::new(id, sync::Arc::clone(&counters), new_links),
-            counters,
+        let parts = member_start::MemberStart {
+            replica,
+            log: self.log,
+            counters: self.counters.unwrap_or_default(),
             switch: self.switch,
-            timer: timer_thread::Timer::default(),
-            to_disk,
-            to_apply,
-            to_snapshot,
-            stopped: atomic::AtomicBool::new(false),
-            cancel: tokio_util::sync::CancellationToken::new(),
-        });
-
-        let driver = log_driver::LogDriver {
-            node: sync::Arc::clone(&node),
-            threads: parking_lot::Mutex::new(Vec::new()),
-            tasks: tokio_util::task::TaskTracker::new(),
-            waiting: log_driver::LogDriver::new_waiting(),
-        };
-        let spawn = |name: &str, run: Box<dyn FnOnce(&node::Node) + Send>| {
-            let node = sync::Arc::clone(&node);
-            let builder = thread::Builder::new().name(format!("log-{name}-{id}"));
-            let spawned = builder.spawn(move || run(&node));
-            let thread = spawned.change_context(start_error::StartError::Thread)?;
-            driver.threads.lock().push(thread);
-            Ok::<_, error_stack::Report<start_error::StartError>>(())
-        };
-        spawn(
-            "disk",
-            Box::new(move |node| disk_thread::run(node, store, &identities, &disk_jobs)),
-        )?;
-        spawn(
-            "apply",
-            Box::new(move |node| apply_thread::run(node, &*machine, &apply_jobs)),
-        )?;
-        spawn(
-            "snap",
-            Box::new(move |node| snapshot_thread::run(node, &snapshots, &snapshot_jobs)),
-        )?;
-        spawn("timer", Box::new(timer_thread::run))?;
-
-        let cx = peer_link::LinkContext {
-            node: sync::Arc::clone(&node),
             keys,
-            own_address,
+            machine,
+            listener,
         };
-        let tasks = driver.tasks.clone();
-        tasks.spawn(peer_port::run(cx.clone(), listener, tasks.clone()));
-        let link_tasks = tasks.clone();
-        tasks.spawn(async move {
-            let cancel = cx.node.cancel.clone();
-            while let Some(Some(link)) = cancel.run_until_cancelled(links.recv()).await {
-                link_tasks.spawn(peer_link::run(cx.clone(), link));
-            }
-        });
-        node.step(lift_consensus::Event::Tick);
-        Ok(driver)
+        parts.start(files)
     }
 
     async fn open_files(&self) -> Result<member_files::MemberFiles> {
