--- a/crates/lift_consensus/src/limits.rs
+++ b/crates/lift_consensus/src/limits.rs
@@ -17,6 +17,9 @@
     pub snapshot_after_entries: u64,
     /// Size of the held entries that leads to a new snapshot, in bytes.
     pub snapshot_after_bytes: usize,
+    /// Size of the held entries, in percent of the last snapshot, below which no new one is
+    /// taken. Without it a large state would be encoded again after few changes.
+    pub snapshot_after_percent: usize,
     /// Entries before a snapshot that are kept for slow followers.
     pub keep_entries: u64,
 }
@@ -30,6 +33,7 @@
             snapshot_part_bytes: 128 * 1024,
             snapshot_after_entries: 100_000,
             snapshot_after_bytes: 64 * 1024 * 1024,
+            snapshot_after_percent: 100,
             keep_entries: 10_000,
         }
     }
--- a/crates/lift_consensus/src/replica_replicate.rs
+++ b/crates/lift_consensus/src/replica_replicate.rs
@@ -199,9 +199,14 @@
     /// Asks the state machine for a snapshot where the log has grown enough.
     pub(crate) fn start_snapshot(&mut self) {
         let limits = self.cfg.limits;
-        let covered = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
-        let due = self.applied.saturating_sub(covered) >= limits.snapshot_after_entries
+        let held = self
+            .snapshot
+            .as_ref()
+            .map(|held| (held.index, held.state.len()));
+        let (covered, state_bytes) = held.unwrap_or_default();
+        let many = self.applied.saturating_sub(covered) >= limits.snapshot_after_entries
             || (self.log.bytes() >= limits.snapshot_after_bytes && self.applied > covered);
+        let due = many && self.log.bytes() >= state_bytes / 100 * limits.snapshot_after_percent;
         if !due || self.encoding || self.saving.is_some() {
             return;
         }
--- a/crates/lift_disk/tests/model/host.rs
+++ b/crates/lift_disk/tests/model/host.rs
@@ -80,6 +80,7 @@
             in_flight_messages: 3,
             snapshot_part_bytes: 700,
             snapshot_after_entries: 12,
+            snapshot_after_percent: 0,
             keep_entries: 4,
             ..lift_consensus::Limits::default()
         };
--- a/crates/lift_log/src/disk_thread.rs
+++ b/crates/lift_log/src/disk_thread.rs
@@ -10,6 +10,10 @@
 /// Writes that share one sync at most.
 const MAX_GROUP: usize = 1_024;
 
+/// Size of the writes from which no further one joins them, in bytes. It bounds the memory
+/// and the time of one record.
+const MAX_GROUP_BYTES: usize = 8 * 1024 * 1024;
+
 /// Work of the disk thread.
 #[derive(Debug)]
 pub(crate) enum Job {
@@ -79,13 +83,21 @@
     first: lift_consensus::Write,
     jobs: &mpsc::Receiver<Job>,
 ) -> (Vec<lift_consensus::Write>, Option<Job>) {
+    let mut bytes = size(&first);
     let mut group = vec![first];
-    while group.len() < MAX_GROUP {
+    while group.len() < MAX_GROUP && bytes < MAX_GROUP_BYTES {
         match jobs.try_recv() {
-            Ok(Job::Write(write)) => group.push(write),
+            Ok(Job::Write(write)) => {
+                bytes += size(&write);
+                group.push(write);
+            }
             Ok(other) => return (group, Some(other)),
             Err(_) => break,
         }
     }
     (group, None)
 }
+
+fn size(write: &lift_consensus::Write) -> usize {
+    write.entries.iter().map(lift_consensus::Entry::size).sum()
+}
--- a/crates/lift_log/src/peer_links.rs
+++ b/crates/lift_log/src/peer_links.rs
@@ -28,6 +28,8 @@
     id: lift_types::MemberId,
     counters: sync::Arc<lift_obs::Counters>,
     links: parking_lot::Mutex<indexmap::IndexMap<lift_types::MemberId, Link>>,
+    /// Members for which links were opened last.
+    members: parking_lot::Mutex<lift_consensus::MemberSet>,
     new_links: mpsc::UnboundedSender<NewLink>,
 }
 
@@ -42,6 +44,7 @@
             id,
             counters,
             links: parking_lot::Mutex::new(indexmap::IndexMap::new()),
+            members: parking_lot::Mutex::new(lift_consensus::MemberSet::new()),
             new_links,
         }
     }
@@ -58,12 +61,21 @@
         }
     }
 
-    /// Opens links to `members`. Links to others stay open while they are used, since a
-    /// new member may answer a leader that it does not know yet.
+    /// Opens links to `members` and closes those to members that were removed. A link to
+    /// another host stays open: a new member answers a leader that it does not know yet.
     pub(crate) fn set_members(&self, members: &lift_consensus::MemberSet) {
+        let mut known = self.members.lock();
+        if *known == *members {
+            return;
+        }
+        let removed = known.iter().filter(|(id, _)| members.get(*id).is_none());
+        for (id, _) in removed {
+            self.links.lock().shift_remove(&id);
+        }
         for (id, member) in members.iter() {
             self.open(id, member.peer);
         }
+        *known = members.clone();
     }
 
     /// Opens a link to `address`, where there is none.
