Write the initial members into the log

Cause: until the first change of members the log held no member set, so an edit of the settings before a restart would have changed the members without a decision of the log.

Change: the first leader appends the initial members.

--- a/crates/lift_consensus/src/replica_leader.rs
+++ b/crates/lift_consensus/src/replica_leader.rs
@@ -22,7 +22,17 @@
             heartbeat_due: now + self.cfg.timing.heartbeat,
             transfer: None,
         }));
-        self.append(payload::Payload::Noop);
+        let payload = self.opening();
+        self.append(payload);
+    }
+
+    /// First entry of a term. The first leader of a cluster writes the initial members into
+    /// the log, so that an edit of the settings can't change them later.
+    fn opening(&self) -> payload::Payload {
+        if self.members.current_index() > 0 {
+            return payload::Payload::Noop;
+        }
+        payload::Payload::Members(self.members().clone())
     }
 
     /// Appends an entry of the current term.
--- a/crates/lift_consensus/tests/decisions.rs
+++ b/crates/lift_consensus/tests/decisions.rs
@@ -272,3 +272,28 @@
     let synced = follower.step(now, Event::Synced(3));
     assert_eq!(confirmed(&synced), Some(5));
 }
+
+/// Guards against members that change because the settings are edited before a restart.
+#[test]
+fn the_first_leader_writes_the_initial_members_into_the_log() {
+    let start = time::Instant::now();
+    let now = start + time::Duration::from_secs(1);
+    let mut leader = replica(1, 1, start);
+    let members = leader.members().clone();
+    let mut entries = Vec::new();
+    for action in run(&mut leader, now, Event::Tick) {
+        if let Action::Write(write) = action {
+            entries.extend(write.entries);
+        }
+    }
+    let restored = lift_consensus::Restored {
+        entries,
+        ..lift_consensus::Restored::default()
+    };
+    let cfg = lift_consensus::ReplicaConfig {
+        id: 1,
+        ..lift_consensus::ReplicaConfig::default()
+    };
+    let rng = rand::rngs::StdRng::seed_from_u64(1);
+    assert_eq!(Replica::new(cfg, restored, now, rng).members(), &members);
+}
