--- a/crates/lift_consensus/tests/decisions.rs
+++ b/crates/lift_consensus/tests/decisions.rs
@@ -254,6 +254,8 @@
         message(from, 1, term, body)
     };
     run(&mut follower, now, append(2, 1, (0, 0), 5));
+    // The new term is synced before the entries, so that they alone hold the reply back.
+    run(&mut follower, now, append(3, 2, (2, 1), 0));
     follower.step(now, append(3, 2, (2, 1), 3));
     let confirmed = |actions: &[Action]| {
         let matched = actions.iter().filter_map(|action| match action {
@@ -267,6 +269,31 @@
     };
     let unsynced = follower.step(now, append(3, 2, (5, 2), 0));
     assert!(confirmed(&unsynced).is_none_or(|matched| matched <= 2));
-    let synced = follower.step(now, Event::Synced(2));
+    let synced = follower.step(now, Event::Synced(3));
     assert_eq!(confirmed(&synced), Some(5));
 }
+
+/// Guards against members that change because the settings are edited before a restart.
+#[test]
+fn the_first_leader_writes_the_initial_members_into_the_log() {
+    let start = time::Instant::now();
+    let now = start + time::Duration::from_secs(1);
+    let mut leader = replica(1, 1, start);
+    let members = leader.members().clone();
+    let mut entries = Vec::new();
+    for action in run(&mut leader, now, Event::Tick) {
+        if let Action::Write(write) = action {
+            entries.extend(write.entries);
+        }
+    }
+    let restored = lift_consensus::Restored {
+        entries,
+        ..lift_consensus::Restored::default()
+    };
+    let cfg = lift_consensus::ReplicaConfig {
+        id: 1,
+        ..lift_consensus::ReplicaConfig::default()
+    };
+    let rng = rand::rngs::StdRng::seed_from_u64(1);
+    assert_eq!(Replica::new(cfg, restored, now, rng).members(), &members);
+}
