--- a/crates/lift_bench/src/config_cluster.rs
+++ b/crates/lift_bench/src/config_cluster.rs
@@ -3,7 +3,6 @@
 use std::{net, sync, time};
 
 use error_stack::ResultExt as _;
-use lift_log::ReplicatedLog as _;
 
 use crate::{bench_error, config_forwarder, config_member};
 
@@ -124,40 +123,58 @@
 
     /// Replaces a member whose disk was lost by one with a new identity, as an operator
     /// would: learner, then voter, then the old identity is removed.
-    pub(crate) async fn replace(&mut self, at: usize) -> Result<()> {
+    pub(crate) async fn replace(
+        &mut self,
+        at: usize,
+        operator: &dyn lift_rpc::ControlPort,
+    ) -> Result<()> {
         let lost = self.members[at].id;
         let id = self.members.iter().map(|m| m.id).max().unwrap_or_default() + 1;
         let member = self.new_member(id).await?;
         let (peer, client) = (member.peer()?, member.forwarder.address());
         self.members.push(member);
-        self.change(lift_consensus::MemberChange::AddLearner { id, peer, client })
-            .await?;
+        change(
+            operator,
+            lift_consensus::MemberChange::AddLearner { id, peer, client },
+        )
+        .await?;
         self.restart(self.members.len() - 1).await?;
-        self.change(lift_consensus::MemberChange::Promote { id })
-            .await?;
-        self.change(lift_consensus::MemberChange::Remove { id: lost })
-            .await
+        change(operator, lift_consensus::MemberChange::Promote { id }).await?;
+        change(operator, lift_consensus::MemberChange::Remove { id: lost }).await
     }
 
     async fn new_member(&self, id: lift_types::MemberId) -> Result<config_member::ConfigMember> {
         let folder = self.folder.path().join(id.to_string());
         config_member::ConfigMember::new(id, folder).await
     }
+}
 
-    /// Repeats a change of members until the leader takes it; a learner is promoted only
-    /// once it has caught up.
-    async fn change(&self, change: lift_consensus::MemberChange) -> Result<()> {
-        let began = time::Instant::now();
-        while began.elapsed() < WAIT {
-            let leader = self.leader().await?;
-            if let Some(driver) = self.members[leader].driver()
-                && driver.change_member(change).await.is_ok()
-            {
-                return Ok(());
-            }
-            tokio::time::sleep(time::Duration::from_millis(20)).await;
+/// Repeats a change of members until it is in effect. A learner is promoted only once it
+/// has caught up, and the answer to a change may be lost.
+async fn change(
+    operator: &dyn lift_rpc::ControlPort,
+    change: lift_consensus::MemberChange,
+) -> Result<()> {
+    let began = time::Instant::now();
+    while began.elapsed() < WAIT {
+        if operator.change_member(change).await.is_ok() {
+            return Ok(());
         }
-        Err(timeout())
+        if let Ok(members) = operator.members().await
+            && is_in_effect(&members, change)
+        {
+            return Ok(());
+        }
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    Err(timeout())
+}
+
+fn is_in_effect(members: &lift_consensus::MemberSet, change: lift_consensus::MemberChange) -> bool {
+    match change {
+        lift_consensus::MemberChange::AddLearner { id, .. } => members.get(id).is_some(),
+        lift_consensus::MemberChange::Promote { id } => members.is_voter(id),
+        lift_consensus::MemberChange::Remove { id } => members.get(id).is_none(),
     }
 }
 
--- a/crates/lift_bench/src/config_faults.rs
+++ b/crates/lift_bench/src/config_faults.rs
@@ -47,7 +47,12 @@
             fleet.heal_region();
             Ok(Some(at))
         }
-        config_fault::ConfigFault::LoseDisk => lose_disk(cluster, leader).await.map(Some),
+        config_fault::ConfigFault::LoseDisk => {
+            let operator = fleet.operator(2);
+            lose_disk(cluster, leader, operator.as_ref())
+                .await
+                .map(Some)
+        }
     }
 }
 
@@ -56,12 +61,13 @@
 async fn lose_disk(
     cluster: &mut config_cluster::ConfigCluster,
     leader: usize,
+    operator: &dyn lift_rpc::ControlPort,
 ) -> Result<time::Instant> {
     let lost = (leader + 1) % cluster.members.len();
     cluster.members[lost].kill().await;
     let removed = std::fs::remove_dir_all(&cluster.members[lost].folder);
     removed.map_err(|_| error_stack::Report::new(bench_error::BenchError::Start))?;
-    cluster.replace(lost).await?;
+    cluster.replace(lost, operator).await?;
     let leader = cluster.leader().await?;
     let at = time::Instant::now();
     cluster.members[leader].kill().await;
--- a/crates/lift_control/src/control_node.rs
+++ b/crates/lift_control/src/control_node.rs
@@ -16,6 +16,7 @@
 #[derive(Debug)]
 pub struct ControlNode {
     pub(crate) machine: sync::Arc<control_machine::ControlMachine>,
+    pub(crate) log: sync::Arc<dyn lift_log::ReplicatedLog>,
     proposals: proposals::Proposals,
     leadership: watch::Receiver<lift_log::Leadership>,
     lease: time::Duration,
@@ -40,7 +41,8 @@
         let node = sync::Arc::new(Self {
             machine,
             leadership: log.leadership(),
-            proposals: proposals::Proposals::start(log),
+            proposals: proposals::Proposals::start(sync::Arc::clone(&log)),
+            log,
             lease,
             tenure: lift_shard::Shards::new(1, |_| None),
             counters,
--- a/crates/lift_control/src/control_operations.rs
+++ b/crates/lift_control/src/control_operations.rs
@@ -145,6 +145,31 @@
         Ok(found)
     }
 
+    async fn members(&self) -> Result<lift_consensus::MemberSet> {
+        let members = self.log.members().members;
+        self.check_leading()?;
+        Ok(members)
+    }
+
+    async fn change_member(&self, change: lift_consensus::MemberChange) -> Result<()> {
+        self.check_leading()?;
+        let Err(error) = self.log.change_member(change).await else {
+            return Ok(());
+        };
+        let name = match error.current_context() {
+            lift_log::ChangeError::Refused(lift_consensus::Refusal::NotLeader) => {
+                lift_rpc::ControlError::NotLeader { leader: None }
+            }
+            lift_log::ChangeError::Refused(refusal) => {
+                limits::invalid("member", &refusal.to_string())
+            }
+            lift_log::ChangeError::Unknown | lift_log::ChangeError::Stopped => {
+                lift_rpc::ControlError::Unknown
+            }
+        };
+        Err(error.change_context(name))
+    }
+
     fn watch(&self) -> watch::Receiver<lift_types::PolicyView> {
         self.machine.watch()
     }
--- a/crates/lift_rpc/src/control_client.rs
+++ b/crates/lift_rpc/src/control_client.rs
@@ -160,6 +160,19 @@
         expect!(self.call(req).await?, reply::Reply::Audit)
     }
 
+    async fn members(&self) -> Result<lift_consensus::MemberSet> {
+        let reply = self.call(request::Request::Members).await?;
+        expect!(reply, reply::Reply::Members)
+    }
+
+    async fn change_member(&self, change: lift_consensus::MemberChange) -> Result<()> {
+        let req = request::Request::ChangeMember(change);
+        match self.core.call(&req, client_link::Resend::Refused).await? {
+            reply::Reply::Done => Ok(()),
+            other => Err(unexpected(&other)),
+        }
+    }
+
     fn watch(&self) -> watch::Receiver<lift_types::PolicyView> {
         self.core.view.subscribe()
     }
--- a/crates/lift_rpc/src/control_port.rs
+++ b/crates/lift_rpc/src/control_port.rs
@@ -80,6 +80,18 @@
         Ok(replies)
     }
 
+    /// Members of the replicated log.
+    async fn members(&self) -> Result<lift_consensus::MemberSet> {
+        Err(unserved("members"))
+    }
+
+    /// Makes one change of the members of the replicated log, for instance to replace a host
+    /// whose disk was lost. It is not repeated after a lost answer: ask for the members then.
+    async fn change_member(&self, change: lift_consensus::MemberChange) -> Result<()> {
+        let _ = change;
+        Err(unserved("changes of members"))
+    }
+
     /// Tells which policy is current, and how old that knowledge is. Control overrides this
     /// to answer from the leader alone; other nodes answer from what was confirmed to them.
     async fn confirm(&self) -> Result<confirmation::Confirmation> {
@@ -95,3 +107,8 @@
         })
     }
 }
+
+fn unserved(what: &str) -> error_stack::Report<control_error::ControlError> {
+    let problem = format!("this server does not serve {what}; ask a control member");
+    error_stack::Report::new(control_error::ControlError::UnknownMessage { problem })
+}
--- a/crates/lift_rpc/src/dispatch.rs
+++ b/crates/lift_rpc/src/dispatch.rs
@@ -50,6 +50,11 @@
                 reply::Reply::Audit(port.audit(after, limit.min(MAX_AUDIT_RECORDS)).await?)
             }
             request::Request::SwarmView(req) => self.swarm_view(req).await?,
+            request::Request::Members => reply::Reply::Members(port.members().await?),
+            request::Request::ChangeMember(change) => {
+                port.change_member(change).await?;
+                reply::Reply::Done
+            }
         })
     }
 
--- a/crates/lift_rpc/src/relay.rs
+++ b/crates/lift_rpc/src/relay.rs
@@ -136,6 +136,17 @@
         self.upstream.audit(after, limit).await.map_err(hide_leader)
     }
 
+    async fn members(&self) -> Result<lift_consensus::MemberSet> {
+        self.upstream.members().await.map_err(hide_leader)
+    }
+
+    async fn change_member(&self, change: lift_consensus::MemberChange) -> Result<()> {
+        self.upstream
+            .change_member(change)
+            .await
+            .map_err(hide_leader)
+    }
+
     fn watch(&self) -> watch::Receiver<lift_types::PolicyView> {
         self.upstream.watch()
     }
--- a/crates/lift_rpc/src/reply.rs
+++ b/crates/lift_rpc/src/reply.rs
@@ -27,4 +27,5 @@
     FoundClaim(Option<lift_state::ClaimReply>),
     Audit(Vec<lift_state::AuditRecord>),
     SwarmView(lift_transfer::SwarmView),
+    Members(lift_consensus::MemberSet),
 }
--- a/crates/lift_rpc/src/request.rs
+++ b/crates/lift_rpc/src/request.rs
@@ -24,4 +24,6 @@
         limit: u32,
     },
     SwarmView(lift_transfer::SwarmViewRequest),
+    Members,
+    ChangeMember(lift_consensus::MemberChange),
 }
