--- a/crates/lift_rpc/src/packet.rs
+++ b/crates/lift_rpc/src/packet.rs
@@ -58,13 +58,24 @@
     }
 }
 
-/// Encodes a message for the body of a packet.
+/// Longest body, in bytes. The rest of a frame is for the envelope.
+const MAX_BODY_BYTES: usize = lift_wire::MAX_FRAME_BYTES as usize - 64;
+
+/// Encodes a message for the body of a packet. A message that does not fit into a frame is
+/// refused here, since the writer could only close the connection.
 pub(crate) fn encode<T: serde::Serialize>(
     message: &T,
 ) -> Result<bytes::Bytes, control_error::ControlError> {
-    let encoded = postcard::to_stdvec(message);
-    encoded.map(bytes::Bytes::from).map_err(|e| {
+    let encoded = postcard::to_stdvec(message).map_err(|e| {
         let problem = format!("the message can't be encoded: {e}");
         control_error::ControlError::UnknownMessage { problem }
-    })
+    })?;
+    if encoded.len() > MAX_BODY_BYTES {
+        let problem = format!("{} bytes; allowed: at most {MAX_BODY_BYTES}", encoded.len());
+        return Err(control_error::ControlError::Invalid {
+            path: String::from("message"),
+            problem,
+        });
+    }
+    Ok(bytes::Bytes::from(encoded))
 }
--- a/crates/lift_rpc/src/server_connection.rs
+++ b/crates/lift_rpc/src/server_connection.rs
@@ -116,9 +116,10 @@
     }
 
     async fn reply(&self, id: lift_types::RequestId, reply: &reply::Reply) {
-        let body = match packet::encode(reply) {
-            Ok(body) => body,
-            Err(_) => return,
+        let encoded =
+            packet::encode(reply).or_else(|error| packet::encode(&reply::Reply::Failed(error)));
+        let Ok(body) = encoded else {
+            return;
         };
         let packet = packet::Packet::new(packet::REPLY, id, body);
         // The writer ends with the connection.
--- a/crates/lift_rpc/tests/link_faults.rs
+++ b/crates/lift_rpc/tests/link_faults.rs
@@ -110,6 +110,16 @@
     }
 }
 
+/// Guards against an answer that closes the connection because it does not fit into a frame.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_is_too_long_is_refused() {
+    let server = serve(Scripted::at(1), LOCAL).await;
+    let client = client(&[server.address()]);
+    let error = client.audit(0, 10_000).await.unwrap_err();
+    assert!(error.current_context().to_string().contains("at most"));
+    assert_eq!(client.versions().await.unwrap(), ["v1"]);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_relay_reports_the_age_of_its_knowledge() {
     let port = Scripted::at(1);
--- a/crates/lift_rpc/tests/support/mod.rs
+++ b/crates/lift_rpc/tests/support/mod.rs
@@ -83,8 +83,17 @@
     async fn record(&self, _: lift_state::RecordRequest) -> Result<lift_state::ClaimReply> {
         refused()
     }
+    /// Longer than a frame.
     async fn audit(&self, _: u64, _: u32) -> Result<Vec<lift_state::AuditRecord>> {
-        refused()
+        let record = lift_state::AuditRecord {
+            revision: 1,
+            id: String::from("change-1"),
+            author: String::from("ana"),
+            reason: "long ".repeat(200),
+            at: std::time::SystemTime::UNIX_EPOCH,
+            edits: Vec::new(),
+        };
+        Ok(vec![record; 10_000])
     }
     fn watch(&self) -> watch::Receiver<PolicyView> {
         self.0.subscribe()
--- a/crates/lift_state/src/edit_rules.rs
+++ b/crates/lift_state/src/edit_rules.rs
@@ -8,6 +8,12 @@
 /// Most services, and most methods of one service.
 const MAX_SERVICES: usize = 256;
 
+/// Longest policy in bytes of text. Every node holds it, and it must fit into one message.
+const MAX_POLICY_BYTES: usize = 256 * 1024;
+
+/// What each exception, service and method adds to its text, in bytes.
+const ITEM_BYTES: usize = 32;
+
 /// Most names that an error message lists.
 const LISTED_NAMES: usize = 8;
 
@@ -90,6 +96,33 @@
     check_size("id", exceptions, 0, MAX_EXCEPTIONS)
 }
 
+/// Checks the size of a whole policy.
+pub(crate) fn check_policy_size(policy: &lift_types::Policy) -> Checked {
+    let exceptions = policy.exceptions.iter().map(|e| {
+        let text = e.id.len() + e.reason.len() + e.author.len() + e.scope.to_string().len();
+        let value = match &e.value {
+            lift_types::ExceptionValue::Version(text)
+            | lift_types::ExceptionValue::Method(text, _) => text.len(),
+            _ => 0,
+        };
+        text + value + ITEM_BYTES
+    });
+    let services = policy.default.services.iter().map(|(name, service)| {
+        let methods = service
+            .methods
+            .keys()
+            .map(|method| method.len() + ITEM_BYTES);
+        name.len() + ITEM_BYTES + methods.sum::<usize>()
+    });
+    let bytes = exceptions.sum::<usize>() + services.sum::<usize>();
+    if bytes <= MAX_POLICY_BYTES {
+        return Ok(());
+    }
+    let problem =
+        format!("the policy would have {bytes} bytes; allowed: at most {MAX_POLICY_BYTES}");
+    Err(invalid_value::InvalidValue::new("edits", problem))
+}
+
 /// Joins the first names, or tells that there are none.
 pub(crate) fn list<'a>(names: impl Iterator<Item = &'a str>) -> String {
     let names: Vec<&str> = names.take(LISTED_NAMES).collect();
--- a/crates/lift_state/src/policy_edits.rs
+++ b/crates/lift_state/src/policy_edits.rs
@@ -33,6 +33,7 @@
             invalid_value::InvalidValue::new(format!("edits[{i}].{}", e.path), e.problem)
         })?;
     }
+    edit_rules::check_policy_size(&next)?;
     Ok(next)
 }
 
--- a/crates/lift_state/tests/configuration.rs
+++ b/crates/lift_state/tests/configuration.rs
@@ -279,7 +279,17 @@
     };
     let mut default = lift_types::PolicyDefault::default();
     default.limits.weight = 0;
+    let mut long = lift_types::PolicyDefault::default();
+    for i in 0..200 {
+        let methods = (0..20).map(|m| (format!("{m:0>100}"), Default::default()));
+        let service = lift_types::ServicePolicy {
+            methods: methods.collect(),
+            ..lift_types::ServicePolicy::default()
+        };
+        long.services.insert(format!("service-{i}"), service);
+    }
     let cases = [
+        (ChangeEdit::SetDefault(long), "edits", "at most 262144"),
         (
             ChangeEdit::SetDefaultVersion("v9".into()),
             "edits[0].set_default_version",
