--- a/crates/lift_border/src/http_client.rs
+++ b/crates/lift_border/src/http_client.rs
@@ -6,8 +6,8 @@
 use http_body_util::BodyExt as _;
 use hyper_util::{client::legacy, rt};
 
-/// Idle connections kept to one system. More than a few are seldom in use at once.
-const MAX_IDLE: usize = 8;
+/// Idle connections kept to one system. More than two are seldom in use at once.
+const MAX_IDLE: usize = 2;
 
 /// Time in which a connection must be open.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
--- a/crates/lift_standin/src/link_net.rs
+++ b/crates/lift_standin/src/link_net.rs
@@ -1,6 +1,6 @@
 //! Links with limited rates around real TCP connections.
 
-use std::{io, net as std_net, sync};
+use std::{io, net as std_net, sync, time};
 
 use tokio::{net, sync as tokio_sync};
 use tokio_util::sync as util_sync;
@@ -10,6 +10,9 @@
 /// Connections that may wait to be accepted by a relay.
 const BACKLOG: u32 = 1_024;
 
+/// Pause before a failed accept is repeated.
+const ACCEPT_RETRY: time::Duration = time::Duration::from_millis(100);
+
 /// Relays on loopback that hold traffic to the rates of host links, region links and the
 /// origin link.
 ///
@@ -166,7 +169,12 @@
     ip: std_net::IpAddr,
     target: std_net::SocketAddr,
 ) {
-    while let Ok((stream, from)) = listener.accept().await {
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            // The process has no file descriptor left; waits for one to be closed.
+            tokio::time::sleep(ACCEPT_RETRY).await;
+            continue;
+        };
         let (Some(server), client) = (links.node(ip), links.node(from.ip())) else {
             continue;
         };
--- a/crates/lift_transfer/src/download_config.rs
+++ b/crates/lift_transfer/src/download_config.rs
@@ -62,7 +62,7 @@
 impl Default for DownloadConfig {
     fn default() -> Self {
         Self {
-            window: 10,
+            window: 8,
             per_peer: 2,
             origin_window: 2,
             origin_rate: None,
--- a/crates/lift_transfer/src/home_table.rs
+++ b/crates/lift_transfer/src/home_table.rs
@@ -6,7 +6,7 @@
 
 /// Most neighbours of one agent in its region. A random graph of this degree stays
 /// connected with high probability, and connections are used in both directions.
-pub const MAX_NEIGHBOURS: usize = 16;
+pub const MAX_NEIGHBOURS: usize = 8;
 
 /// Separates the hash of neighbours from the hashes of homes.
 const NEIGHBOUR_SEED: u64 = 1;
--- a/crates/lift_transfer/src/swarm_view.rs
+++ b/crates/lift_transfer/src/swarm_view.rs
@@ -3,7 +3,7 @@
 use crate::{home_group, swarm_peer};
 
 /// Neighbours and home groups of one agent for one version. Its size does not depend on
-/// the number of hosts: at most 16 neighbours and 256 home groups.
+/// the number of hosts: at most [`crate::MAX_NEIGHBOURS`] neighbours and 256 home groups.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct SwarmView {
     /// What the transfer saves.
