--- a/crates/lift_entry/src/claimed_path.rs
+++ b/crates/lift_entry/src/claimed_path.rs
@@ -114,9 +114,7 @@
                 Event::Answered(holder)
             }
             Err(end) => {
-                if end == lift_route::AttemptEnd::Damaged {
-                    self.shared.directory.count_damage(holder.host);
-                }
+                self.shared.directory.observe_end(holder.host, end);
                 Event::Ended(holder, end)
             }
         }
--- a/crates/lift_entry/src/directory.rs
+++ b/crates/lift_entry/src/directory.rs
@@ -50,11 +50,23 @@
         effect
     }
 
-    /// Counts a damaged answer of a host, which then gets less work.
-    pub(crate) fn count_damage(&self, host: lift_types::HostId) {
-        let now = time::Instant::now();
-        self.members
-            .with(&host, |members| members.count_damage(now, host));
+    /// Takes the end of an attempt into account, so that a host that fails gets less work
+    /// before its heartbeats tell.
+    pub(crate) fn observe_end(&self, host: lift_types::HostId, end: lift_route::AttemptEnd) {
+        match end {
+            lift_route::AttemptEnd::Damaged => {
+                let now = time::Instant::now();
+                self.members
+                    .with(&host, |members| members.count_damage(now, host));
+            }
+            lift_route::AttemptEnd::NotSent
+            | lift_route::AttemptEnd::ConnectionLost
+            | lift_route::AttemptEnd::ConnectionSilent => {
+                self.members.with(&host, |members| members.suspect(host));
+                self.is_changed.store(true, atomic::Ordering::Release);
+            }
+            lift_route::AttemptEnd::Refused(_) | lift_route::AttemptEnd::Timeout => {}
+        }
     }
 
     pub(crate) fn routes(&self) -> sync::Arc<routes::Routes> {
--- a/crates/lift_entry/src/idempotent_path.rs
+++ b/crates/lift_entry/src/idempotent_path.rs
@@ -146,30 +146,31 @@
     host: lift_route::Candidate,
 ) -> Result<begun::Begun, lift_route::AttemptEnd> {
     let call = req.call(shared, None, req.version.clone(), 0);
-    let mut exchange = exchange::Exchange::start(shared, &host, call).await?;
-    let begun = begin(&mut exchange, req).await;
-    if matches!(begun, Err(lift_route::AttemptEnd::Damaged)) {
-        shared.directory.count_damage(host.place.host);
+    let begun = begin(shared, req, &host, call).await;
+    if let Err(end) = &begun {
+        shared.directory.observe_end(host.place.host, *end);
     }
-    let (head, early, is_whole) = begun?;
-    Ok(begun::Begun {
-        exchange,
-        head,
-        early,
-        is_whole,
-        host: host.place.host,
-    })
+    begun
 }
 
 /// Waits for the head and checks what has come by then, while the request can still be
 /// sent to another host.
 async fn begin(
-    exchange: &mut exchange::Exchange,
+    shared: &shared::Shared,
     req: &caller_request::CallerRequest,
-) -> Result<(lift_border::AnswerHead, Vec<bytes::Bytes>, bool), lift_route::AttemptEnd> {
+    host: &lift_route::Candidate,
+    call: lift_wire::Call,
+) -> Result<begun::Begun, lift_route::AttemptEnd> {
+    let mut exchange = exchange::Exchange::start(shared, host, call).await?;
     let head = exchange.head(req.deadline).await?;
     let (early, is_whole) = exchange.early()?;
-    Ok((head, early, is_whole))
+    Ok(begun::Begun {
+        exchange,
+        head,
+        early,
+        is_whole,
+        host: host.place.host,
+    })
 }
 
 fn one_piece(parts: &mut Vec<bytes::Bytes>) -> axum::body::Body {
--- a/crates/lift_route/src/candidate.rs
+++ b/crates/lift_route/src/candidate.rs
@@ -21,6 +21,8 @@
     pub reported_at: time::Instant,
     /// Whether the host failed repeatedly and gets work only where no other host can take it.
     pub damped: bool,
+    /// Whether a connection to the host has failed since its last report.
+    pub suspected: bool,
 }
 
 impl Candidate {
@@ -38,12 +40,13 @@
             reported: report.in_progress,
             reported_at: member.heard_at,
             damped: member.damped,
+            suspected: member.suspected,
         })
     }
 
     /// Whether the host is preferred over suspected and damped ones at `now`.
     pub fn is_healthy(&self, now: time::Instant) -> bool {
         let silence = now.saturating_duration_since(self.reported_at);
-        !self.damped && silence < membership::SUSPECT_AFTER
+        !self.damped && !self.suspected && silence < membership::SUSPECT_AFTER
     }
 }
--- a/crates/lift_route/src/member.rs
+++ b/crates/lift_route/src/member.rs
@@ -13,4 +13,6 @@
     pub heard_at: time::Instant,
     /// Set while the host gets no work because it failed repeatedly.
     pub damped: bool,
+    /// Set while a connection to the host has failed since its last report.
+    pub suspected: bool,
 }
--- a/crates/lift_route/src/membership.rs
+++ b/crates/lift_route/src/membership.rs
@@ -44,14 +44,18 @@
             self.add_failure(now, host);
         }
         let damped = self.is_damped(now, host);
-        let was_damped = self.members.get(&host).is_some_and(|m| m.damped);
+        let known = self.members.get(&host);
+        let was_damped = known.is_some_and(|m| m.damped);
+        let was_suspected = known.is_some_and(|m| m.suspected);
         let member = member::Member {
             report,
             heard_at: now,
             damped,
+            suspected: false,
         };
         self.members.insert(host, member);
-        if effect == observation::Observation::Refreshed && damped != was_damped {
+        let has_health_changed = damped != was_damped || was_suspected;
+        if effect == observation::Observation::Refreshed && has_health_changed {
             return observation::Observation::Changed;
         }
         effect
@@ -79,6 +83,13 @@
         }
     }
 
+    /// Suspects a host to which a connection failed, until its next report.
+    pub fn suspect(&mut self, host: lift_types::HostId) {
+        if let Some(member) = self.members.get_mut(&host) {
+            member.suspected = true;
+        }
+    }
+
     /// Live hosts.
     pub fn members(&self) -> impl Iterator<Item = &member::Member> {
         self.members.values()
--- a/crates/lift_route/tests/against_naive_router.rs
+++ b/crates/lift_route/tests/against_naive_router.rs
@@ -145,6 +145,32 @@
         }
     }
 
+    /// A host to which a connection failed gets no work until it reports again, as long as
+    /// there is another one.
+    #[test]
+    fn a_suspected_host_is_avoided_until_its_next_report(seed in any::<u64>()) {
+        let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
+        let now = time::Instant::now();
+        let mut membership = Membership::new();
+        let mut host = Host { is_up: true, is_leaving: false, version: 1, incarnation: 1, sequence: 1 };
+        membership.observe(now, report(0, &host));
+        membership.observe(now, report(2, &host));
+        membership.suspect(0);
+        let pick = |membership: &Membership, rng: &mut rand::rngs::StdRng| {
+            let mut set = CandidateSet::default();
+            for candidate in membership.members().filter_map(Candidate::of) {
+                set.insert("region-0", candidate);
+            }
+            let choice = HostChoice::new(&set, now);
+            let req = lift_route::ChoiceRequest::default();
+            choice.pick(&req, &|_| 0, rng).map(|c| c.place.host)
+        };
+        prop_assert_eq!(pick(&membership, &mut rng), Some(2));
+        host.sequence += 1;
+        prop_assert_eq!(membership.observe(now, report(0, &host)), lift_route::Observation::Changed);
+        prop_assert_eq!(pick(&membership, &mut rng), Some(0));
+    }
+
     /// Removal takes 2 s of silence, and reports of earlier incarnations never come back.
     #[test]
     fn a_member_lives_for_two_seconds_after_its_last_report(
