Let an entry make an agent leave

Cause: liftctl drain had no way to reach an agent. Change: a Leave message to the agent, and Entry::drain, which waits until heartbeats confirm it. Conclusion: a loopback test drains one of two hosts with streams in progress.

--- a/crates/lift_entry/src/entry.rs
+++ b/crates/lift_entry/src/entry.rs
@@ -2,11 +2,14 @@
 
 use std::{net, sync, sync::atomic, time};
 
-use crate::{entry_builder, live_agent, readiness, shared};
+use crate::{drain_error, entry_builder, live_agent, readiness, shared};
 
-/// Time between two looks at the number of requests in progress while the entry drains.
+/// Time between two looks at what a drain waits for.
 const DRAIN_LOOK: time::Duration = time::Duration::from_millis(10);
 
+/// Longest wait for a heartbeat that confirms that an agent leaves.
+const DRAIN_CONFIRM: time::Duration = time::Duration::from_secs(2);
+
 /// Handle of an entry. Dropping it stops the tasks without a drain.
 #[derive(Debug)]
 pub struct Entry {
@@ -70,6 +73,38 @@
         agents.into_iter().filter_map(|agent| agent.peer).collect()
     }
 
+    /// Makes the agent on a host refuse new work for good, and waits until its heartbeats
+    /// confirm it. Requests in progress run on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the host is not known or did not confirm within 2 s.
+    pub async fn drain(&self, host: lift_types::HostId) -> Result<(), drain_error::DrainError> {
+        let report = self.shared.directory.find(host);
+        let report = report.ok_or(drain_error::DrainError::UnknownHost(host))?;
+        let unconfirmed = drain_error::DrainError::Unconfirmed(host);
+        let link = self
+            .shared
+            .links
+            .get(host, report.incarnation, report.call_addr)
+            .await
+            .ok_or(unconfirmed)?;
+        link.notify(lift_wire::CallMessage::Leave);
+        let confirmed = async {
+            while !self.is_leaving(host) {
+                tokio::time::sleep(DRAIN_LOOK).await;
+            }
+        };
+        tokio::time::timeout(DRAIN_CONFIRM, confirmed)
+            .await
+            .map_err(|_| unconfirmed)
+    }
+
+    fn is_leaving(&self, host: lift_types::HostId) -> bool {
+        let report = self.shared.directory.find(host);
+        report.is_some_and(|report| report.state == lift_types::HostState::Leaving)
+    }
+
     /// Tells the platform that this entry takes no new work, refuses it, completes the
     /// requests in progress and stops. Returns the number of requests that were cut off
     /// because `limit` ran out.
--- a/crates/lift_entry/src/lib.rs
+++ b/crates/lift_entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod claim_client;
 mod claimed_path;
 mod directory;
+mod drain_error;
 mod entry;
 mod entry_builder;
 mod entry_error;
@@ -41,6 +42,7 @@
 mod shared;
 mod workspace_state;
 
+pub use drain_error::DrainError;
 pub use entry::Entry;
 pub use entry_builder::EntryBuilder;
 pub use entry_error::EntryError;
--- a/crates/lift_entry/tests/stops_and_limits.rs
+++ b/crates/lift_entry/tests/stops_and_limits.rs
@@ -174,3 +174,27 @@
     fleet::wait_until(|| fleet.entries[0].live_agents().is_empty()).await;
     assert!(started.elapsed() < time::Duration::from_millis(2_600));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_that_an_entry_drains_gets_no_new_work_and_completes_the_old() {
+    let fleet = fleet::Fleet::start(2).await;
+    let drained = fleet.replica(1, "v1", time::Duration::from_millis(5)).await;
+    let _other = fleet.replica(2, "v1", time::Duration::ZERO).await;
+    fleet.wait_for_agents(2).await;
+    let streams = futures_util::future::join_all((0..8).map(|_| fleet.call(0, CHAT, &[])));
+    let drain = async {
+        tokio::time::sleep(time::Duration::from_millis(60)).await;
+        fleet.entries[0].drain(1).await
+    };
+    let (replies, order) = tokio::join!(streams, drain);
+    assert_eq!(order, Ok(()));
+    for reply in replies {
+        assert_eq!(reply.body, text(50));
+    }
+    for i in 0..20 {
+        assert!(fleet.call(i % 2, CHAT, &[]).await.is_ok());
+        assert_eq!(drained.serve.in_progress(), 0);
+    }
+    let unknown = fleet.entries[0].drain(99).await;
+    assert_eq!(unknown, Err(lift_entry::DrainError::UnknownHost(99)));
+}
--- a/crates/lift_serve/src/connection.rs
+++ b/crates/lift_serve/src/connection.rs
@@ -104,6 +104,10 @@
                     .send(lift_wire::AnswerMessage::Claim { id, state })
                     .await;
             }
+            lift_wire::CallMessage::Leave => {
+                slog::info!(self.shared.logger, "leaving"; "reason" => "order of an entry");
+                self.shared.leave();
+            }
             lift_wire::CallMessage::Ping => {
                 let _ = self.tx.send(lift_wire::AnswerMessage::Pong).await;
             }
--- a/crates/lift_serve/src/serve.rs
+++ b/crates/lift_serve/src/serve.rs
@@ -40,7 +40,7 @@
     /// Refuses new work for good, because the backend server leaves, and tells the entries.
     /// Requests in progress run on.
     pub fn leave(&self) {
-        self.close(lift_types::RefusalReason::Leaving);
+        self.shared.leave();
     }
 
     /// Refuses new work, completes what is in progress, records outcomes and stops. Returns
@@ -48,7 +48,7 @@
     pub async fn stop(&self, limit: time::Duration) -> usize {
         let notice_ends = tokio::time::Instant::now() + LEAVE_NOTICE;
         let ends_at = tokio::time::Instant::now() + limit;
-        self.close(lift_types::RefusalReason::Draining);
+        self.shared.close(lift_types::RefusalReason::Draining);
         let left = self.shared.gate.drain(limit).await;
         self.shared.tasks.close();
         let _ = tokio::time::timeout_at(ends_at, self.shared.tasks.wait()).await;
@@ -60,11 +60,6 @@
         let _ = tokio::time::timeout_at(ends_at, self.shared.connections.wait()).await;
         left
     }
-
-    fn close(&self, reason: lift_types::RefusalReason) {
-        self.shared.gate.set(gate_state::GateState::Closed(reason));
-        self.shared.changed.notify_one();
-    }
 }
 
 /// Time in which entries learn from two heartbeats that an agent leaves.
@@ -73,7 +68,7 @@
 #[async_trait::async_trait]
 impl lift_border::ServingControl for Serve {
     async fn close_and_drain(&self, limit: time::Duration) -> usize {
-        self.close(lift_types::RefusalReason::Switching);
+        self.shared.close(lift_types::RefusalReason::Switching);
         self.shared.gate.drain(limit).await
     }
 
--- a/crates/lift_serve/src/shared.rs
+++ b/crates/lift_serve/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, sync::atomic};
 
-use crate::{gate, seen_claims};
+use crate::{gate, gate_state, seen_claims};
 
 /// Parts that live as long as the request side.
 #[derive(Debug)]
@@ -30,3 +30,16 @@
     /// Set when what the heartbeat says has changed.
     pub(crate) changed: tokio::sync::Notify,
 }
+
+impl Shared {
+    /// Refuses new work with `reason` from now on and tells the entries.
+    pub(crate) fn close(&self, reason: lift_types::RefusalReason) {
+        self.gate.set(gate_state::GateState::Closed(reason));
+        self.changed.notify_one();
+    }
+
+    /// Refuses new work for good, because the backend server leaves.
+    pub(crate) fn leave(&self) {
+        self.close(lift_types::RefusalReason::Leaving);
+    }
+}
--- a/crates/lift_wire/src/call_message.rs
+++ b/crates/lift_wire/src/call_message.rs
@@ -23,6 +23,8 @@
     QueryClaim(Box<claim_query::ClaimQuery>),
     /// Keeps the connection alive.
     Ping,
+    /// Makes the agent refuse new work for good. Its heartbeats confirm it.
+    Leave,
 }
 
 impl CallMessage {
