Let operators change the members of control

There was no way to replace a control host. A control member can now offer the administration API on an address of its own, and liftctl adds, promotes and removes members; a member that joins starts without a list of its own.

--- a/crates/lift_admin/src/admin_builder.rs
+++ b/crates/lift_admin/src/admin_builder.rs
@@ -5,7 +5,9 @@
 use error_stack::ResultExt as _;
 use tokio::net as tokio_net;
 
-use crate::{admin, admin_error, admin_state, fleet_view, listener, routes, token_store};
+use crate::{
+    admin, admin_error, admin_state, control_members, fleet_view, listener, routes, token_store,
+};
 
 /// Parts and settings of the administration API. Control, fleet view and counters are
 /// required; without a token file only loopback addresses are accepted.
@@ -13,6 +15,7 @@
 pub struct AdminBuilder {
     control: sync::Arc<dyn lift_rpc::ControlPort>,
     fleet: sync::Arc<dyn fleet_view::FleetView>,
+    members: Option<sync::Arc<dyn control_members::ControlMembers>>,
     counters: sync::Arc<lift_obs::Counters>,
     log: slog::Logger,
     token_file: Option<path::PathBuf>,
@@ -28,6 +31,7 @@
         Self {
             control,
             fleet,
+            members: None,
             counters,
             log: lift_obs::LogConfig::discard(),
             token_file: None,
@@ -41,6 +45,15 @@
         self
     }
 
+    /// Offers the members of control too.
+    pub fn control_members(
+        mut self,
+        members: sync::Arc<dyn control_members::ControlMembers>,
+    ) -> Self {
+        self.members = Some(members);
+        self
+    }
+
     /// Requires a bearer token of this file, which is read again when it changes.
     pub fn token_file(mut self, file: path::PathBuf) -> Self {
         self.token_file = Some(file);
@@ -77,6 +90,7 @@
         let state = admin_state::AdminState {
             control: self.control,
             fleet: self.fleet,
+            members: self.members,
             counters: self.counters,
             tokens: tokens.map(sync::Arc::new),
             log: self.log.clone(),
--- a/crates/lift_admin/src/admin_state.rs
+++ b/crates/lift_admin/src/admin_state.rs
@@ -4,7 +4,7 @@
 
 use axum::http::HeaderMap;
 
-use crate::{api_error, fleet_view, token_role, token_store};
+use crate::{api_error, control_members, fleet_view, token_role, token_store};
 
 /// Author of a change where neither the caller nor a token names one.
 const UNKNOWN_AUTHOR: &str = "unknown";
@@ -14,6 +14,7 @@
 pub(crate) struct AdminState {
     pub(crate) control: sync::Arc<dyn lift_rpc::ControlPort>,
     pub(crate) fleet: sync::Arc<dyn fleet_view::FleetView>,
+    pub(crate) members: Option<sync::Arc<dyn control_members::ControlMembers>>,
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
     pub(crate) tokens: Option<sync::Arc<token_store::TokenStore>>,
     pub(crate) log: slog::Logger,
--- a/crates/lift_admin/src/api_error.rs
+++ b/crates/lift_admin/src/api_error.rs
@@ -2,7 +2,7 @@
 
 use axum::{Json, response};
 
-use crate::{fleet_error, problem};
+use crate::{control_change_error, fleet_error, problem};
 
 /// A failure with its HTTP status.
 #[derive(Debug)]
@@ -54,6 +54,22 @@
     }
 }
 
+impl From<error_stack::Report<control_change_error::ControlChangeError>> for ApiError {
+    fn from(report: error_stack::Report<control_change_error::ControlChangeError>) -> Self {
+        let error = report.current_context();
+        let status = match error {
+            control_change_error::ControlChangeError::NotLeader => {
+                http::StatusCode::SERVICE_UNAVAILABLE
+            }
+            control_change_error::ControlChangeError::Refused(_) => {
+                http::StatusCode::UNPROCESSABLE_ENTITY
+            }
+            control_change_error::ControlChangeError::Unknown => http::StatusCode::BAD_GATEWAY,
+        };
+        Self::new(status, error.to_string())
+    }
+}
+
 impl response::IntoResponse for ApiError {
     fn into_response(self) -> response::Response {
         let body = problem::Problem { error: self.error };
--- a/crates/lift_admin/src/lib.rs
+++ b/crates/lift_admin/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`Admin`] serves it over any [`lift_rpc::ControlPort`] and a [`FleetView`], which tells
 //! what the entry knows of the agents of its region. [`ChangeBody`] and [`ChangeAnswer`],
 //! [`ManifestBody`], [`RolloutStatus`] and [`FleetMember`] are the bodies, which `liftctl`
-//! shares. Callers show a bearer token; a [`TokenRecord`] holds its salted hash and
+//! shares. On a control member it also offers its [`ControlMembers`]. Callers show a bearer token; a [`TokenRecord`] holds its salted hash and
 //! [`TokenRole`]. [`load_tls`] reads certificate and key, for the caller listener too.
 //! `docs/operate/rollout.md` shows it in use.
 
@@ -16,6 +16,11 @@
 mod change_answer;
 mod change_body;
 mod change_mode;
+mod control_change;
+mod control_change_error;
+mod control_member_status;
+mod control_members;
+mod control_routes;
 mod fleet_error;
 mod fleet_member;
 mod fleet_routes;
@@ -45,6 +50,10 @@
 pub use change_answer::ChangeAnswer;
 pub use change_body::ChangeBody;
 pub use change_mode::ChangeMode;
+pub use control_change::ControlChange;
+pub use control_change_error::ControlChangeError;
+pub use control_member_status::ControlMemberStatus;
+pub use control_members::ControlMembers;
 pub use fleet_error::FleetError;
 pub use fleet_member::FleetMember;
 pub use fleet_view::FleetView;
--- a/crates/lift_admin/src/routes.rs
+++ b/crates/lift_admin/src/routes.rs
@@ -2,7 +2,7 @@
 
 use axum::routing;
 
-use crate::{admin_state, fleet_routes, policy_routes, version_routes};
+use crate::{admin_state, control_routes, fleet_routes, policy_routes, version_routes};
 
 /// Longest body of a request, in bytes. A manifest of 250,000 chunks fits.
 const MAX_BODY_BYTES: usize = 20 * 1024 * 1024;
@@ -23,6 +23,10 @@
             "/v1/members/{host}/drain",
             routing::post(fleet_routes::drain),
         )
+        .route(
+            "/v1/control/members",
+            routing::get(control_routes::members).post(control_routes::change),
+        )
         .route("/v1/metrics", routing::get(fleet_routes::metrics))
         .layer(axum::extract::DefaultBodyLimit::max(MAX_BODY_BYTES))
         .with_state(state)
--- a/crates/lift_node/src/control_role.rs
+++ b/crates/lift_node/src/control_role.rs
@@ -5,7 +5,10 @@
 use error_stack::ResultExt as _;
 use lift_log::ReplicatedLog as _;
 
-use crate::{node_context, node_error};
+use crate::{log_members, node_context, node_error};
+
+/// Longest time for requests in progress of the administration API.
+const ADMIN_GRACE: time::Duration = time::Duration::from_secs(1);
 
 /// A control member: replicated log, state machine and server for entries.
 #[derive(Debug)]
@@ -13,6 +16,7 @@
     log: sync::Arc<lift_log::LogDriver>,
     node: sync::Arc<lift_control::ControlNode>,
     server: lift_rpc::ControlServer,
+    admin: Option<lift_admin::Admin>,
 }
 
 impl ControlRole {
@@ -34,7 +38,10 @@
             .state_machine(machine.clone())
             .logger(cx.log.clone())
             .counters(cx.counters.clone());
-        for member in &cfg.members {
+        // A member that joins learns the members from the leader. With a list of its own and
+        // an empty disk it could vote in a cluster that it is not part of.
+        let is_new = cfg.start == lift_settings::ControlStart::NewCluster;
+        for member in cfg.members.iter().filter(|_| is_new) {
             let (mut peer, mut client) = (member.peer_addr, member.client_addr);
             if member.id == cfg.member {
                 peer = resolved(peer, peers.local_addr().change_context(failed)?);
@@ -59,7 +66,13 @@
             .counters(cx.counters.clone())
             .serve(clients)
             .change_context(failed)?;
-        Ok(Self { log, node, server })
+        let admin = start_admin(cx, cfg, &log, &node).await?;
+        Ok(Self {
+            log,
+            node,
+            server,
+            admin,
+        })
     }
 
     /// Control operations of this member.
@@ -72,13 +85,44 @@
         self.server.address()
     }
 
+    /// Address of the administration API, where there is one.
+    pub(crate) fn admin_addr(&self) -> Option<net::SocketAddr> {
+        self.admin.as_ref().map(lift_admin::Admin::addr)
+    }
+
     /// Hands the lead to another member, then stops.
     pub(crate) async fn stop(&self) {
+        if let Some(admin) = &self.admin {
+            admin.stop(ADMIN_GRACE).await;
+        }
         self.log.stop().await;
         self.server.stop();
     }
 }
 
+async fn start_admin(
+    cx: &node_context::NodeContext,
+    cfg: &lift_settings::ControlSettings,
+    log: &sync::Arc<lift_log::LogDriver>,
+    node: &sync::Arc<lift_control::ControlNode>,
+) -> Result<Option<lift_admin::Admin>, error_stack::Report<node_error::NodeError>> {
+    let Some(addr) = cfg.admin_listener else {
+        return Ok(None);
+    };
+    let fleet = sync::Arc::new(log_members::NoFleet);
+    let members = sync::Arc::new(log_members::LogMembers::new(log.clone()));
+    let mut builder = lift_admin::Admin::builder(node.clone(), fleet, cx.counters.clone())
+        .control_members(members)
+        .log(cx.log.clone());
+    if let Some(file) = &cfg.admin_token_file {
+        builder = builder.token_file(file.clone());
+    }
+    let started = builder.start(addr).await;
+    started
+        .map(Some)
+        .change_context(node_error::NodeError::Control)
+}
+
 /// The address of the settings, unless they leave the port to the system.
 fn resolved(given: net::SocketAddr, bound: net::SocketAddr) -> net::SocketAddr {
     if given.port() == 0 { bound } else { given }
--- a/crates/lift_node/src/demo_settings.rs
+++ b/crates/lift_node/src/demo_settings.rs
@@ -39,6 +39,9 @@
                 peer_addr: any_port(),
                 client_addr: any_port(),
             }],
+            start: lift_settings::ControlStart::NewCluster,
+            admin_listener: None,
+            admin_token_file: None,
             lease_ms: LEASE_MS,
             data_dir,
         });
--- a/crates/lift_node/src/lib.rs
+++ b/crates/lift_node/src/lib.rs
@@ -24,6 +24,7 @@
 mod entry_fleet;
 mod entry_role;
 mod local_platform;
+mod log_members;
 mod node;
 mod node_addrs;
 mod node_context;
--- a/crates/lift_node/src/node.rs
+++ b/crates/lift_node/src/node.rs
@@ -83,6 +83,10 @@
         let entry = self.entry.as_ref();
         node_addrs::NodeAddrs {
             control: self.control.as_ref().map(control_role::ControlRole::addr),
+            control_admin: self
+                .control
+                .as_ref()
+                .and_then(control_role::ControlRole::admin_addr),
             caller: entry.map(entry_role::EntryRole::caller_addr),
             admin: entry.map(entry_role::EntryRole::admin_addr),
             relay: entry.map(entry_role::EntryRole::relay_addr),
--- a/crates/lift_node/src/node_addrs.rs
+++ b/crates/lift_node/src/node_addrs.rs
@@ -8,6 +8,8 @@
 pub struct NodeAddrs {
     /// Control operations of a control member.
     pub control: Option<net::SocketAddr>,
+    /// Administration API of a control member.
+    pub control_admin: Option<net::SocketAddr>,
     /// Callers' requests.
     pub caller: Option<net::SocketAddr>,
     /// Administration API.
--- a/crates/lift_settings/src/check.rs
+++ b/crates/lift_settings/src/check.rs
@@ -118,15 +118,8 @@
         check_file("entry.tls.certificate", &tls.certificate)?;
         check_file("entry.tls.key", &tls.key)?;
     }
-    match &entry.admin_token_file {
-        Some(file) => check_file("entry.admin_token_file", file)?,
-        None if entry.admin_listener.ip().is_loopback() => {}
-        None => {
-            let problem = format!("{} is open without tokens", entry.admin_listener);
-            let allowed = "a loopback address, or any address with entry.admin_token_file";
-            return fail("entry.admin_listener", problem, allowed);
-        }
-    }
+    let tokens = entry.admin_token_file.as_deref();
+    check_admin("entry", Some(entry.admin_listener), tokens)?;
     let limits = [
         ("max_connections", u64::from(entry.limits.max_connections)),
         ("max_body_bytes", entry.limits.max_body_bytes),
@@ -212,9 +205,30 @@
             return fail(&path, problem, &listener.port().to_string());
         }
     }
+    let tokens = control.admin_token_file.as_deref();
+    check_admin("control", control.admin_listener, tokens)?;
     check_folder("control.data_dir", &control.data_dir)
 }
 
+/// An administration API that other hosts can reach needs tokens.
+fn check_admin(
+    section: &str,
+    listener: Option<net::SocketAddr>,
+    tokens: Option<&path::Path>,
+) -> Checked {
+    if let Some(file) = tokens {
+        return check_file(&format!("{section}.admin_token_file"), file);
+    }
+    let open = listener.filter(|listener| !listener.ip().is_loopback());
+    let Some(listener) = open else {
+        return Ok(());
+    };
+    let path = format!("{section}.admin_listener");
+    let problem = format!("{listener} is open without tokens");
+    let allowed = format!("a loopback address, or any address with {section}.admin_token_file");
+    fail(&path, problem, &allowed)
+}
+
 /// Checks both times where one file has them. Agents and control members on different hosts
 /// are configured separately.
 fn check_lease(cfg: &settings::Settings) -> Checked {
--- a/crates/lift_settings/src/check_listeners.rs
+++ b/crates/lift_settings/src/check_listeners.rs
@@ -41,6 +41,9 @@
     {
         all.push(("control.peer_listener", control.peer_listener));
         all.push(("control.client_listener", control.client_listener));
+        if let Some(addr) = control.admin_listener {
+            all.push(("control.admin_listener", addr));
+        }
     }
     all
 }
--- a/crates/lift_settings/src/reference.rs
+++ b/crates/lift_settings/src/reference.rs
@@ -95,6 +95,7 @@
     match target.rsplit('/').next().unwrap_or_default() {
         "SocketAddr" => String::from("address"),
         "Role" => String::from("`entry`, `agent` or `control`"),
+        "ControlStart" => String::from("`new_cluster` or `join`"),
         "BackendKind" => String::from("`model` or `plain`"),
         _ => String::from("object"),
     }
--- a/crates/liftctl/src/command.rs
+++ b/crates/liftctl/src/command.rs
@@ -1,8 +1,8 @@
 //! Commands of `liftctl`.
 
 use crate::{
-    audit, cli_error, client, completions, default, exception, experiment, members, output, policy,
-    rollout, token, version,
+    audit, cli_error, client, completions, control, default, exception, experiment, members,
+    output, policy, rollout, token, version,
 };
 
 /// What to do.
@@ -35,6 +35,9 @@
     /// Measures bursts, requests and configuration changes on loopback.
     #[command(subcommand)]
     Experiment(experiment::ExperimentCommand),
+    /// Lists and changes the members of control.
+    #[command(subcommand)]
+    Control(control::ControlCommand),
     /// Prints a completion script.
     Completions(completions::CompletionsArgs),
 }
@@ -57,6 +60,7 @@
             Self::Audit(args) => args.run(client, output).await,
             Self::Token(command) => command.run(output),
             Self::Experiment(command) => command.run(output).await,
+            Self::Control(command) => command.run(client, output).await,
             Self::Completions(args) => args.run(output),
         }
     }
--- a/crates/liftctl/src/main.rs
+++ b/crates/liftctl/src/main.rs
@@ -14,6 +14,7 @@
 mod client;
 mod command;
 mod completions;
+mod control;
 mod default;
 mod exception;
 mod exception_value_args;
