--- a/crates/lift_entry/src/answer_stream.rs
+++ b/crates/lift_entry/src/answer_stream.rs
@@ -4,7 +4,7 @@
 
 use futures_util::stream;
 
-use crate::{answer_part, caller_request, exchange, permit, shared};
+use crate::{answer_part, begun, caller_request, exchange, permit, shared};
 
 /// Resumptions of one stream.
 const MAX_RESUMES: u32 = 3;
@@ -19,7 +19,7 @@
     exchange: exchange::Exchange,
     /// Version that a resumed stream must have; `None` where it can't resume.
     version: Option<lift_types::VersionId>,
-    /// Parts that came before the body was built.
+    /// Parts that came before the body was built, the last one first.
     early: Vec<bytes::Bytes>,
     passed: u64,
     resumes: u32,
@@ -28,23 +28,24 @@
 }
 
 impl AnswerStream {
-    /// Passes on the answer of `exchange`, whose head has come from `host`.
+    /// Passes on an answer that has begun.
     pub(crate) fn new(
         shared: sync::Arc<shared::Shared>,
         req: sync::Arc<caller_request::CallerRequest>,
-        exchange: exchange::Exchange,
-        host: lift_types::HostId,
+        begun: begun::Begun,
         permit: permit::Permit,
     ) -> Self {
+        let mut early = begun.early;
+        early.reverse();
         Self {
             shared,
             req,
-            exchange,
+            exchange: begun.exchange,
             version: None,
-            early: Vec::new(),
+            early,
             passed: 0,
             resumes: 0,
-            tried: vec![host],
+            tried: vec![begun.host],
             _permit: permit,
         }
     }
@@ -55,30 +56,8 @@
         self
     }
 
-    /// Passes on `parts` first.
-    pub(crate) fn early(mut self, mut parts: Vec<bytes::Bytes>) -> Self {
-        parts.reverse();
-        self.early = parts;
-        self
-    }
-
-    /// Body for the reply. A short answer that is whole by now becomes one piece.
-    pub(crate) fn into_body(mut self) -> axum::body::Body {
-        let mut whole = Vec::new();
-        while let Some(bytes) = self.early.pop() {
-            whole.push(bytes);
-        }
-        loop {
-            match self.exchange.part_now() {
-                Some(Ok(answer_part::AnswerPart::Data(bytes))) => whole.push(bytes),
-                Some(Ok(answer_part::AnswerPart::End)) => return one_piece(whole),
-                Some(Err(end)) => return self.early(whole).broken_body(end),
-                None => return self.early(whole).streamed_body(),
-            }
-        }
-    }
-
-    fn streamed_body(self) -> axum::body::Body {
+    /// Body for the reply.
+    pub(crate) fn into_body(self) -> axum::body::Body {
         let parts = stream::unfold(Some(self), async |stream| {
             let mut stream = stream?;
             match stream.next().await {
@@ -90,24 +69,6 @@
         axum::body::Body::from_stream(parts)
     }
 
-    fn broken_body(self, end: lift_route::AttemptEnd) -> axum::body::Body {
-        let parts = stream::unfold((Some(self), Some(end)), async |(stream, end)| {
-            let mut stream = stream?;
-            let part = match end {
-                Some(_) if !stream.early.is_empty() => stream.next().await,
-                Some(end_now) => stream.after(end_now).await,
-                None => stream.next().await,
-            };
-            let end = end.filter(|_| !stream.early.is_empty());
-            match part {
-                Ok(answer_part::AnswerPart::Data(bytes)) => Some((Ok(bytes), (Some(stream), end))),
-                Ok(answer_part::AnswerPart::End) => None,
-                Err(e) => Some((Err(e), (None, None))),
-            }
-        });
-        axum::body::Body::from_stream(parts)
-    }
-
     async fn next(&mut self) -> io::Result<answer_part::AnswerPart> {
         if let Some(bytes) = self.early.pop() {
             self.passed += bytes.len() as u64;
@@ -174,10 +135,3 @@
         part
     }
 }
-
-fn one_piece(mut parts: Vec<bytes::Bytes>) -> axum::body::Body {
-    if parts.len() == 1 {
-        return axum::body::Body::from(parts.pop().unwrap_or_default());
-    }
-    axum::body::Body::from(parts.concat())
-}
--- a/crates/lift_transfer/src/activation.rs
+++ b/crates/lift_transfer/src/activation.rs
@@ -19,12 +19,12 @@
     cfg: activation_config::ActivationConfig,
     wanted: Option<lift_types::VersionId>,
     revision: lift_types::Revision,
-    whole: indexmap::IndexMap<lift_types::VersionId, lift_types::ChunkHash>,
+    pub(crate) whole: indexmap::IndexMap<lift_types::VersionId, lift_types::ChunkHash>,
     lease_until: Option<time::Instant>,
-    serving: Option<lift_types::ServingVersion>,
-    engine: Option<Loaded>,
+    pub(crate) serving: Option<lift_types::ServingVersion>,
+    pub(crate) engine: Option<Loaded>,
     trust: Trust,
-    step: Step,
+    pub(crate) step: Step,
 }
 
 impl Activation {
@@ -39,7 +39,7 @@
             serving: None,
             engine: None,
             trust: Trust::Reports,
-            step: Step::Idle,
+            step: Step::Starting,
         }
     }
 
@@ -59,7 +59,7 @@
         self.serving.as_ref()
     }
 
-    /// Whether the version is known to be held whole.
+    /// Whether the version is held whole.
     pub fn holds(&self, version: &lift_types::VersionId) -> bool {
         self.whole.contains_key(version)
     }
@@ -223,14 +223,15 @@
         fencing: lift_types::FencingToken,
         actions: &mut Vec<Action>,
     ) {
+        let engine = loaded(version, hash, fencing);
         let Step::Loading {
             version: ordered,
             fencing: token,
         } = self.step.clone()
         else {
+            self.reported(engine, actions);
             return;
         };
-        let engine = loaded(version, hash, fencing);
         let is_confirmed = engine.as_ref().is_some_and(|e| {
             e.version == ordered && e.fencing == token && self.whole.get(&ordered) == Some(&e.hash)
         });
@@ -260,28 +261,6 @@
         }
     }
 
-    /// Compares what the engine reports with what is advertised.
-    fn reported(&mut self, engine: Option<Loaded>, actions: &mut Vec<Action>) {
-        if !matches!(
-            self.step,
-            Step::Idle | Step::Waiting { .. } | Step::Asking { .. }
-        ) {
-            return;
-        }
-        let matches = match (&engine, &self.serving) {
-            (Some(engine), Some(serving)) => {
-                engine.version == serving.version
-                    && self.whole.get(&engine.version) == Some(&engine.hash)
-            }
-            (None, Some(_)) => false,
-            (_, None) => true,
-        };
-        if !matches {
-            self.withdraw(actions);
-        }
-        self.engine = engine;
-    }
-
     fn remove(&mut self, version: &lift_types::VersionId, actions: &mut Vec<Action>) {
         self.whole.shift_remove(version);
         if self.serving.as_ref().is_some_and(|s| s.version == *version) {
@@ -289,7 +268,7 @@
         }
     }
 
-    fn withdraw(&mut self, actions: &mut Vec<Action>) {
+    pub(crate) fn withdraw(&mut self, actions: &mut Vec<Action>) {
         self.engine = None;
         if self.serving.take().is_some() {
             actions.push(Action::Withdraw);
