--- a/crates/liftctl/tests/control_members.rs
+++ b/crates/liftctl/tests/control_members.rs
@@ -2,16 +2,17 @@
 //! of members that are lost or counted before the new member has caught up.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+#[path = "../../lift_node/tests/support/mod.rs"]
+mod support;
+
 use std::{fs, net, path, time};
 
 /// Longest wait for a step.
 const LIMIT: time::Duration = time::Duration::from_secs(20);
 
-/// Ports that were free a moment ago: peer, client and admin port of each member.
+/// Peer, client and admin port of each member.
 fn free_ports(members: usize) -> Vec<[net::SocketAddr; 3]> {
-    let bind = |_| net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let listeners: Vec<_> = (0..members * 3).map(bind).collect();
-    let addrs: Vec<_> = listeners.iter().map(|l| l.local_addr().unwrap()).collect();
+    let addrs = support::free_ports(members * 3);
     addrs.chunks(3).map(|c| [c[0], c[1], c[2]]).collect()
 }
 
--- a/crates/marjoramlift/tests/support/mod.rs
+++ b/crates/marjoramlift/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! A node with all roles in a child process, with a plain backend server in this process.
 #![allow(dead_code, clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+#[path = "../../../lift_node/tests/support/mod.rs"]
+mod ports;
+
 use std::{
     fs,
     io::{self, Read as _, Write as _},
@@ -26,7 +29,7 @@
     /// waits until it answers.
     pub fn start(delay: time::Duration) -> Self {
         let dir = tempfile::tempdir().unwrap();
-        let ports = free_ports(8);
+        let ports = ports::free_ports(8);
         let backend = start_backend(delay);
         let file = dir.path().join("node.json");
         fs::write(dir.path().join("link.key"), "5c".repeat(32)).unwrap();
@@ -118,14 +121,6 @@
     }
 }
 
-/// Ports that were free a moment ago.
-fn free_ports(count: usize) -> Vec<net::SocketAddr> {
-    let listeners: Vec<_> = (0..count)
-        .map(|_| net::TcpListener::bind("127.0.0.1:0").unwrap())
-        .collect();
-    listeners.iter().map(|l| l.local_addr().unwrap()).collect()
-}
-
 fn settings(ports: &[net::SocketAddr], backend: net::SocketAddr) -> serde_json::Value {
     serde_json::json!({
         "host": 1, "region": "piedmont", "failure_domain": "piedmont-1",
