--- a/crates/lift_matrix/tests/fault_matrix/config.rs
+++ b/crates/lift_matrix/tests/fault_matrix/config.rs
@@ -24,6 +24,8 @@
 const IN_FORCE: u64 = 3_000;
 /// Length of a journey, in ms.
 const LENGTH: u64 = 15_000;
+/// Longest time before the journey, in ms.
+const WARM_UP: u64 = 60_000;
 const NODES: usize = 3;
 
 struct World {
@@ -116,20 +118,22 @@
         } else {
             3
         };
-        while self.leader().is_none() {
-            self.tick();
-        }
         for expected in 0..changes {
             let client = Client::new(format!("warm-up {expected}"), expected, self.ms);
             let command = bytes::Bytes::from(postcard::to_stdvec(&client.command).unwrap());
-            let leader = self.leader().expect("no fault yet");
-            self.hosts[leader]
-                .inbox
-                .push_back(Event::Propose(vec![command]));
-            self.tick();
+            while !self.accepted.contains_key(&(expected + 1)) {
+                let leader = self.leader().filter(|_| self.ms.is_multiple_of(50));
+                if let Some(leader) = leader {
+                    let event = Event::Propose(vec![command.clone()]);
+                    self.hosts[leader].inbox.push_back(event);
+                }
+                self.tick();
+                assert!(self.ms < WARM_UP, "warm-up at {expected}: {}", self.context);
+            }
         }
         while self.nodes.iter().any(|node| node.revision < changes) {
             self.tick();
+            assert!(self.ms < WARM_UP, "nodes do not follow: {}", self.context);
         }
     }
 
--- a/crates/lift_matrix/tests/fault_matrix/config_parts.rs
+++ b/crates/lift_matrix/tests/fault_matrix/config_parts.rs
@@ -17,8 +17,8 @@
     pub fn new(id: String, expected: u64, ms: u64) -> Self {
         let hash = lift_types::ChunkHash::of(id.as_bytes());
         let edit = lift_state::ChangeEdit::AddException {
-            scope: lift_types::Scope::Host(expected as u32 % 5),
-            value: lift_types::ExceptionValue::ActivationFloorPercent(expected as u8 % 100),
+            scope: lift_types::Scope::Region(format!("r{}", expected % 5)),
+            value: lift_types::ExceptionValue::ActivationFloorPercent(1 + expected as u8 % 90),
             reason: String::from("freeze warning"),
             id: format!("exception {}", expected % 5),
         };
