Let operators drain a host and give log lines a time stamp

Cause: "liftctl drain" answered 501 although entries can make an agent leave; log lines of several hosts could not be merged; the default limit of an order was longer than the default lease, so that nothing was activated without settings. Change: the fleet view calls Entry::drain; lines carry an RFC 3339 time; one constant for the lease, and half of it for an order. Frames are encoded into space that is kept between messages. Conclusion: defaults of the crates now work together.

--- a/crates/lift_admin/src/api_error.rs
+++ b/crates/lift_admin/src/api_error.rs
@@ -48,7 +48,6 @@
         let status = match error {
             fleet_error::FleetError::UnknownHost(_) => http::StatusCode::NOT_FOUND,
             fleet_error::FleetError::Unconfirmed(_) => http::StatusCode::BAD_GATEWAY,
-            fleet_error::FleetError::Unsupported(_) => http::StatusCode::NOT_IMPLEMENTED,
         };
         Self::new(status, error.to_string())
     }
--- a/crates/lift_admin/src/fleet_error.rs
+++ b/crates/lift_admin/src/fleet_error.rs
@@ -9,7 +9,4 @@
     /// The host did not confirm the order.
     #[error("host {0} did not confirm the order")]
     Unconfirmed(lift_types::HostId),
-    /// There is no way to give the order.
-    #[error("host {0} takes no orders to leave; stop its agent with SIGTERM, which drains it")]
-    Unsupported(lift_types::HostId),
 }
--- a/crates/lift_control/src/control_node_builder.rs
+++ b/crates/lift_control/src/control_node_builder.rs
@@ -4,10 +4,6 @@
 
 use crate::{control_machine, control_node};
 
-/// Time of an agent's lease and of a grant. It must outlast the longest order to an engine;
-/// a new leader grants nothing for as long.
-const LEASE: time::Duration = time::Duration::from_secs(10);
-
 /// Collects the settings of a [`control_node::ControlNode`]. The log and the state machine
 /// that it drives are needed, the rest has defaults.
 #[derive(Clone, Debug)]
@@ -24,7 +20,7 @@
         Self {
             log: None,
             machine: None,
-            lease: LEASE,
+            lease: lift_types::DEFAULT_LEASE,
             logger: lift_obs::LogConfig::discard(),
             counters: sync::Arc::new(lift_obs::Counters::new()),
         }
--- a/crates/lift_node/src/entry_fleet.rs
+++ b/crates/lift_node/src/entry_fleet.rs
@@ -31,11 +31,13 @@
         &self,
         host: lift_types::HostId,
     ) -> Result<(), error_stack::Report<lift_admin::FleetError>> {
-        let agents = self.entry.live_agents();
-        if !agents.iter().any(|agent| agent.place.host == host) {
-            return Err(lift_admin::FleetError::UnknownHost(host).into());
-        }
-        Err(lift_admin::FleetError::Unsupported(host).into())
+        self.entry.drain(host).await.map_err(|error| {
+            let fleet_error = match error {
+                lift_entry::DrainError::UnknownHost(_) => lift_admin::FleetError::UnknownHost(host),
+                lift_entry::DrainError::Unconfirmed(_) => lift_admin::FleetError::Unconfirmed(host),
+            };
+            error_stack::Report::new(error).change_context(fleet_error)
+        })
     }
 }
 
--- a/crates/lift_obs/src/log_config.rs
+++ b/crates/lift_obs/src/log_config.rs
@@ -1,6 +1,6 @@
 //! Settings of the log.
 
-use std::{io, sync};
+use std::{io, sync, time};
 
 use slog::Drain as _;
 
@@ -43,7 +43,7 @@
             .chan_size(CHANNEL_EVENTS)
             .build();
         let drain = slog::LevelFilter::new(drain, self.level).fuse();
-        slog::Logger::root(drain, slog::o!())
+        slog::Logger::root(drain, slog::o!("ts" => slog::FnValue(timestamp)))
     }
 
     /// A logger that drops every event, for tests and embedded use.
@@ -52,6 +52,11 @@
     }
 }
 
+/// Wall clock in RFC 3339 with milliseconds, so that lines of several hosts can be merged.
+fn timestamp(_: &slog::Record<'_>) -> String {
+    humantime::format_rfc3339_millis(time::SystemTime::now()).to_string()
+}
+
 impl Default for LogConfig {
     fn default() -> Self {
         Self::new()
--- a/crates/lift_swarm/src/swarm_limits.rs
+++ b/crates/lift_swarm/src/swarm_limits.rs
@@ -83,7 +83,7 @@
             upload_slots: 2,
             upload_queue: 4,
             kept_versions: 2,
-            order_limit: time::Duration::from_secs(60),
+            order_limit: lift_types::DEFAULT_LEASE / 2,
             drain_limit: time::Duration::from_secs(30),
             engine_retry: time::Duration::from_secs(1),
             engine_poll: time::Duration::from_secs(1),
--- a/crates/lift_transfer/src/activation_config.rs
+++ b/crates/lift_transfer/src/activation_config.rs
@@ -14,7 +14,7 @@
 impl Default for ActivationConfig {
     fn default() -> Self {
         Self {
-            order_limit: time::Duration::from_secs(60),
+            order_limit: lift_types::DEFAULT_LEASE / 2,
             retry_after: time::Duration::from_secs(1),
         }
     }
--- a/crates/lift_wire/src/frame_writer.rs
+++ b/crates/lift_wire/src/frame_writer.rs
@@ -1,5 +1,7 @@
 //! Writes frames.
 
+use std::mem;
+
 use bytes::BufMut as _;
 use error_stack::ResultExt as _;
 use tokio::io;
@@ -10,6 +12,9 @@
 /// Length of the checksum of a frame, in bytes.
 pub(crate) const CHECKSUM_BYTES: usize = 16;
 
+/// Largest space for a payload that is kept between messages, in bytes.
+const MAX_SCRATCH_BYTES: usize = 64 * 1024;
+
 /// Writes frames to one direction of a connection.
 #[derive(Debug)]
 pub struct FrameWriter<W> {
@@ -17,6 +22,8 @@
     key: [u8; 32],
     sequence: u64,
     buf: bytes::BytesMut,
+    /// Space for one payload, kept between messages.
+    scratch: Vec<u8>,
 }
 
 impl<W: io::AsyncWrite + Unpin> FrameWriter<W> {
@@ -26,6 +33,7 @@
             key,
             sequence: 0,
             buf: bytes::BytesMut::new(),
+            scratch: Vec::new(),
         }
     }
 
@@ -39,7 +47,10 @@
         &mut self,
         message: &T,
     ) -> Result<(), error_stack::Report<wire_error::WireError>> {
-        let payload = postcard::to_stdvec(message).change_context(wire_error::WireError::Encode)?;
+        let mut scratch = mem::take(&mut self.scratch);
+        scratch.clear();
+        let payload =
+            postcard::to_extend(message, scratch).change_context(wire_error::WireError::Encode)?;
         let length = payload.len() as u64;
         if length > u64::from(crate::MAX_FRAME_BYTES) {
             return Err(error_stack::Report::new(wire_error::WireError::TooLong {
@@ -51,6 +62,10 @@
         self.buf.put_u32_le(length as u32);
         self.buf.put_slice(&payload);
         self.buf.put_slice(&checksum);
+        // A chunk is much longer than other messages; its space is not kept.
+        if payload.capacity() <= MAX_SCRATCH_BYTES {
+            self.scratch = payload;
+        }
         Ok(())
     }
 
