Answer a repeated change of members as the first one

Cause: on a clean clone under load, the test that replaces a control host failed: the removal took effect, its answer was lost while the leader changed, and the repeat was refused with "there is no such member". Ruled out: a wrong identifier in the test. Change: the log answers a change that its committed members reflect with success. Conclusion: a resent change of members now gets the first answer, as a resent change of the configuration does.

--- a/crates/lift_consensus/src/member_set.rs
+++ b/crates/lift_consensus/src/member_set.rs
@@ -1,6 +1,6 @@
 //! The members of the replicated log.
 
-use crate::{member, member_role};
+use crate::{member, member_change, member_role};
 
 /// Members by identifier. An identifier names one disk and is never used again: a new
 /// member needs one above [`MemberSet::highest`].
@@ -40,6 +40,20 @@
             .is_some_and(|member| member.role == member_role::MemberRole::Voter)
     }
 
+    /// Whether a change has taken effect already, so that a change which is made again after
+    /// a lost answer gets the first answer.
+    pub fn reflects(&self, change: &member_change::MemberChange) -> bool {
+        match *change {
+            member_change::MemberChange::AddLearner { id, peer, client } => self
+                .get(id)
+                .is_some_and(|found| found.peer == peer && found.client == client),
+            member_change::MemberChange::Promote { id } => self.is_voter(id),
+            member_change::MemberChange::Remove { id } => {
+                id <= self.highest && self.get(id).is_none()
+            }
+        }
+    }
+
     /// All members.
     pub fn iter(&self) -> impl Iterator<Item = (lift_types::MemberId, &member::Member)> {
         self.members.iter().map(|(id, member)| (*id, member))
--- a/crates/lift_consensus/src/refusal.rs
+++ b/crates/lift_consensus/src/refusal.rs
@@ -18,3 +18,10 @@
     /// The change would leave no voter.
     LastVoter,
 }
+
+impl Refusal {
+    /// Whether a change that has taken effect already is refused in this way.
+    pub fn may_be_repeat(self) -> bool {
+        matches!(self, Self::IdUsed | Self::NoSuchMember)
+    }
+}
--- a/crates/lift_log/src/log_driver.rs
+++ b/crates/lift_log/src/log_driver.rs
@@ -139,6 +139,9 @@
         }
         let (reply, result) = oneshot::channel();
         if let Some(refusal) = self.node.step_change(change, reply) {
+            if refusal.may_be_repeat() && self.members().members.reflects(&change) {
+                return Ok(());
+            }
             let e = change_error::ChangeError::Refused(refusal);
             return Err(error_stack::Report::new(e));
         }
