Refuse to add a promoted member again under its identifier

The test of a lost disk that comes back under its old identifier found it: that disk must get a new identifier. Change: an addition counts as a repeat only while the member is a learner. Before: a_lost_disk_is_refused_under_its_old_identifier failed. After: it passes, with the unit test and the test that replaces a control host. Conclusion: the rule now covers lost answers and no lost disk.

--- a/crates/lift_consensus/src/member_set.rs
+++ b/crates/lift_consensus/src/member_set.rs
@@ -41,12 +41,14 @@
     }
 
     /// Whether a change has taken effect already, so that a change which is made again after
-    /// a lost answer gets the first answer.
+    /// a lost answer gets the first answer. An identifier that was promoted is not one of
+    /// these: its disk may be lost, and then it must not be added again.
     pub fn reflects(&self, change: &member_change::MemberChange) -> bool {
         match *change {
-            member_change::MemberChange::AddLearner { id, peer, client } => self
-                .get(id)
-                .is_some_and(|found| found.peer == peer && found.client == client),
+            member_change::MemberChange::AddLearner { id, peer, client } => {
+                let role = member_role::MemberRole::Learner;
+                self.get(id) == Some(&member::Member { role, peer, client })
+            }
             member_change::MemberChange::Promote { id } => self.is_voter(id),
             member_change::MemberChange::Remove { id } => {
                 id <= self.highest && self.get(id).is_none()
--- a/crates/lift_consensus/tests/repeated_change.rs
+++ b/crates/lift_consensus/tests/repeated_change.rs
@@ -36,6 +36,7 @@
     assert!(members.reflects(&add(3, 30)));
     assert!(!members.reflects(&add(3, 40)));
     assert!(!members.reflects(&add(1, 10)));
+    assert!(!members.reflects(&add(2, 20)));
     assert!(members.reflects(&MemberChange::Promote { id: 2 }));
     assert!(!members.reflects(&MemberChange::Promote { id: 3 }));
 }
