--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -2,6 +2,7 @@
 
 use std::{net, sync, time};
 
+use rand::seq::SliceRandom as _;
 use tokio::sync::watch;
 
 use crate::{fetch_links, piece_message, shared, stage_error, staged};
@@ -15,6 +16,13 @@
 /// Time without a connection to an upstream after which the origin is read in its place.
 const UPSTREAM_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
+/// Time without a new piece after which missing pieces are read from the origin, whoever is to
+/// read them. The agent that is to read them may run while its backend server is down.
+const STUCK_AFTER: time::Duration = time::Duration::from_millis(1_200);
+
+/// Pieces that a stuck agent reads from the origin at once.
+const STUCK_READS: usize = 2;
+
 /// Requests in progress, to all agents and to one.
 const WINDOW: (usize, usize) = (6, 2);
 
@@ -78,16 +86,33 @@
         let mut named = self.shared.named.subscribe();
         let mut clock = tokio::time::interval(CLOCK_INTERVAL);
         self.set_view();
+        let mut progress = Progress::new(self.staged.all().len());
         loop {
             tokio::select! {
                 _ = done.wait_for(|done| *done) => return Ok(()),
                 _ = nodes.changed() => self.set_view(),
                 _ = named.changed() => self.check_newest()?,
-                _ = clock.tick() => self.step(lift_transfer::DownloadEvent::Clock { live: 0 }),
+                _ = clock.tick() => {
+                    self.step(lift_transfer::DownloadEvent::Clock { live: 0 });
+                    if progress.is_stuck(self.staged.all().len()) {
+                        self.read_missing();
+                    }
+                }
             }
         }
     }
 
+    /// Reads some of the missing pieces from the origin.
+    fn read_missing(self: &sync::Arc<Self>) {
+        self.shared.counters.increment("agent.fetch_stuck");
+        let count = self.staged.manifest.digests.len() as lift_types::ChunkIndex;
+        let mut missing: Vec<_> = (0..count).filter(|i| !self.staged.holds(*i)).collect();
+        missing.shuffle(&mut rand::rng());
+        for chunk in missing.into_iter().take(STUCK_READS) {
+            self.request(chunk, lift_transfer::Source::Origin);
+        }
+    }
+
     fn check_newest(&self) -> Result<()> {
         let manifest = &self.staged.manifest;
         if self.shared.named(&manifest.model) > manifest.version {
@@ -248,3 +273,30 @@
         }
     }
 }
+
+/// Notices that no piece comes any more.
+#[derive(Debug)]
+struct Progress {
+    held: usize,
+    since: time::Instant,
+}
+
+impl Progress {
+    fn new(held: usize) -> Self {
+        Self {
+            held,
+            since: lift_clock::now(),
+        }
+    }
+
+    /// Whether nothing has come for too long. The time then starts anew.
+    fn is_stuck(&mut self, held: usize) -> bool {
+        let now = lift_clock::now();
+        let is_stuck =
+            held == self.held && now.saturating_duration_since(self.since) > STUCK_AFTER;
+        if is_stuck || held != self.held {
+            *self = Self { held, since: now };
+        }
+        is_stuck
+    }
+}
--- a/crates/lift_stage/src/piece_server.rs
+++ b/crates/lift_stage/src/piece_server.rs
@@ -71,7 +71,9 @@
             };
             return serving.run(reader, writer).await;
         }
-        // This agent may not have heard of the version yet.
+        // This agent may not have heard of the version yet, or its backend server may hold the
+        // version since before the agent started.
+        shared.asked.send_replace(Some((model.clone(), version)));
         within(SILENCE, writer.send(&piece_message::PieceMessage::Unknown)).await?;
         tokio::select! {
             changed = current.changed() => {
--- a/crates/lift_stage/src/shared.rs
+++ b/crates/lift_stage/src/shared.rs
@@ -29,6 +29,8 @@
     pub(crate) nodes: watch::Sender<Vec<lift_feed::NodeCard>>,
     /// The last report of the backend server, and when it came.
     pub(crate) report: watch::Sender<Option<(engine_report::EngineReport, time::Instant)>>,
+    /// The version that another agent asked for last, where this one does not work on it.
+    pub(crate) asked: watch::Sender<Option<(lift_fleet::ModelName, lift_fleet::WeightsVersion)>>,
     /// The version that is or was brought to the staging area last.
     pub(crate) staged: watch::Sender<Option<sync::Arc<staged::Staged>>>,
 }
--- a/crates/lift_stage/src/stage_agent.rs
+++ b/crates/lift_stage/src/stage_agent.rs
@@ -50,6 +50,7 @@
             named: watch::Sender::new(indexmap::IndexMap::new()),
             nodes: watch::Sender::new(Vec::new()),
             report: watch::Sender::new(None),
+            asked: watch::Sender::new(None),
             staged: watch::Sender::new(None),
         });
         let observer = agent_observer::AgentObserver {
--- a/crates/lift_stage/src/weights_keeper.rs
+++ b/crates/lift_stage/src/weights_keeper.rs
@@ -45,18 +45,34 @@
     let Some(held) = held(shared, &model) else {
         return Ok(());
     };
-    if held > 0 && held >= named {
-        return Ok(());
-    }
     let Some(origin) = shared.origin_place() else {
         return Ok(());
     };
+    if held > 0 && held >= named {
+        return share(shared, &model, held, &origin).await;
+    }
     let staged = prepare(shared, &model, named, &origin).await?;
     fetch::Fetch::run(shared, sync::Arc::clone(&staged), &origin).await?;
     check(shared, &staged).await?;
     load(shared, &staged).await
 }
 
+/// Looks through the staging area for the version that the backend server holds, if another
+/// agent asks for it. Replicas that were there before their agents have it staged.
+async fn share(
+    shared: &sync::Arc<shared::Shared>,
+    model: &str,
+    held: lift_fleet::WeightsVersion,
+    origin: &lift_fleet::OriginPlace,
+) -> Result<()> {
+    let asked = shared.asked.borrow().clone();
+    if asked.is_some_and(|(name, version)| name == model && version == held) {
+        prepare(shared, model, held, origin).await?;
+        shared.asked.send_replace(None);
+    }
+    Ok(())
+}
+
 /// Version that the backend server holds, or `None` where it is not known or an order is
 /// being carried out.
 fn held(shared: &shared::Shared, model: &str) -> Option<lift_fleet::WeightsVersion> {
