--- a/crates/lift_node/src/fleet_node.rs
+++ b/crates/lift_node/src/fleet_node.rs
@@ -34,6 +34,9 @@
     sync_stall: time::Duration::from_secs(1),
 };
 
+/// Bits in a megabit, over the bits in a byte.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
+
 type Result<T> = std::result::Result<T, error_stack::Report<node_error::NodeError>>;
 
 /// A running node of a fleet whose backend servers announce themselves.
@@ -233,6 +236,8 @@
             .seeds(self.seeds())
             .keys(self.keys.clone())
             .codec(self.adapter.codec())
+            .weights_grace(percent(self.settings.bounds.weights_ms, WEIGHTS_PERCENT))
+            .link_bytes_per_s(cfg.link_mbps.map(|rate| (rate * BYTES_PER_MEGABIT) as u64))
             .stage(self.adapter.stage(cfg.backend))
             .origin(self.adapter.origin())
             .logger(self.log.clone())
--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -3,6 +3,7 @@
 use std::{net, sync, time};
 
 use rand::seq::SliceRandom as _;
+use sync::atomic;
 use tokio::sync::watch;
 
 use crate::{fetch_links, piece_message, shared, stage_error, staged};
@@ -47,6 +48,8 @@
     /// Requests to agents without an answer, to find silent connections.
     waiting: parking_lot::Mutex<indexmap::IndexMap<lift_types::HostId, usize>>,
     done: watch::Sender<bool>,
+    from_origin: atomic::AtomicU32,
+    from_agents: atomic::AtomicU32,
 }
 
 impl Fetch {
@@ -71,11 +74,19 @@
             links: parking_lot::Mutex::default(),
             waiting: parking_lot::Mutex::default(),
             done: watch::Sender::new(false),
+            from_origin: atomic::AtomicU32::new(0),
+            from_agents: atomic::AtomicU32::new(0),
         });
         for chunk in staged.all() {
             fetch.step(lift_transfer::DownloadEvent::Held { chunk });
         }
+        let started = lift_clock::now();
         let result = fetch.follow().await;
+        let took = lift_clock::now().saturating_duration_since(started);
+        slog::info!(shared.log, "pieces fetched"; "version" => staged.manifest.version,
+            "held" => staged.all().len(), "took_ms" => took.as_millis() as u64,
+            "from_origin" => fetch.from_origin.load(atomic::Ordering::Relaxed),
+            "from_agents" => fetch.from_agents.load(atomic::Ordering::Relaxed));
         fetch.links.lock().clear();
         result
     }
@@ -217,6 +228,11 @@
         match shared::within(shared::BACKEND_TIMEOUT, putting).await {
             Ok(()) => {
                 self.staged.add(chunk);
+                let tally = match source {
+                    lift_transfer::Source::Origin => &self.from_origin,
+                    lift_transfer::Source::Peer(_) => &self.from_agents,
+                };
+                tally.fetch_add(1, atomic::Ordering::Relaxed);
                 self.step(lift_transfer::DownloadEvent::Arrived { chunk, source });
             }
             Err(_) => {
@@ -292,8 +308,7 @@
     /// Whether nothing has come for too long. The time then starts anew.
     fn is_stuck(&mut self, held: usize) -> bool {
         let now = lift_clock::now();
-        let is_stuck =
-            held == self.held && now.saturating_duration_since(self.since) > STUCK_AFTER;
+        let is_stuck = held == self.held && now.saturating_duration_since(self.since) > STUCK_AFTER;
         if is_stuck || held != self.held {
             *self = Self { held, since: now };
         }
--- a/crates/lift_stage/src/piece_server.rs
+++ b/crates/lift_stage/src/piece_server.rs
@@ -110,9 +110,10 @@
         };
         let writing = async {
             let mut told = indexmap::IndexSet::new();
+            let mut is_first = true;
             let mut count = self.staged.watch();
             loop {
-                self.announce(&mut told, &mut writer).await?;
+                self.announce(&mut told, &mut is_first, &mut writer).await?;
                 tokio::select! {
                     index = waiting.recv() => {
                         let Some(index) = index else { return Ok(()) };
@@ -138,13 +139,16 @@
     async fn announce(
         &self,
         told: &mut indexmap::IndexSet<lift_types::ChunkIndex>,
+        is_first: &mut bool,
         writer: &mut Writer,
     ) -> Result<()> {
         let news: Vec<_> = self.staged.all();
         let news: Vec<_> = news.into_iter().filter(|i| told.insert(*i)).collect();
-        if news.is_empty() {
+        // The first message tells that this agent works on the version, even without pieces.
+        if news.is_empty() && !std::mem::take(is_first) {
             return Ok(());
         }
+        *is_first = false;
         within(
             SILENCE,
             writer.send(&piece_message::PieceMessage::Have(news)),
@@ -157,6 +161,7 @@
         let _slot = slot.change_context(lift_wire::WireError::Closed)?;
         let answer = match self.read(index).await {
             Some(bytes) => {
+                self.pace(bytes.len()).await;
                 self.shared.counters.increment("agent.pieces_sent");
                 piece_message::PieceMessage::Piece { index, bytes }
             }
@@ -165,6 +170,18 @@
         within(SILENCE, writer.send(&answer)).await
     }
 
+    /// Waits until a piece may be sent.
+    async fn pace(&self, length: usize) {
+        let Some(pacer) = &self.shared.pacer else {
+            return;
+        };
+        let report = self.shared.report.borrow().clone();
+        let live = report.map_or(0, |(report, _)| report.running);
+        let now = lift_clock::now();
+        let turn = pacer.lock().reserve(now, length, live);
+        tokio::time::sleep(turn.saturating_duration_since(now)).await;
+    }
+
     /// Reads a piece and checks it: what is staged may be spoilt or replaced by now.
     async fn read(&self, index: lift_types::ChunkIndex) -> Option<bytes::Bytes> {
         if !self.staged.holds(index) {
--- a/crates/lift_stage/src/shared.rs
+++ b/crates/lift_stage/src/shared.rs
@@ -9,6 +9,9 @@
 /// Time for one request to the backend server beside the agent.
 pub(crate) const BACKEND_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// A named version and when it was heard of.
+type Named = (lift_fleet::WeightsVersion, time::Instant);
+
 /// State of an agent.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -22,11 +25,15 @@
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
     /// The configuration in force.
     pub(crate) table: watch::Sender<Option<sync::Arc<lift_fleet::RoutingTable>>>,
-    /// Newest named version of each model's weights.
-    pub(crate) named:
-        watch::Sender<indexmap::IndexMap<lift_fleet::ModelName, lift_fleet::WeightsVersion>>,
+    /// Newest named version of each model's weights, and when this agent heard of it.
+    pub(crate) named: watch::Sender<indexmap::IndexMap<lift_fleet::ModelName, Named>>,
+    /// Time after which no request may begin on an older version.
+    pub(crate) weights_grace: time::Duration,
     /// The other nodes.
     pub(crate) nodes: watch::Sender<Vec<lift_feed::NodeCard>>,
+    /// Spaces the pieces that are sent, so that answers of the backend server on the same link
+    /// don't wait behind them. `None` where the rate of the link is not known.
+    pub(crate) pacer: Option<parking_lot::Mutex<lift_transfer::Pacer>>,
     /// The last report of the backend server, and when it came.
     pub(crate) report: watch::Sender<Option<(engine_report::EngineReport, time::Instant)>>,
     /// The version that another agent asked for last, where this one does not work on it.
@@ -71,7 +78,35 @@
 
     /// Newest named version of `model`, 0 where none was named.
     pub(crate) fn named(&self, model: &str) -> lift_fleet::WeightsVersion {
-        self.named.borrow().get(model).copied().unwrap_or_default()
+        self.named
+            .borrow()
+            .get(model)
+            .map_or(0, |(version, _)| *version)
+    }
+
+    /// When this agent may let the backend server load `version`, which is staged.
+    pub(crate) fn load_turn(
+        &self,
+        model: &str,
+        version: lift_fleet::WeightsVersion,
+    ) -> lift_transfer::LoadTurn {
+        let named = self.named.borrow().get(model).copied();
+        let named_for = match named {
+            Some((named, at)) if named == version => {
+                lift_clock::now().saturating_duration_since(at)
+            }
+            _ => self.weights_grace,
+        };
+        let region = &self.card.place.region;
+        let agents = self.agents();
+        let before = agents.iter().filter(|agent| {
+            agent.place.region == *region && agent.place.host < self.card.place.host
+        });
+        lift_transfer::LoadTurn {
+            position: before.count(),
+            named_for,
+            grace: self.weights_grace,
+        }
     }
 }
 
--- a/crates/lift_stage/src/stage_agent.rs
+++ b/crates/lift_stage/src/stage_agent.rs
@@ -10,6 +10,9 @@
     weights_keeper,
 };
 
+/// Share of the link for pieces, in percent. Framing and acknowledgements take the rest.
+const UPLOAD_PERCENT: u64 = 92;
+
 type Result<T> = std::result::Result<T, error_stack::Report<stage_error::StageError>>;
 
 /// Serves the backend server beside it until it is dropped. It holds nothing that a stop could
@@ -47,8 +50,10 @@
             log: logger.clone(),
             counters: sync::Arc::clone(&settings.counters),
             table: watch::Sender::new(None),
+            weights_grace: settings.weights_grace,
             named: watch::Sender::new(indexmap::IndexMap::new()),
             nodes: watch::Sender::new(Vec::new()),
+            pacer: settings.link_bytes_per_s.map(pacer),
             report: watch::Sender::new(None),
             asked: watch::Sender::new(None),
             staged: watch::Sender::new(None),
@@ -92,4 +97,9 @@
     }
 }
 
+fn pacer(link_bytes_per_s: u64) -> parking_lot::Mutex<lift_transfer::Pacer> {
+    let rate = link_bytes_per_s * UPLOAD_PERCENT / 100;
+    parking_lot::Mutex::new(lift_transfer::Pacer::new(rate))
+}
+
 type Task = std::pin::Pin<Box<dyn Future<Output = ()> + Send>>;
--- a/crates/lift_stage/src/stage_agent_builder.rs
+++ b/crates/lift_stage/src/stage_agent_builder.rs
@@ -1,6 +1,6 @@
 //! Settings of an agent.
 
-use std::{net, sync};
+use std::{net, sync, time};
 
 use crate::{origin_port, stage_agent, stage_error, stage_port};
 
@@ -15,6 +15,8 @@
     pub(crate) codec: Option<sync::Arc<dyn lift_fleet::DocumentCodec>>,
     pub(crate) stage: Option<sync::Arc<dyn stage_port::StagePort>>,
     pub(crate) origin: Option<sync::Arc<dyn origin_port::OriginPort>>,
+    pub(crate) weights_grace: time::Duration,
+    pub(crate) link_bytes_per_s: Option<u64>,
     pub(crate) log: Option<slog::Logger>,
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
 }
@@ -68,6 +70,19 @@
         self
     }
 
+    /// Time after which no request may begin on an older version of the weights. Agents take
+    /// turns within it. Without it all load as soon as they can.
+    pub fn weights_grace(mut self, grace: time::Duration) -> Self {
+        self.weights_grace = grace;
+        self
+    }
+
+    /// Rate of the host's link, which answers of the backend server share.
+    pub fn link_bytes_per_s(mut self, rate: Option<u64>) -> Self {
+        self.link_bytes_per_s = rate;
+        self
+    }
+
     /// Logger, by default one that drops all events.
     pub fn logger(mut self, log: slog::Logger) -> Self {
         self.log = Some(log);
