--- a/crates/lift_dispatch/src/backend_health.rs
+++ b/crates/lift_dispatch/src/backend_health.rs
@@ -12,12 +12,20 @@
 /// all are avoided requests go to them nevertheless.
 const LONGEST_PAUSE: time::Duration = time::Duration::from_secs(4);
 
+/// Weight of the newest answer in the mean time to the head of an answer.
+const NEWEST_HEAD: f64 = 0.2;
+
+/// Time in which the mean loses half of its weight. Without requests nothing else would show
+/// that a slow backend server has recovered.
+const HEAD_HALF_LIFE: time::Duration = time::Duration::from_secs(2);
+
 /// What recent attempts tell about a backend server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct BackendHealth {
     failing: f64,
     unreached: u32,
     avoid_until: Option<time::Instant>,
+    head: Option<(f64, time::Instant)>,
 }
 
 impl BackendHealth {
@@ -28,6 +36,21 @@
         self.avoid_until = None;
     }
 
+    /// Notes how long the head of an answer took, or at least took so far.
+    pub fn head_after(&mut self, now: time::Instant, took: time::Duration) {
+        let newest = took.as_secs_f64();
+        let mean = self.head_s(now).unwrap_or(newest);
+        self.head = Some((mean + (newest - mean) * NEWEST_HEAD, now));
+    }
+
+    /// Mean time to the head of an answer at `now`, in seconds. It falls while there are no
+    /// answers.
+    pub fn head_s(&self, now: time::Instant) -> Option<f64> {
+        let (mean, at) = self.head?;
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        Some(mean * 0.5_f64.powf(age / HEAD_HALF_LIFE.as_secs_f64()))
+    }
+
     /// Notes that it has answered with a failure or has refused the request.
     pub fn fail(&mut self) {
         self.failing += (1.0 - self.failing) * NEWEST;
--- a/crates/lift_dispatch/src/backend_load.rs
+++ b/crates/lift_dispatch/src/backend_load.rs
@@ -46,6 +46,11 @@
         (age < SAMPLE_MAX_AGE).then_some(sample)
     }
 
+    /// Whether an agent has reported before and does so no more.
+    pub fn is_stale(&self, now: time::Instant) -> bool {
+        self.sample.is_some() && self.fresh(now).is_none()
+    }
+
     /// Requests that the backend server is likely to have at `now`. Without a fresh sample
     /// the other gateways, of which there are `gateways` with this one, are taken to send as
     /// much as this one.
--- a/crates/lift_dispatch/src/choice.rs
+++ b/crates/lift_dispatch/src/choice.rs
@@ -16,6 +16,16 @@
 /// others are well over their places.
 const SILENT_PENALTY: f64 = 4.0;
 
+/// Cost of one whose agent has stopped to report, in shares of its places. Its host or link may
+/// be in trouble, but the agent alone may be too.
+const STALE_PENALTY: f64 = 0.3;
+
+/// Part of the wanted latency that the head of an answer may take at no cost.
+const FREE_HEAD: f64 = 0.6;
+
+/// Largest cost of slow heads, in shares of the places.
+const MAX_HEAD_PENALTY: f64 = 1.5;
+
 /// Inputs of the choice for one attempt.
 #[derive(Debug)]
 pub struct Choice<'a> {
@@ -29,6 +39,8 @@
     pub need: &'a weights_need::WeightsNeed,
     /// Requests over its places that a backend server may have, as a share of its places.
     pub queue_share: f64,
+    /// Latency that callers want.
+    pub target: time::Duration,
     /// Backend servers that have had the request.
     pub tried: &'a [lift_fleet::BackendId],
 }
@@ -105,7 +117,21 @@
             0.0
         };
         let used = f64::from(estimate) / f64::from(backend.slots);
-        used + far + silent + load.health.failing() * FAILING_PENALTY
+        let stale = if load.is_stale(self.now) {
+            STALE_PENALTY
+        } else {
+            0.0
+        };
+        let failing = load.health.failing() * FAILING_PENALTY;
+        used + far + silent + stale + failing + self.head_penalty(load)
+    }
+
+    /// Cost of an engine or a link that is slow. Short wanted latencies weigh the same time
+    /// more.
+    fn head_penalty(&self, load: &backend_load::BackendLoad) -> f64 {
+        let head = load.health.head_s(self.now).unwrap_or_default();
+        let share = head / self.target.as_secs_f64().max(f64::MIN_POSITIVE);
+        (share - FREE_HEAD).clamp(0.0, MAX_HEAD_PENALTY)
     }
 }
 
--- a/crates/lift_gateway/src/backend_connection.rs
+++ b/crates/lift_gateway/src/backend_connection.rs
@@ -51,6 +51,9 @@
 fn prepare(stream: &tokio::net::TcpStream) {
     let _ = stream.set_nodelay(true);
     let socket = socket2::SockRef::from(stream);
+    // A connection is closed early only when its request is given up. Closing by a reset drops
+    // what has not been sent yet, so that the request does not arrive after that.
+    let _ = socket.set_linger(Some(time::Duration::ZERO));
     let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
     let probes = socket2::TcpKeepalive::new()
         .with_time(PROBE_AFTER)
--- a/crates/lift_gateway/src/request_run.rs
+++ b/crates/lift_gateway/src/request_run.rs
@@ -107,7 +107,10 @@
             exchange::Exchange::begin(&self.shared, place, id, req, may_repeat, until).await;
         let end = match begun {
             Ok(exchange) => match self.judge(&exchange) {
-                None => return Ok(exchange),
+                None => {
+                    self.note_head(&backend, now);
+                    return Ok(exchange);
+                }
                 Some(end) => end,
             },
             Err(end) => end,
@@ -226,6 +229,7 @@
             gateways: shared.fleet.gateways(),
             need: &self.need,
             queue_share: shared.with_pace(&self.service, |pace| pace.queue_share(target)),
+            target,
             tried: &self.tried,
         };
         let roster = shared.fleet.roster();
@@ -274,6 +278,9 @@
         }
         self.has_run |= !end.is_not_run();
         self.note_failure(backend, end);
+        if end == lift_dispatch::AttemptEnd::Silent {
+            self.note_head(backend, sent_at);
+        }
         let now = lift_clock::now();
         let took = now.saturating_duration_since(sent_at);
         let load = self.shared.loads.load(backend.address);
@@ -286,6 +293,14 @@
         });
     }
 
+    fn note_head(&self, backend: &lift_dispatch::Backend, sent_at: time::Instant) {
+        let now = lift_clock::now();
+        let took = now.saturating_duration_since(sent_at);
+        self.shared
+            .loads
+            .change(backend.address, |load| load.health.head_after(now, took));
+    }
+
     pub(crate) fn note_failure(
         &self,
         backend: &lift_dispatch::Backend,
