--- a/crates/lift_dispatch/src/weights_gate.rs
+++ b/crates/lift_dispatch/src/weights_gate.rs
@@ -2,17 +2,21 @@
 
 use std::time;
 
-/// Newest named versions of the weights, and since when each is known.
+/// Named versions of the weights, and since when each is known.
 ///
-/// A request may begin on an older version until the new one has been named for `grace`. From
-/// then on only backend servers that hold the new one get requests: by then all are to have
-/// it, and one that has been left behind must not answer.
+/// A request may begin on an older version until a newer one has been named for `grace`. From
+/// then on only backend servers that hold at least that one get requests: by then all are to
+/// have it, and one that has been left behind must not answer. Each version counts from its own
+/// naming, also when further ones are named meanwhile.
 #[derive(Clone, Debug)]
 pub struct WeightsGate {
     grace: time::Duration,
-    named: indexmap::IndexMap<lift_fleet::ModelName, (lift_fleet::WeightsVersion, time::Instant)>,
+    named: indexmap::IndexMap<lift_fleet::ModelName, Vec<Named>>,
 }
 
+/// A version and when it was named.
+type Named = (lift_fleet::WeightsVersion, time::Instant);
+
 impl WeightsGate {
     /// Accepts older versions for `grace`.
     pub fn new(grace: time::Duration) -> Self {
@@ -29,19 +33,48 @@
         model: &lift_fleet::ModelName,
         version: lift_fleet::WeightsVersion,
     ) {
-        let known = self.named.get(model).map_or(0, |(known, _)| *known);
-        if version > known {
-            self.named.insert(model.clone(), (version, now));
+        let grace = self.grace;
+        let named = self.named.entry(model.clone()).or_default();
+        if named.last().is_some_and(|(newest, _)| *newest >= version) {
+            return;
         }
+        named.push((version, now));
+        // Of the versions whose time is over only the newest still counts.
+        let over = named
+            .iter()
+            .filter(|(_, at)| is_over(now, *at, grace))
+            .count();
+        named.drain(..over.saturating_sub(1));
     }
 
     /// Lowest version of `model` on which a request may begin at `now`.
     pub fn at_least(&self, now: time::Instant, model: &str) -> lift_fleet::WeightsVersion {
-        match self.named.get(model) {
-            Some((version, since)) if now.saturating_duration_since(*since) > self.grace => {
-                *version
-            }
-            _ => 0,
-        }
+        let Some(named) = self.named.get(model) else {
+            return 0;
+        };
+        let over = named.iter().rfind(|(_, at)| is_over(now, *at, self.grace));
+        over.map_or(0, |(version, _)| *version)
+    }
+
+    /// Newest named version of `model`, 0 where none was named.
+    pub fn newest(&self, model: &str) -> lift_fleet::WeightsVersion {
+        let named = self.named.get(model).and_then(|named| named.last());
+        named.map_or(0, |(version, _)| *version)
+    }
+
+    /// Time until a backend server that holds `version` gets no more requests, as of `now`.
+    pub fn time_left(
+        &self,
+        now: time::Instant,
+        model: &str,
+        version: lift_fleet::WeightsVersion,
+    ) -> Option<time::Duration> {
+        let named = self.named.get(model)?;
+        let (_, at) = named.iter().find(|(newer, _)| *newer > version)?;
+        Some((*at + self.grace).saturating_duration_since(now))
     }
 }
+
+fn is_over(now: time::Instant, at: time::Instant, grace: time::Duration) -> bool {
+    now.saturating_duration_since(at) > grace
+}
--- a/crates/lift_feed/src/feed_link.rs
+++ b/crates/lift_feed/src/feed_link.rs
@@ -16,14 +16,18 @@
 /// member.
 const SILENCE: time::Duration = time::Duration::from_millis(1_300);
 
-/// Time to open a connection.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+/// Time to open a connection. An opening packet to a host that is down is lost, and the next
+/// one would be sent only after a second, when the host may long be back.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+
+/// Time for the handshake on a slow member.
+const HANDSHAKE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 
 /// Pause before a connection is opened again. It doubles up to the longest one.
-const FIRST_PAUSE: time::Duration = time::Duration::from_millis(100);
+const FIRST_PAUSE: time::Duration = time::Duration::from_millis(50);
 
 /// Longest pause between two attempts to connect.
-const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(800);
+const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(400);
 
 type Result<T> = std::result::Result<T, error_stack::Report<feed_error::FeedError>>;
 type Reader = lift_wire::FrameReader<tokio::net::tcp::OwnedReadHalf>;
@@ -68,17 +72,19 @@
 impl Link {
     async fn connect(&self) -> Result<(Reader, Writer)> {
         let setup = &self.shared.setup;
+        let connecting = tokio::net::TcpStream::connect(self.address);
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        let connected = connected.change_context(feed_error::FeedError::Connect)?;
+        let stream = connected.change_context(feed_error::FeedError::Connect)?;
+        link_socket::prepare_link(&stream, SILENCE);
         let opening = async {
-            let stream = tokio::net::TcpStream::connect(self.address).await;
-            let stream = stream.change_context(lift_wire::WireError::Closed)?;
-            link_socket::prepare_link(&stream, SILENCE);
             let purpose = lift_wire::Purpose::Feed;
             let (reader, mut writer) = lift_wire::connect(stream, &setup.keys, purpose).await?;
             let hello = node_message::NodeMessage::Subscribe(setup.card.clone());
             writer.send(&hello).await?;
             Ok((reader, writer))
         };
-        let opened = server_connection::within(CONNECT_TIMEOUT, opening).await;
+        let opened = server_connection::within(HANDSHAKE_TIMEOUT, opening).await;
         opened.change_context(feed_error::FeedError::Connect)
     }
 
--- a/crates/lift_gateway/src/reply.rs
+++ b/crates/lift_gateway/src/reply.rs
@@ -11,13 +11,13 @@
 pub(crate) type Body =
     http_body_util::combinators::UnsyncBoxBody<bytes::Bytes, body_error::BodyError>;
 
-/// Shortest time after which a caller that was refused is asked to come back. Places become
-/// free many times in it.
-const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
+/// Shortest time after which a caller that was refused is asked to come back. A fleet that is
+/// full or starts up stays so for a second or two, and callers come back once only.
+const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(1_000);
 
 /// Longest time after which it is asked to come back, so that those that were refused
 /// together don't come back together.
-const MAX_RETRY_AFTER: time::Duration = time::Duration::from_millis(600);
+const MAX_RETRY_AFTER: time::Duration = time::Duration::from_millis(2_000);
 
 /// Passes on an answer that was read whole.
 pub(crate) fn whole(
--- a/crates/lift_stage/src/agent_observer.rs
+++ b/crates/lift_stage/src/agent_observer.rs
@@ -18,7 +18,7 @@
     fn on_weights(&self, model: &lift_fleet::ModelName, version: lift_fleet::WeightsVersion) {
         slog::info!(self.shared.log, "weights named"; "model" => model, "version" => version);
         self.shared.named.send_modify(|named| {
-            named.insert(model.clone(), (version, lift_clock::now()));
+            named.name(lift_clock::now(), model, version);
         });
     }
 
--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -45,8 +45,8 @@
     origin: net::SocketAddr,
     download: parking_lot::Mutex<lift_transfer::Download>,
     links: parking_lot::Mutex<fetch_links::FetchLinks>,
-    /// Requests to agents without an answer, to find silent connections.
-    waiting: parking_lot::Mutex<indexmap::IndexMap<lift_types::HostId, usize>>,
+    /// Agents that can't be reached or are silent. Others take over what they are to read.
+    suspects: parking_lot::Mutex<indexmap::IndexSet<lift_types::HostId>>,
     done: watch::Sender<bool>,
     from_origin: atomic::AtomicU32,
     from_agents: atomic::AtomicU32,
@@ -72,7 +72,7 @@
             origin: origin.address,
             download: parking_lot::Mutex::new(download),
             links: parking_lot::Mutex::default(),
-            waiting: parking_lot::Mutex::default(),
+            suspects: parking_lot::Mutex::default(),
             done: watch::Sender::new(false),
             from_origin: atomic::AtomicU32::new(0),
             from_agents: atomic::AtomicU32::new(0),
@@ -135,19 +135,41 @@
     }
 
     fn set_view(self: &sync::Arc<Self>) {
-        let goal = lift_types::TransferGoal::Origin;
         let agents = self.shared.agents();
-        let view = lift_transfer::assign(&self.shared.card.place, &agents, goal);
-        let gone = self.links.lock().set(self, &view);
+        let all = self.assign(&agents);
+        let suspects = self.suspects.lock().clone();
+        let sound: Vec<_> = agents
+            .into_iter()
+            .filter(|agent| !suspects.contains(&agent.place.host))
+            .collect();
+        let view = self.assign(&sound);
+        // Connections to suspects are kept up, which shows when they are back.
+        let gone = self.links.lock().set(self, &[&all, &view]);
         for host in gone {
             self.step(lift_transfer::DownloadEvent::PeerDown { host });
         }
         self.step(lift_transfer::DownloadEvent::View(view));
     }
 
+    fn assign(&self, agents: &[lift_transfer::SwarmPeer]) -> lift_transfer::SwarmView {
+        let goal = lift_types::TransferGoal::Origin;
+        lift_transfer::assign(&self.shared.card.place, agents, goal)
+    }
+
+    /// Notes whether an agent can be reached, and assigns anew what it is to read.
+    pub(crate) fn suspect(self: &sync::Arc<Self>, host: lift_types::HostId, is_lost: bool) {
+        let is_new = match is_lost {
+            true => self.suspects.lock().insert(host),
+            false => self.suspects.lock().swap_remove(&host),
+        };
+        if is_new {
+            slog::info!(self.shared.log, "agent suspected"; "host" => host, "lost" => is_lost);
+            self.set_view();
+        }
+    }
+
     /// Takes in an event and carries out what follows.
     pub(crate) fn step(self: &sync::Arc<Self>, event: lift_transfer::DownloadEvent) {
-        self.count(&event);
         let now = lift_clock::now();
         let actions = self.download.lock().step(now, event, &mut rand::rng());
         for action in actions {
@@ -171,7 +193,6 @@
     ) {
         match source {
             lift_transfer::Source::Peer(host) => {
-                *self.waiting.lock().entry(host).or_default() += 1;
                 self.links.lock().ask(host, chunk);
             }
             lift_transfer::Source::Origin => {
@@ -246,36 +267,6 @@
         }
     }
 
-    /// Keeps the number of requests without an answer.
-    fn count(&self, event: &lift_transfer::DownloadEvent) {
-        use lift_transfer::DownloadEvent as Event;
-        let answered = match event {
-            Event::Arrived { source, .. }
-            | Event::Corrupt { source, .. }
-            | Event::Refused { source, .. } => match source {
-                lift_transfer::Source::Peer(host) => *host,
-                lift_transfer::Source::Origin => return,
-            },
-            Event::Missing { host, .. } => *host,
-            Event::PeerDown { host } => {
-                self.waiting.lock().swap_remove(host);
-                return;
-            }
-            _ => return,
-        };
-        if let Some(count) = self.waiting.lock().get_mut(&answered) {
-            *count = count.saturating_sub(1);
-        }
-    }
-
-    /// Whether requests to an agent have no answer yet.
-    pub(crate) fn is_waiting_for(&self, host: lift_types::HostId) -> bool {
-        self.waiting
-            .lock()
-            .get(&host)
-            .is_some_and(|count| *count > 0)
-    }
-
     /// Keys of the links to other agents.
     pub(crate) fn keys(&self) -> &lift_wire::LinkKeys {
         &self.shared.keys
--- a/crates/lift_stage/src/fetch_links.rs
+++ b/crates/lift_stage/src/fetch_links.rs
@@ -20,19 +20,19 @@
 }
 
 impl FetchLinks {
-    /// Connects to the agents of `view` and drops connections to others.
+    /// Connects to the agents of all `views` and drops connections to others.
     pub(crate) fn set(
         &mut self,
         fetch: &sync::Arc<fetch::Fetch>,
-        view: &lift_transfer::SwarmView,
+        views: &[&lift_transfer::SwarmView],
     ) -> Vec<lift_types::HostId> {
-        let upstreams = view.home_groups.iter().filter_map(|g| match &g.upstream {
+        let groups = views.iter().flat_map(|view| &view.home_groups);
+        let upstreams = groups.filter_map(|g| match &g.upstream {
             lift_transfer::Upstream::Peer(peer) => Some(peer),
             lift_transfer::Upstream::Origin => None,
         });
-        let wanted: indexmap::IndexMap<_, _> = view
-            .neighbours
-            .iter()
+        let neighbours = views.iter().flat_map(|view| &view.neighbours);
+        let wanted: indexmap::IndexMap<_, _> = neighbours
             .chain(upstreams)
             .map(|peer| (peer.place.host, peer))
             .collect();
--- a/crates/lift_stage/src/piece_link.rs
+++ b/crates/lift_stage/src/piece_link.rs
@@ -8,13 +8,14 @@
 use crate::{fetch, piece_message, piece_server};
 
 /// Time to open a connection.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 
-/// Silence after which a connection is replaced.
-const SILENCE: time::Duration = time::Duration::from_millis(2_500);
+/// Silence after which a connection is replaced and its agent is suspected. The other end sends
+/// a ping at least every 300 ms.
+const SILENCE: time::Duration = time::Duration::from_millis(1_100);
 
-/// Time between pings.
-const PING_INTERVAL: time::Duration = time::Duration::from_millis(800);
+/// Time between two looks at the silence. Each sends a ping.
+const PING_INTERVAL: time::Duration = time::Duration::from_millis(300);
 
 /// Pause before a connection is opened again.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(300);
@@ -31,6 +32,7 @@
     loop {
         if ask(&fetch, &peer, &mut queue).await.is_err() {
             fetch.step(lift_transfer::DownloadEvent::PeerDown { host });
+            fetch.suspect(host, true);
         }
         while queue.try_recv().is_ok() {}
         tokio::time::sleep(RETRY_PAUSE).await;
@@ -55,6 +57,7 @@
     let (mut reader, mut writer) = piece_server::within(CONNECT_TIMEOUT, opening).await?;
     let place = peer.place.clone();
     fetch.step(lift_transfer::DownloadEvent::PeerUp { place });
+    fetch.suspect(host, false);
     let mut ping = tokio::time::interval(PING_INTERVAL);
     let mut heard = lift_clock::now();
     loop {
@@ -69,9 +72,8 @@
                 piece_server::within(SILENCE, writer.send(&get)).await?;
             }
             _ = ping.tick() => {
-                let is_waiting = fetch.is_waiting_for(host);
                 let silence = lift_clock::now().saturating_duration_since(heard);
-                if is_waiting && silence > SILENCE {
+                if silence > SILENCE {
                     return Err(error_stack::Report::new(lift_wire::WireError::Closed));
                 }
                 let ping = piece_message::PieceMessage::Ping;
--- a/crates/lift_stage/src/piece_server.rs
+++ b/crates/lift_stage/src/piece_server.rs
@@ -13,6 +13,9 @@
 /// Time for the handshake and the first message.
 const START_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// Time between pings on a connection that sends nothing else.
+const PING_INTERVAL: time::Duration = time::Duration::from_millis(300);
+
 /// Pieces that are sent at once over all connections. Two keep the link busy while the next
 /// piece is read from the staging area.
 const SLOTS: usize = 2;
@@ -79,6 +82,7 @@
             changed = current.changed() => {
                 changed.change_context(lift_wire::WireError::Closed)?;
             }
+            () = tokio::time::sleep(PING_INTERVAL) => {}
             message = within(SILENCE, reader.recv::<piece_message::PieceMessage>()) => {
                 message?;
             }
@@ -124,6 +128,10 @@
                         let busy = piece_message::PieceMessage::Busy(index);
                         within(SILENCE, writer.send(&busy)).await?;
                     }
+                    () = tokio::time::sleep(PING_INTERVAL) => {
+                        let ping = piece_message::PieceMessage::Ping;
+                        within(SILENCE, writer.send(&ping)).await?;
+                    }
                     changed = count.changed() => {
                         changed.change_context(lift_wire::WireError::Closed)?;
                     }
--- a/crates/lift_stage/src/shared.rs
+++ b/crates/lift_stage/src/shared.rs
@@ -9,9 +9,6 @@
 /// Time for one request to the backend server beside the agent.
 pub(crate) const BACKEND_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
-/// A named version and when it was heard of.
-type Named = (lift_fleet::WeightsVersion, time::Instant);
-
 /// State of an agent.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -25,10 +22,8 @@
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
     /// The configuration in force.
     pub(crate) table: watch::Sender<Option<sync::Arc<lift_fleet::RoutingTable>>>,
-    /// Newest named version of each model's weights, and when this agent heard of it.
-    pub(crate) named: watch::Sender<indexmap::IndexMap<lift_fleet::ModelName, Named>>,
-    /// Time after which no request may begin on an older version.
-    pub(crate) weights_grace: time::Duration,
+    /// Named versions of the weights.
+    pub(crate) named: watch::Sender<lift_dispatch::WeightsGate>,
     /// The other nodes.
     pub(crate) nodes: watch::Sender<Vec<lift_feed::NodeCard>>,
     /// Spaces the pieces that are sent, so that answers of the backend server on the same link
@@ -78,25 +73,17 @@
 
     /// Newest named version of `model`, 0 where none was named.
     pub(crate) fn named(&self, model: &str) -> lift_fleet::WeightsVersion {
-        self.named
-            .borrow()
-            .get(model)
-            .map_or(0, |(version, _)| *version)
+        self.named.borrow().newest(model)
     }
 
-    /// When this agent may let the backend server load `version`, which is staged.
+    /// When this agent may let the backend server load a newer version than `held`.
     pub(crate) fn load_turn(
         &self,
         model: &str,
-        version: lift_fleet::WeightsVersion,
+        held: lift_fleet::WeightsVersion,
     ) -> lift_transfer::LoadTurn {
-        let named = self.named.borrow().get(model).copied();
-        let named_for = match named {
-            Some((named, at)) if named == version => {
-                lift_clock::now().saturating_duration_since(at)
-            }
-            _ => self.weights_grace,
-        };
+        let now = lift_clock::now();
+        let time_left = self.named.borrow().time_left(now, model, held);
         let region = &self.card.place.region;
         let agents = self.agents();
         let before = agents.iter().filter(|agent| {
@@ -104,8 +91,7 @@
         });
         lift_transfer::LoadTurn {
             position: before.count(),
-            named_for,
-            grace: self.weights_grace,
+            time_left: time_left.unwrap_or_default(),
         }
     }
 }
--- a/crates/lift_stage/src/weights_keeper.rs
+++ b/crates/lift_stage/src/weights_keeper.rs
@@ -54,7 +54,7 @@
     let staged = prepare(shared, &model, named, &origin).await?;
     fetch::Fetch::run(shared, sync::Arc::clone(&staged), &origin).await?;
     if held > 0 {
-        wait_for_turn(shared, &staged).await;
+        wait_for_turn(shared, &staged, held).await;
     }
     check(shared, &staged).await?;
     load(shared, &staged).await
@@ -127,11 +127,15 @@
 }
 
 /// Waits until it is this agent's turn, or a newer version is named.
-async fn wait_for_turn(shared: &shared::Shared, staged: &staged::Staged) {
+async fn wait_for_turn(
+    shared: &shared::Shared,
+    staged: &staged::Staged,
+    held: lift_fleet::WeightsVersion,
+) {
     let (model, version) = (&staged.manifest.model, staged.manifest.version);
-    let delay = shared.load_turn(model, version).delay();
+    let delay = shared.load_turn(model, held).delay();
     let mut named = shared.named.subscribe();
-    let is_newer = named.wait_for(|named| named.get(model).is_some_and(|(v, _)| *v > version));
+    let is_newer = named.wait_for(|named| named.newest(model) > version);
     let _ = tokio::time::timeout(delay, is_newer).await;
 }
 
--- a/crates/lift_transfer/src/load_turn.rs
+++ b/crates/lift_transfer/src/load_turn.rs
@@ -14,10 +14,8 @@
 pub struct LoadTurn {
     /// Position of the agent among those of its region.
     pub position: usize,
-    /// Time since the version was named.
-    pub named_for: time::Duration,
-    /// Time after which no request may begin on an older version.
-    pub grace: time::Duration,
+    /// Time until the version that the backend server holds gets no more requests.
+    pub time_left: time::Duration,
 }
 
 impl LoadTurn {
@@ -25,6 +23,6 @@
     /// the time from which the older version is of no more use.
     pub fn delay(&self) -> time::Duration {
         let wanted = GROUP_GAP * (self.position % GROUPS) as u32;
-        wanted.min(self.grace.saturating_sub(self.named_for))
+        wanted.min(self.time_left)
     }
 }
