--- a/crates/lift_dispatch/src/choice.rs
+++ b/crates/lift_dispatch/src/choice.rs
@@ -93,8 +93,11 @@
     /// Whether it holds what the request needs. A fresh sample goes before the announcement.
     fn is_able(&self, backend: &backend::Backend, load: &backend_load::BackendLoad) -> bool {
         match load.fresh(self.now) {
-            Some(sample) => !sample.is_loading && self.need.is_met_by(&sample.models),
-            None => self.need.is_met_by(&backend.models),
+            Some(sample) => {
+                let is_slow = self.head_penalty(load) > 0.0;
+                !sample.is_loading && self.need.is_met_by(&sample.models, is_slow)
+            }
+            None => self.need.is_met_by(&backend.models, true),
         }
     }
 
--- a/crates/lift_dispatch/src/weights_gate.rs
+++ b/crates/lift_dispatch/src/weights_gate.rs
@@ -2,6 +2,9 @@
 
 use std::time;
 
+/// Part of the grace for backend servers that may begin late, in percent.
+const SLOW_GRACE_PERCENT: u32 = 60;
+
 /// Named versions of the weights, and since when each is known.
 ///
 /// A request may begin on an older version until a newer one has been named for `grace`. From
@@ -56,6 +59,13 @@
         over.map_or(0, |(version, _)| *version)
     }
 
+    /// Lowest version for a backend server that can't be relied on to begin at once, because
+    /// its host or link may be in trouble: requests may reach it late.
+    pub fn at_least_if_slow(&self, now: time::Instant, model: &str) -> lift_fleet::WeightsVersion {
+        let early = now + self.grace * (100 - SLOW_GRACE_PERCENT) / 100;
+        self.at_least(early, model)
+    }
+
     /// Newest named version of `model`, 0 where none was named.
     pub fn newest(&self, model: &str) -> lift_fleet::WeightsVersion {
         let named = self.named.get(model).and_then(|named| named.last());
--- a/crates/lift_dispatch/src/weights_need.rs
+++ b/crates/lift_dispatch/src/weights_need.rs
@@ -7,19 +7,26 @@
     pub model: Option<lift_fleet::ModelName>,
     /// Lowest version of its weights.
     pub at_least: lift_fleet::WeightsVersion,
+    /// Lowest version at a backend server that may begin late.
+    pub at_least_if_slow: lift_fleet::WeightsVersion,
     /// The only version, where an earlier run has used it.
     pub exactly: Option<lift_fleet::WeightsVersion>,
 }
 
 impl WeightsNeed {
-    /// Whether a backend server with `models` may get the request.
-    pub fn is_met_by(&self, models: &[lift_fleet::LoadedModel]) -> bool {
+    /// Whether a backend server with `models` may get the request. `is_slow` says that it may
+    /// begin late.
+    pub fn is_met_by(&self, models: &[lift_fleet::LoadedModel], is_slow: bool) -> bool {
         let Some(name) = &self.model else {
             return true;
         };
+        let at_least = match is_slow {
+            true => self.at_least_if_slow,
+            false => self.at_least,
+        };
         models.iter().any(|model| {
             let is_exact = self.exactly.is_none_or(|version| version == model.version);
-            model.name == *name && model.version >= self.at_least && is_exact
+            model.name == *name && model.version >= at_least && is_exact
         })
     }
 }
--- a/crates/lift_feed/src/feed_link.rs
+++ b/crates/lift_feed/src/feed_link.rs
@@ -121,7 +121,10 @@
     /// When the question was asked that `nonce` answers. Earlier ones are dropped with it.
     fn asked_at(&mut self, nonce: u64) -> Option<time::Instant> {
         let position = self.asked.iter().position(|(n, _)| *n == nonce)?;
-        self.asked.drain(..=position).next_back().map(|(_, at)| at)
+        let (_, at) = self.asked.drain(..=position).next_back()?;
+        let round_trip = lift_clock::now().saturating_duration_since(at);
+        self.shared.setup.observer.on_round_trip(round_trip);
+        Some(at)
     }
 
     fn take_in(&mut self, message: member_message::MemberMessage) -> Next {
--- a/crates/lift_feed/src/fleet_observer.rs
+++ b/crates/lift_feed/src/fleet_observer.rs
@@ -33,6 +33,12 @@
         let _ = nodes;
     }
 
+    /// How long a small message to a control member and its answer took. Its processing is
+    /// part of it.
+    fn on_round_trip(&self, round_trip: time::Duration) {
+        let _ = round_trip;
+    }
+
     /// The control members as one of them knows them, and the highest identifier in use.
     fn on_members(&self, members: &[member_card::MemberCard], highest: lift_types::MemberId) {
         let _ = (members, highest);
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -52,6 +52,15 @@
         self.gate.lock().at_least(now, model)
     }
 
+    /// The same for a backend server that may begin late.
+    pub(crate) fn at_least_if_slow(
+        &self,
+        now: time::Instant,
+        model: &str,
+    ) -> lift_fleet::WeightsVersion {
+        self.gate.lock().at_least_if_slow(now, model)
+    }
+
     /// Gateways that share the backend servers.
     pub(crate) fn gateways(&self) -> u32 {
         self.gateways.load(sync::atomic::Ordering::Relaxed)
--- a/crates/lift_gateway/src/request_run.rs
+++ b/crates/lift_gateway/src/request_run.rs
@@ -221,6 +221,7 @@
         let now = lift_clock::now();
         if let Some(model) = &self.need.model {
             self.need.at_least = shared.fleet.at_least(now, model);
+            self.need.at_least_if_slow = shared.fleet.at_least_if_slow(now, model);
         }
         let target = self.route.target_latency;
         let choice = lift_dispatch::Choice {
--- a/crates/lift_stage/src/agent_observer.rs
+++ b/crates/lift_stage/src/agent_observer.rs
@@ -1,6 +1,6 @@
 //! Takes in the state of the fleet.
 
-use std::sync;
+use std::{sync, time};
 
 use crate::shared;
 
@@ -22,6 +22,11 @@
         });
     }
 
+    fn on_round_trip(&self, round_trip: time::Duration) {
+        let now = lift_clock::now();
+        self.shared.pressure.lock().add(now, round_trip);
+    }
+
     fn on_nodes(&self, nodes: Vec<lift_feed::NodeCard>) {
         self.shared.nodes.send_if_modified(|known| {
             let is_new = *known != nodes;
--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -104,6 +104,8 @@
                 _ = nodes.changed() => self.set_view(),
                 _ = named.changed() => self.check_newest()?,
                 _ = clock.tick() => {
+                    let percent = self.shared.pressure.lock().percent(lift_clock::now());
+                    self.step(lift_transfer::DownloadEvent::Pressure { percent });
                     self.step(lift_transfer::DownloadEvent::Clock { live: 0 });
                     if progress.is_stuck(self.staged.all().len()) {
                         self.read_missing();
--- a/crates/lift_stage/src/shared.rs
+++ b/crates/lift_stage/src/shared.rs
@@ -29,6 +29,8 @@
     /// Spaces the pieces that are sent, so that answers of the backend server on the same link
     /// don't wait behind them. `None` where the rate of the link is not known.
     pub(crate) pacer: Option<parking_lot::Mutex<lift_transfer::Pacer>>,
+    /// How crowded the link of the host is.
+    pub(crate) pressure: parking_lot::Mutex<lift_transfer::LinkPressure>,
     /// The last report of the backend server, and when it came.
     pub(crate) report: watch::Sender<Option<(engine_report::EngineReport, time::Instant)>>,
     /// The version that another agent asked for last, where this one does not work on it.
--- a/crates/lift_stage/src/stage_agent.rs
+++ b/crates/lift_stage/src/stage_agent.rs
@@ -53,6 +53,7 @@
             named: watch::Sender::new(lift_dispatch::WeightsGate::new(settings.weights_grace)),
             nodes: watch::Sender::new(Vec::new()),
             pacer: settings.link_bytes_per_s.map(pacer),
+            pressure: parking_lot::Mutex::default(),
             report: watch::Sender::new(None),
             asked: watch::Sender::new(None),
             staged: watch::Sender::new(None),
--- a/crates/lift_transfer/src/chunk_choice.rs
+++ b/crates/lift_transfer/src/chunk_choice.rs
@@ -90,7 +90,8 @@
         } else {
             cfg.window
         };
-        self.peers_in_flight >= window
+        let window = window * self.window_percent as usize / 100;
+        self.peers_in_flight >= window.max(1)
     }
 
     /// Holders of a chunk in powers of two. Exact numbers would send all agents after the
--- a/crates/lift_transfer/src/chunk_sources.rs
+++ b/crates/lift_transfer/src/chunk_sources.rs
@@ -35,6 +35,8 @@
     pub(crate) refused: indexmap::IndexMap<lift_types::ChunkIndex, time::Instant>,
     /// Whether live requests are in progress, so that the window is smaller.
     pub(crate) yielding: bool,
+    /// Share of the window that is used, in percent.
+    pub(crate) window_percent: u32,
     /// Requests in progress to agents.
     pub(crate) peers_in_flight: usize,
 }
@@ -52,6 +54,7 @@
             turns: None,
             refused: indexmap::IndexMap::new(),
             yielding: false,
+            window_percent: 100,
             peers_in_flight: 0,
         }
     }
--- a/crates/lift_transfer/src/download.rs
+++ b/crates/lift_transfer/src/download.rs
@@ -130,6 +130,7 @@
                 self.sources.have_not(host, chunk);
             }
             Event::WholeCorrupt | Event::Superseded => self.stop(actions),
+            Event::Pressure { percent } => self.sources.window_percent = percent.min(100),
             Event::Clock { live } => {
                 self.sources.yielding = live > 0;
                 self.expire(now, actions);
--- a/crates/lift_transfer/src/download_event.rs
+++ b/crates/lift_transfer/src/download_event.rs
@@ -66,6 +66,11 @@
     WholeCorrupt,
     /// Another version is wanted now.
     Superseded,
+    /// The link bears this share of the usual chunk traffic.
+    Pressure {
+        /// Share in percent.
+        percent: u32,
+    },
     /// Time has passed.
     Clock {
         /// Live requests in progress at the host, to which the download yields.
