--- a/crates/lift_dispatch/src/backend_load.rs
+++ b/crates/lift_dispatch/src/backend_load.rs
@@ -8,27 +8,50 @@
 /// the agent is taken to be down.
 const SAMPLE_MAX_AGE: time::Duration = time::Duration::from_millis(400);
 
+/// Number of one request at one backend server.
+pub type Ticket = u64;
+
 /// Requests at a backend server: the last sample, corrected by what this gateway has begun
 /// and ended since.
 #[derive(Clone, Debug, Default)]
 pub struct BackendLoad {
     own: u32,
+    /// Requests of this gateway without the head of an answer, and when they were sent.
+    unheard: Vec<(Ticket, time::Instant)>,
+    next: Ticket,
     sample: Option<(load_sample::LoadSample, u32)>,
     /// What recent attempts tell.
     pub health: backend_health::BackendHealth,
 }
 
 impl BackendLoad {
-    /// Counts a request that this gateway sends.
-    pub fn begin(&mut self) {
+    /// Counts a request that this gateway sends at `now`.
+    pub fn begin(&mut self, now: time::Instant) -> Ticket {
         self.own += 1;
+        self.next += 1;
+        self.unheard.push((self.next, now));
+        self.next
+    }
+
+    /// Notes that the head of an answer has come.
+    pub fn hear(&mut self, ticket: Ticket) {
+        self.unheard.retain(|(unheard, _)| *unheard != ticket);
     }
 
     /// Counts the end of a request.
-    pub fn end(&mut self) {
+    pub fn end(&mut self, ticket: Ticket) {
+        self.hear(ticket);
         self.own = self.own.saturating_sub(1);
     }
 
+    /// Time to the head of an answer, in seconds: of recent answers, or of the oldest request
+    /// that has none yet. Requests that queue on a narrow link show only in the latter.
+    pub fn head_s(&self, now: time::Instant) -> f64 {
+        let oldest = self.unheard.iter().map(|(_, at)| *at).min();
+        let waited = oldest.map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
+        self.health.head_s(now).unwrap_or_default().max(waited)
+    }
+
     /// Requests of this gateway.
     pub fn own(&self) -> u32 {
         self.own
--- a/crates/lift_dispatch/src/choice.rs
+++ b/crates/lift_dispatch/src/choice.rs
@@ -23,6 +23,10 @@
 /// Part of the wanted latency that the head of an answer may take at no cost.
 const FREE_HEAD: f64 = 0.6;
 
+/// Share of the wanted latency from which a backend server gets a request only where no other
+/// can take it.
+const STUCK_HEAD: f64 = 2.0;
+
 /// Largest cost of slow heads, in shares of the places.
 const MAX_HEAD_PENALTY: f64 = 1.5;
 
@@ -78,7 +82,7 @@
                 reason = worse(reason, choice_reason::ChoiceReason::Full);
                 continue;
             }
-            let is_avoided = load.health.is_avoided(self.now);
+            let is_avoided = load.health.is_avoided(self.now) || self.is_stuck(&load);
             let cost = self.cost(backend, &load, estimate);
             let is_better =
                 best.is_none_or(|(avoided, lowest, _)| (is_avoided, cost) < (avoided, lowest));
@@ -94,7 +98,7 @@
     fn is_able(&self, backend: &backend::Backend, load: &backend_load::BackendLoad) -> bool {
         match load.fresh(self.now) {
             Some(sample) => {
-                let is_slow = self.head_penalty(load) > 0.0;
+                let is_slow = self.head_penalty(load) > 0.0 || sample.link_percent < 100;
                 !sample.is_loading && self.need.is_met_by(&sample.models, is_slow)
             }
             None => self.need.is_met_by(&backend.models, true),
@@ -126,15 +130,27 @@
             0.0
         };
         let failing = load.health.failing() * FAILING_PENALTY;
-        used + far + silent + stale + failing + self.head_penalty(load)
+        let crowded = load
+            .fresh(self.now)
+            .map_or(0, |s| 100 - s.link_percent.min(100));
+        let crowded = f64::from(crowded) / 100.0;
+        used + far + silent + stale + failing + crowded + self.head_penalty(load)
+    }
+
+    /// Whether nothing gets through to it at present.
+    fn is_stuck(&self, load: &backend_load::BackendLoad) -> bool {
+        self.head_share(load) > STUCK_HEAD
+    }
+
+    /// Time to the head of an answer as a share of the wanted latency.
+    fn head_share(&self, load: &backend_load::BackendLoad) -> f64 {
+        load.head_s(self.now) / self.target.as_secs_f64().max(f64::MIN_POSITIVE)
     }
 
     /// Cost of an engine or a link that is slow. Short wanted latencies weigh the same time
     /// more.
     fn head_penalty(&self, load: &backend_load::BackendLoad) -> f64 {
-        let head = load.health.head_s(self.now).unwrap_or_default();
-        let share = head / self.target.as_secs_f64().max(f64::MIN_POSITIVE);
-        (share - FREE_HEAD).clamp(0.0, MAX_HEAD_PENALTY)
+        (self.head_share(load) - FREE_HEAD).clamp(0.0, MAX_HEAD_PENALTY)
     }
 }
 
--- a/crates/lift_dispatch/src/load_sample.rs
+++ b/crates/lift_dispatch/src/load_sample.rs
@@ -9,6 +9,8 @@
     pub requests: u32,
     /// Models that it holds whole.
     pub models: Vec<lift_fleet::LoadedModel>,
+    /// Share of the usual traffic that the link of its host bears, in percent.
+    pub link_percent: u32,
     /// Whether it is loading weights and starts no request.
     pub is_loading: bool,
     /// When the sample arrived here.
--- a/crates/lift_gateway/src/exchange.rs
+++ b/crates/lift_gateway/src/exchange.rs
@@ -37,6 +37,7 @@
         let limit = until.saturating_duration_since(lift_clock::now());
         let sent = tokio::time::timeout(limit, sending).await;
         let (response, sender) = sent.map_err(|_| lift_dispatch::AttemptEnd::Silent)??;
+        place.hear();
         let (parts, body) = response.into_parts();
         let head = shared.dialect.read_answer(&parts);
         if head.id.as_deref().is_some_and(|echoed| echoed != id) {
--- a/crates/lift_gateway/src/place.rs
+++ b/crates/lift_gateway/src/place.rs
@@ -9,6 +9,7 @@
 pub(crate) struct Place {
     shared: sync::Arc<shared::Shared>,
     backend: sync::Arc<lift_dispatch::Backend>,
+    ticket: lift_dispatch::Ticket,
 }
 
 impl Place {
@@ -18,15 +19,23 @@
         shared: &sync::Arc<shared::Shared>,
         backend: sync::Arc<lift_dispatch::Backend>,
     ) -> Self {
-        shared
-            .loads
-            .change(backend.address, lift_dispatch::BackendLoad::begin);
+        let now = lift_clock::now();
+        let begin = |load: &mut lift_dispatch::BackendLoad| load.begin(now);
+        let ticket = shared.loads.change(backend.address, begin);
         Self {
             shared: sync::Arc::clone(shared),
             backend,
+            ticket,
         }
     }
 
+    /// Notes that the head of an answer has come.
+    pub(crate) fn hear(&self) {
+        self.shared
+            .loads
+            .change(self.backend.address, |load| load.hear(self.ticket));
+    }
+
     /// The backend server.
     pub(crate) fn backend(&self) -> &lift_dispatch::Backend {
         &self.backend
@@ -38,7 +47,7 @@
         let address = self.backend.address;
         self.shared
             .loads
-            .change(address, lift_dispatch::BackendLoad::end);
+            .change(address, |load| load.end(self.ticket));
         self.shared.room.notify_one();
     }
 }
--- a/crates/lift_stage/src/load_reporter.rs
+++ b/crates/lift_stage/src/load_reporter.rs
@@ -47,6 +47,7 @@
         running: report.running,
         waiting: report.waiting,
         models: report.models.clone(),
+        link_percent: shared.pressure.lock().percent(lift_clock::now()),
         is_loading: report.is_busy,
     };
     let Ok(datagram) = lift_wire::seal(&shared.keys, &report) else {
--- a/crates/lift_transfer/src/link_pressure.rs
+++ b/crates/lift_transfer/src/link_pressure.rs
@@ -18,6 +18,10 @@
 /// Time for which a round trip counts.
 const SAMPLE_MAX_AGE: time::Duration = time::Duration::from_millis(700);
 
+/// Time for which a lowered share is kept. A link that is free only because little is sent would
+/// be crowded again at once.
+const HOLD: time::Duration = time::Duration::from_millis(1_500);
+
 /// Estimates from round trips how much chunk traffic a link bears.
 ///
 /// A link that has narrowed queues chunks before live requests, whatever its nominal rate. The
@@ -26,6 +30,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LinkPressure {
     samples: Vec<(time::Instant, time::Duration)>,
+    /// The lowest share lately, and until when it holds.
+    held: Option<(u32, time::Instant)>,
 }
 
 impl LinkPressure {
@@ -34,11 +40,22 @@
         self.samples
             .retain(|(at, _)| now.saturating_duration_since(*at) < SAMPLE_MAX_AGE);
         self.samples.push((now, round_trip));
+        let percent = self.momentary(now);
+        let held = self.held.filter(|(_, until)| now < *until);
+        if percent < 100 && held.is_none_or(|(lowest, _)| percent <= lowest) {
+            self.held = Some((percent, now + HOLD));
+        }
     }
 
     /// Share of the usual chunk traffic that is allowed at `now`, in percent. Without any
     /// recent round trip the link is taken to be free: control may be away.
     pub fn percent(&self, now: time::Instant) -> u32 {
+        let held = self.held.filter(|(_, until)| now < *until);
+        held.map_or(100, |(lowest, _)| lowest)
+            .min(self.momentary(now))
+    }
+
+    fn momentary(&self, now: time::Instant) -> u32 {
         let recent = self
             .samples
             .iter()
