--- /dev/null
+++ b/crates/lift_fleet/tests/routing_table.rs
@@ -0,0 +1,117 @@
+//! Routes, keys and their checks.
+
+use std::time;
+
+use lift_fleet::{Route, RouteKind, RoutingTable, RoutingTableBuilder, Service, Split, TableError};
+
+fn service(name: &str) -> Service {
+    Service {
+        name: String::from(name),
+        max_connections: 0,
+        engine: None,
+        origin: None,
+    }
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: String::from(name),
+        host: String::from(host),
+        prefix: String::from(prefix),
+        kind: RouteKind::Idempotent,
+        timeout: time::Duration::from_secs(1),
+        target_latency: time::Duration::from_millis(100),
+        target_gap: time::Duration::from_millis(100),
+        priority: 1,
+        splits: vec![Split {
+            service: String::from("s"),
+            weight: 1,
+        }],
+        max_attempts: 1,
+        is_open: false,
+    }
+}
+
+fn builder() -> RoutingTableBuilder {
+    RoutingTable::builder(7).service(service("s"))
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let table = builder()
+        .route(route("short", "h", "/a/"))
+        .route(route("long", "h", "/a/b/"))
+        .build()
+        .unwrap();
+    let found = |host, path| table.find(host, path).map(|r| r.name.clone());
+    assert_eq!(found("h", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(found("H", "/a/bc").as_deref(), Some("short"));
+    assert_eq!(found("h", "/a"), None);
+    assert_eq!(found("other", "/a/b/"), None);
+}
+
+#[test]
+fn parts_that_do_not_fit_are_refused() {
+    // Guards against the acknowledgement of an invalid configuration.
+    let mut unknown = route("r", "h", "/a/");
+    unknown.splits[0].service = String::from("nobody");
+    let refused = |route| builder().route(route).build().unwrap_err();
+    assert!(matches!(refused(unknown), TableError::UnknownService { .. }));
+    let mut weightless = route("r", "h", "/a/");
+    weightless.splits[0].weight = 0;
+    assert!(matches!(refused(weightless), TableError::NoWeight { .. }));
+    let mut timeless = route("r", "h", "/a/");
+    timeless.timeout = time::Duration::ZERO;
+    assert!(matches!(refused(timeless), TableError::NoTimeout { .. }));
+    assert!(matches!(refused(route("r", "h", "a/")), TableError::BadPrefix { .. }));
+    let twice = builder()
+        .route(route("r1", "h", "/a/"))
+        .route(route("r2", "h", "/b/"))
+        .route(route("r3", "h", "/a/"))
+        .build();
+    assert!(matches!(twice, Err(TableError::SamePlace { .. })));
+}
+
+#[test]
+fn a_key_belongs_to_one_workspace() {
+    // Guards against requests that run for the wrong workspace.
+    let key = |builder: RoutingTableBuilder, key: &str, workspace: &str| {
+        builder.key(String::from(key), String::from(workspace))
+    };
+    let table = key(builder(), "k1", "w1").unwrap();
+    assert!(matches!(key(table.clone(), "k1", "w2"), Err(TableError::SharedKey { .. })));
+    let table = key(table, "k1", "w1").unwrap().build().unwrap();
+    assert_eq!(table.workspace("k1").map(String::as_str), Some("w1"));
+    assert_eq!(table.workspace("k2"), None);
+}
+
+#[test]
+fn a_list_without_keys_still_asks_for_keys() {
+    // Guards against open access once the last key was taken away.
+    let table = builder().with_keys().build().unwrap();
+    assert!(table.has_keys());
+    assert!(!builder().build().unwrap().has_keys());
+}
+
+#[test]
+fn splits_get_their_share() {
+    let mut route = route("r", "h", "/a/");
+    route.splits = ["a", "b", "c"]
+        .iter()
+        .zip([3, 0, 1])
+        .map(|(name, weight)| Split {
+            service: String::from(*name),
+            weight,
+        })
+        .collect();
+    let mut counts = [0_u64; 3];
+    let draws = 4_000;
+    for i in 0..draws {
+        let draw = (u64::from(u32::MAX) * i / draws) as u32;
+        let chosen = route.choose_service(draw).unwrap();
+        counts[usize::from(chosen.as_bytes()[0] - b'a')] += 1;
+    }
+    assert_eq!(counts[1], 0);
+    assert!(counts[0].abs_diff(3_000) <= 2, "{counts:?}");
+    assert!(route.choose_service(u32::MAX).is_some());
+}
