--- a/crates/lift_dispatch/tests/attempt_rules.rs
+++ b/crates/lift_dispatch/tests/attempt_rules.rs
@@ -62,9 +62,15 @@
     unsent.unsent = 1;
     let mut budget = lift_route::RetryBudget::new();
     budget.set(0.0, 0.0);
-    assert_eq!(unsent.after(AttemptEnd::NotSent, &mut budget), Verdict::Again);
+    assert_eq!(
+        unsent.after(AttemptEnd::NotSent, &mut budget),
+        Verdict::Again
+    );
     unsent.unsent = 3;
-    assert_eq!(unsent.after(AttemptEnd::NotSent, &mut budget), Verdict::GiveUp);
+    assert_eq!(
+        unsent.after(AttemptEnd::NotSent, &mut budget),
+        Verdict::GiveUp
+    );
 }
 
 proptest! {
--- a/crates/lift_dispatch/tests/choice.rs
+++ b/crates/lift_dispatch/tests/choice.rs
@@ -143,7 +143,11 @@
     assert_eq!(case.pick().as_deref(), Ok("s0"), "better than nothing");
     case.tried.clear();
     case.now += 600 * MS;
-    assert_eq!(case.pick().as_deref(), Ok("s0"), "the time to avoid it is over");
+    assert_eq!(
+        case.pick().as_deref(),
+        Ok("s0"),
+        "the time to avoid it is over"
+    );
 }
 
 #[test]
@@ -158,7 +162,11 @@
     case.loads[0].sample(sample(case.now, 0));
     assert_eq!(case.pick().as_deref(), Ok("s0"));
     case.now += 1_000 * MS;
-    assert_eq!(case.pick(), Err(ChoiceReason::NoWeights), "the report is stale");
+    assert_eq!(
+        case.pick(),
+        Err(ChoiceReason::NoWeights),
+        "the report is stale"
+    );
 }
 
 #[test]
@@ -167,5 +175,9 @@
     case.loads[0].begin(case.now);
     assert_eq!(case.pick().as_deref(), Ok("s0"));
     case.loads[0].begin(case.now);
-    assert_eq!(case.pick(), Err(ChoiceReason::Full), "two of each of two gateways");
+    assert_eq!(
+        case.pick(),
+        Err(ChoiceReason::Full),
+        "two of each of two gateways"
+    );
 }
--- a/crates/lift_dispatch/tests/weights_gate.rs
+++ b/crates/lift_dispatch/tests/weights_gate.rs
@@ -36,7 +36,11 @@
     assert_eq!(gate.at_least(now, &m), 2);
     let (mut gate, now, m) = self::gate();
     gate.name(now, &m, 2, None);
-    assert_eq!(gate.at_least(now, &m), 2, "named long ago, as far as is known");
+    assert_eq!(
+        gate.at_least(now, &m),
+        2,
+        "named long ago, as far as is known"
+    );
     gate.name(now, &m, 2, Some(now - S));
     assert_eq!(gate.at_least(now, &m), 0, "a member knows better");
 }
--- a/crates/lift_feed/tests/feed.rs
+++ b/crates/lift_feed/tests/feed.rs
@@ -14,10 +14,7 @@
 struct Codec;
 
 impl lift_fleet::DocumentCodec for Codec {
-    fn decode(
-        &self,
-        text: &[u8],
-    ) -> Result<lift_fleet::RoutingTable, lift_fleet::DocumentError> {
+    fn decode(&self, text: &[u8]) -> Result<lift_fleet::RoutingTable, lift_fleet::DocumentError> {
         let text = String::from_utf8_lossy(text);
         let unreadable = || lift_fleet::DocumentError::Unreadable(text.to_string());
         let version = text.trim().parse().map_err(|_| unreadable())?;
@@ -189,10 +186,16 @@
     a.source.put(3);
     let observer = sync::Arc::new(Observer::default());
     let _client = client(&observer, [127, 0, 40, 9], &[first, second]);
-    until("the document of a member", || *observer.tables.lock() == [3]).await;
+    until("the document of a member", || {
+        *observer.tables.lock() == [3]
+    })
+    .await;
     b.put(2);
     b.put(5);
-    until("the newer one", || observer.tables.lock().last() == Some(&5)).await;
+    until("the newer one", || {
+        observer.tables.lock().last() == Some(&5)
+    })
+    .await;
     assert!(observer.confirmed.lock().is_none(), "nobody leads");
     a.source.lead(true);
     until("a confirmation", || observer.confirmed.lock().is_some()).await;
@@ -220,7 +223,10 @@
     tokio::time::sleep(time::Duration::from_millis(1_200)).await;
     assert_eq!(*observer.confirmed.lock(), before);
     member.put(10);
-    until("the next one", || observer.tables.lock().last() == Some(&10)).await;
+    until("the next one", || {
+        observer.tables.lock().last() == Some(&10)
+    })
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -264,7 +270,10 @@
     tokio::time::sleep(time::Duration::from_millis(200)).await;
     let member = Member::start(host).await;
     member.put(2);
-    until("the second start", || observer.tables.lock().last() == Some(&2)).await;
+    until("the second start", || {
+        observer.tables.lock().last() == Some(&2)
+    })
+    .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/lift_fleet/tests/directory.rs
+++ b/crates/lift_fleet/tests/directory.rs
@@ -30,7 +30,10 @@
     // Guards against new work for a server that leaves, after a heartbeat from before arrives.
     let now = time::Instant::now();
     let mut directory = Directory::new();
-    assert_eq!(directory.announce(now, said("s", 1, 1)), ChangeSize::Changed);
+    assert_eq!(
+        directory.announce(now, said("s", 1, 1)),
+        ChangeSize::Changed
+    );
     let leaving = draining(said("s", 1, 3));
     assert_eq!(directory.announce(now, leaving), ChangeSize::Changed);
     assert_eq!(directory.announce(now, said("s", 1, 2)), ChangeSize::Stale);
@@ -48,7 +51,10 @@
     assert!(directory.leave(now, "s", None).is_none());
     assert_eq!(directory.announce(now, said("s", 1, 9)), ChangeSize::Stale);
     // The same name starts again, and its sequence starts anew.
-    assert_eq!(directory.announce(now, said("s", 2, 1)), ChangeSize::Changed);
+    assert_eq!(
+        directory.announce(now, said("s", 2, 1)),
+        ChangeSize::Changed
+    );
     let state = directory.get("s").map(|r| r.announcement.state);
     assert_eq!(state, Some(BackendState::Ready));
 }
@@ -73,8 +79,14 @@
     directory.announce(now, said("new", 2, 1));
     let state = directory.get("old").map(|r| r.announcement.state);
     assert_eq!(state, Some(BackendState::Gone));
-    assert_eq!(directory.announce(now, said("old", 1, 6)), ChangeSize::Stale);
-    assert_eq!(directory.announce(now, said("older", 0, 1)), ChangeSize::Stale);
+    assert_eq!(
+        directory.announce(now, said("old", 1, 6)),
+        ChangeSize::Stale
+    );
+    assert_eq!(
+        directory.announce(now, said("older", 0, 1)),
+        ChangeSize::Stale
+    );
 }
 
 #[test]
@@ -95,7 +107,10 @@
     let now = time::Instant::now();
     let mut directory = Directory::new();
     directory.announce(now, said("s", 1, 1));
-    assert_eq!(directory.announce(now, said("s", 1, 2)), ChangeSize::Refreshed);
+    assert_eq!(
+        directory.announce(now, said("s", 1, 2)),
+        ChangeSize::Refreshed
+    );
     let mut loaded = said("s", 1, 3);
     loaded.models.push(LoadedModel {
         name: String::from("m"),
--- a/crates/lift_fleet/tests/fleet_state.rs
+++ b/crates/lift_fleet/tests/fleet_state.rs
@@ -54,7 +54,10 @@
     let plan = MemberPlan::for_newcomer(&members, members[1].peer);
     assert_eq!(plan, MemberPlan::Remove(2));
     let elsewhere = net::SocketAddr::from(([10, 0, 0, 9], 7000));
-    assert_eq!(MemberPlan::for_newcomer(&members, elsewhere), MemberPlan::Add);
+    assert_eq!(
+        MemberPlan::for_newcomer(&members, elsewhere),
+        MemberPlan::Add
+    );
 }
 
 #[test]
--- a/crates/lift_fleet/tests/routing_table.rs
+++ b/crates/lift_fleet/tests/routing_table.rs
@@ -56,14 +56,20 @@
     let mut unknown = route("r", "h", "/a/");
     unknown.splits[0].service = String::from("nobody");
     let refused = |route| builder().route(route).build().unwrap_err();
-    assert!(matches!(refused(unknown), TableError::UnknownService { .. }));
+    assert!(matches!(
+        refused(unknown),
+        TableError::UnknownService { .. }
+    ));
     let mut weightless = route("r", "h", "/a/");
     weightless.splits[0].weight = 0;
     assert!(matches!(refused(weightless), TableError::NoWeight { .. }));
     let mut timeless = route("r", "h", "/a/");
     timeless.timeout = time::Duration::ZERO;
     assert!(matches!(refused(timeless), TableError::NoTimeout { .. }));
-    assert!(matches!(refused(route("r", "h", "a/")), TableError::BadPrefix { .. }));
+    assert!(matches!(
+        refused(route("r", "h", "a/")),
+        TableError::BadPrefix { .. }
+    ));
     let twice = builder()
         .route(route("r1", "h", "/a/"))
         .route(route("r2", "h", "/b/"))
@@ -79,7 +85,10 @@
         builder.key(String::from(key), String::from(workspace))
     };
     let table = key(builder(), "k1", "w1").unwrap();
-    assert!(matches!(key(table.clone(), "k1", "w2"), Err(TableError::SharedKey { .. })));
+    assert!(matches!(
+        key(table.clone(), "k1", "w2"),
+        Err(TableError::SharedKey { .. })
+    ));
     let table = key(table, "k1", "w1").unwrap().build().unwrap();
     assert_eq!(table.workspace("k1").map(String::as_str), Some("w1"));
     assert_eq!(table.workspace("k2"), None);
--- /dev/null
+++ b/crates/lift_gateway/tests/support/backend.rs
@@ -0,0 +1,210 @@
+//! A backend server that replies as a test says.
+
+use std::{net, ops, sync, time};
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+
+/// How a backend server replies to one request.
+#[derive(Clone, Debug)]
+pub(crate) enum Reply {
+    /// Closes the connection after it has read the request.
+    Break,
+    /// Never replies.
+    Hang,
+    /// Replies.
+    Answer(Answer),
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    status: u16,
+    headers: Vec<(String, String)>,
+    body: String,
+    is_sealed: bool,
+    is_cut: bool,
+    delay: time::Duration,
+}
+
+impl Reply {
+    pub(crate) fn ok(body: &str) -> Self {
+        Self::Answer(Answer {
+            status: 200,
+            headers: Vec::new(),
+            body: String::from(body),
+            is_sealed: true,
+            is_cut: false,
+            delay: time::Duration::ZERO,
+        })
+    }
+
+    pub(crate) fn status(status: u16) -> Self {
+        Self::ok("failed").change(|answer| answer.status = status)
+    }
+
+    pub(crate) fn events(numbers: ops::RangeInclusive<u64>) -> Self {
+        let events = numbers.map(|n| format!("id: {n}\ndata: word\n\n"));
+        Self::ok(&events.collect::<String>())
+    }
+
+    pub(crate) fn half_event(self) -> Self {
+        self.change(|answer| answer.body.push_str("id: 4\nda"))
+    }
+
+    pub(crate) fn header(self, name: &str, value: &str) -> Self {
+        let header = (String::from(name), String::from(value));
+        self.change(|answer| answer.headers.push(header))
+    }
+
+    pub(crate) fn headers(self, headers: &[(&str, &str)]) -> Self {
+        headers
+            .iter()
+            .fold(self, |reply, (name, value)| reply.header(name, value))
+    }
+
+    pub(crate) fn unsealed(self) -> Self {
+        self.change(|answer| answer.is_sealed = false)
+    }
+
+    /// Sends the body without its end.
+    pub(crate) fn cut(self) -> Self {
+        self.change(|answer| answer.is_cut = true)
+    }
+
+    pub(crate) fn after(self, ms: u64) -> Self {
+        self.change(|answer| answer.delay = time::Duration::from_millis(ms))
+    }
+
+    fn change(self, change: impl FnOnce(&mut Answer)) -> Self {
+        match self {
+            Self::Answer(mut answer) => {
+                change(&mut answer);
+                Self::Answer(answer)
+            }
+            other => other,
+        }
+    }
+}
+
+/// A request that a backend server has got.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    pub(crate) workspace: Option<String>,
+    pub(crate) key: Option<String>,
+    pub(crate) last_event: Option<String>,
+}
+
+/// A backend server. After the replies that it was given it answers `done`.
+#[derive(Debug)]
+pub(crate) struct Backend {
+    pub(crate) address: net::SocketAddr,
+    state: sync::Arc<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    replies: parking_lot::Mutex<Vec<Reply>>,
+    seen: parking_lot::Mutex<Vec<Seen>>,
+    hanging: sync::atomic::AtomicUsize,
+}
+
+impl Backend {
+    pub(crate) async fn start(replies: &[Reply]) -> Self {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut replies = replies.to_vec();
+        replies.reverse();
+        let state = sync::Arc::new(State {
+            replies: parking_lot::Mutex::new(replies),
+            seen: parking_lot::Mutex::default(),
+            hanging: sync::atomic::AtomicUsize::new(0),
+        });
+        let shared = sync::Arc::clone(&state);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(sync::Arc::clone(&shared), stream));
+            }
+        });
+        Self { address, state }
+    }
+
+    pub(crate) fn seen(&self) -> Vec<Seen> {
+        self.state.seen.lock().clone()
+    }
+
+    pub(crate) fn hanging(&self) -> usize {
+        self.state.hanging.load(sync::atomic::Ordering::SeqCst)
+    }
+}
+
+async fn serve(state: sync::Arc<State>, mut stream: tokio::net::TcpStream) {
+    let mut buf = Vec::new();
+    loop {
+        let Some(head) = read_head(&mut stream, &mut buf).await else {
+            return;
+        };
+        let find = |name: &str| {
+            let prefix = format!("{name}: ");
+            let line = head.lines().find_map(|l| l.strip_prefix(&prefix));
+            line.map(String::from)
+        };
+        state.seen.lock().push(Seen {
+            workspace: find("x-workspace"),
+            key: find("x-key"),
+            last_event: find("x-last"),
+        });
+        let id = find("x-id").unwrap_or_default();
+        let reply = state.replies.lock().pop().unwrap_or(Reply::ok("done"));
+        let answer = match reply {
+            Reply::Break => return,
+            Reply::Hang => {
+                state.hanging.fetch_add(1, sync::atomic::Ordering::SeqCst);
+                // Ends when the other end closes.
+                let _ = stream.read(&mut [0; 16]).await;
+                state.hanging.fetch_sub(1, sync::atomic::Ordering::SeqCst);
+                return;
+            }
+            Reply::Answer(answer) => answer,
+        };
+        tokio::time::sleep(answer.delay).await;
+        let is_cut = answer.is_cut;
+        if stream
+            .write_all(text(&answer, &id).as_bytes())
+            .await
+            .is_err()
+            || is_cut
+        {
+            return;
+        }
+    }
+}
+
+async fn read_head(stream: &mut tokio::net::TcpStream, buf: &mut Vec<u8>) -> Option<String> {
+    loop {
+        if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
+            let head: Vec<u8> = buf.drain(..end + 4).collect();
+            return Some(String::from_utf8_lossy(&head).replace('\r', ""));
+        }
+        let mut part = [0; 1024];
+        match stream.read(&mut part).await {
+            Ok(read) if read > 0 => buf.extend_from_slice(&part[..read]),
+            _ => return None,
+        }
+    }
+}
+
+fn text(answer: &Answer, id: &str) -> String {
+    let mut text = format!("HTTP/1.1 {} X\r\n", answer.status);
+    if !answer.headers.iter().any(|(name, _)| name == "x-id") {
+        text.push_str(&format!("x-id: {id}\r\n"));
+    }
+    if answer.is_sealed {
+        text.push_str("x-seal: 1\r\n");
+    }
+    for (name, value) in &answer.headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    let missing = if answer.is_cut { 10 } else { 0 };
+    let length = answer.body.len() + missing;
+    text.push_str(&format!("content-length: {length}\r\n\r\n{}", answer.body));
+    text
+}
--- /dev/null
+++ b/crates/lift_gateway/tests/support/dialect.rs
@@ -0,0 +1,53 @@
+//! Heads as this test writes them.
+
+use std::time;
+
+use lift_gateway::{AnswerHead, BackendCall, CallerHead, Decline, DialectError};
+
+#[derive(Debug)]
+pub(crate) struct TestDialect;
+
+fn text(headers: &http::HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?.to_str().ok()?;
+    Some(String::from(value))
+}
+
+fn set(headers: &mut http::HeaderMap, name: &'static str, value: &str) {
+    headers.insert(name, value.parse().unwrap());
+}
+
+impl lift_gateway::Dialect for TestDialect {
+    fn read_request(&self, head: &http::request::Parts) -> Result<CallerHead, DialectError> {
+        Ok(CallerHead {
+            id: text(&head.headers, "x-id").ok_or(DialectError::Missing("x-id"))?,
+            patience: Some(time::Duration::from_secs(4)),
+            key: text(&head.headers, "x-key"),
+            model: None,
+            last_event: None,
+        })
+    }
+
+    fn write_call(&self, headers: &mut http::HeaderMap, call: &BackendCall) {
+        headers.remove("x-key");
+        set(headers, "x-backend", &call.backend);
+        if let Some(workspace) = &call.workspace {
+            set(headers, "x-workspace", workspace);
+        }
+        if let Some(event) = call.last_event {
+            set(headers, "x-last", &event.to_string());
+        }
+    }
+
+    fn read_answer(&self, head: &http::response::Parts) -> AnswerHead {
+        AnswerHead {
+            id: text(&head.headers, "x-id"),
+            is_sealed: head.headers.contains_key("x-seal"),
+            is_not_run: head.headers.contains_key("x-not-run"),
+            ..AnswerHead::default()
+        }
+    }
+
+    fn write_decline(&self, headers: &mut http::HeaderMap, decline: &Decline) {
+        set(headers, "x-reason", &decline.reason.to_string());
+    }
+}
--- /dev/null
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -0,0 +1,282 @@
+//! A control member and a gateway.
+
+use std::{net, sync, time};
+
+use http_body_util::BodyExt as _;
+use lift_feed::FeedSource;
+
+use super::{backend, dialect};
+
+const KEY: &str = "k1";
+
+/// Documents are built by the test, so the text does not matter.
+#[derive(Debug)]
+struct Codec;
+
+impl lift_fleet::DocumentCodec for Codec {
+    fn decode(&self, _: &[u8]) -> Result<lift_fleet::RoutingTable, lift_fleet::DocumentError> {
+        let kinds = [
+            ("idempotent", lift_fleet::RouteKind::Idempotent),
+            ("non_idempotent", lift_fleet::RouteKind::NonIdempotent),
+            ("stream", lift_fleet::RouteKind::ResumableStream),
+        ];
+        let service = lift_fleet::Service {
+            name: String::from("s"),
+            max_connections: 0,
+            engine: None,
+            origin: None,
+        };
+        let mut builder = lift_fleet::RoutingTable::builder(1).service(service);
+        for (name, kind) in kinds {
+            builder = builder.route(route(name, kind));
+        }
+        let builder = builder.key(String::from(KEY), String::from("depots"))?;
+        Ok(builder.build()?)
+    }
+}
+
+fn route(name: &str, kind: lift_fleet::RouteKind) -> lift_fleet::Route {
+    lift_fleet::Route {
+        name: String::from(name),
+        host: String::from("h"),
+        prefix: format!("/{name}/"),
+        kind,
+        timeout: time::Duration::from_secs(4),
+        target_latency: time::Duration::from_millis(400),
+        target_gap: time::Duration::from_millis(300),
+        priority: 1,
+        splits: vec![lift_fleet::Split {
+            service: String::from("s"),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        is_open: false,
+    }
+}
+
+#[derive(Debug, Default)]
+struct Source {
+    backends: parking_lot::Mutex<Vec<lift_fleet::BackendRecord>>,
+    leads: sync::atomic::AtomicBool,
+}
+
+#[async_trait::async_trait]
+impl FeedSource for Source {
+    fn members(&self) -> (Vec<lift_feed::MemberCard>, u64) {
+        (Vec::new(), 0)
+    }
+
+    fn head(&self) -> lift_feed::FleetHead {
+        lift_feed::FleetHead {
+            document: 1,
+            weights: indexmap::IndexMap::new(),
+        }
+    }
+
+    fn document(&self) -> Option<sync::Arc<lift_fleet::Document>> {
+        let packed = lift_feed::pack(b"1").unwrap();
+        Some(sync::Arc::new(lift_fleet::Document { version: 1, packed }))
+    }
+
+    fn backends(&self) -> Vec<lift_fleet::BackendRecord> {
+        self.backends.lock().clone()
+    }
+
+    fn confirm(&self) -> Option<u64> {
+        let leads = self.leads.load(sync::atomic::Ordering::SeqCst);
+        leads.then_some(1)
+    }
+
+    async fn join(&self, _: lift_feed::Newcomer) -> lift_feed::JoinAnswer {
+        lift_feed::JoinAnswer::Later
+    }
+}
+
+/// A gateway with its control member, both on loopback addresses of one subnet.
+pub(crate) struct Fleet {
+    pub(crate) gateway: lift_gateway::Gateway,
+    source: sync::Arc<Source>,
+    feed: sync::Arc<lift_feed::FeedServer>,
+    callers: net::SocketAddr,
+    readiness: net::SocketAddr,
+}
+
+impl Fleet {
+    pub(crate) async fn start(subnet: u8, backends: &[&backend::Backend]) -> Self {
+        let ports = lift_feed::FeedPorts::new(17_600..=17_603).unwrap();
+        let member = net::IpAddr::from([127, 0, subnet, 1]);
+        let host = net::Ipv4Addr::new(127, 0, subnet, 2);
+        let keys = lift_wire::LinkKeys::new(lift_wire::LinkKey::new(1, [7; 32]));
+        let source = sync::Arc::new(Source::default());
+        source.leads.store(true, sync::atomic::Ordering::SeqCst);
+        let log = lift_obs::LogConfig::discard();
+        let feed =
+            lift_feed::FeedServer::new(source.clone(), keys.clone(), log, sync::Arc::default());
+        let feed = sync::Arc::new(feed);
+        let listener = tokio::net::TcpListener::bind(ports.feed(member))
+            .await
+            .unwrap();
+        let stop = tokio_util::sync::CancellationToken::new();
+        tokio::spawn(sync::Arc::clone(&feed).run(listener, stop));
+        let callers = net::SocketAddr::from((host, 17_604));
+        let readiness = net::SocketAddr::from((host, 17_605));
+        let limits = lift_gateway::GatewayLimits {
+            confirmation_age: time::Duration::from_millis(1_500),
+            linger: time::Duration::from_millis(500),
+            ..lift_gateway::GatewayLimits::default()
+        };
+        let card = lift_feed::NodeCard {
+            kind: lift_feed::NodeKind::Gateway,
+            place: lift_types::Place {
+                region: String::from("r"),
+                failure_domain: String::from("d"),
+                host: u32::from(host),
+            },
+            service: None,
+            incarnation: 1,
+            load_addr: Some(ports.loads(net::IpAddr::from(host))),
+            piece_addr: None,
+        };
+        let gateway = lift_gateway::Gateway::builder()
+            .card(card)
+            .callers(callers)
+            .readiness(readiness)
+            .ports(ports)
+            .seeds(vec![member])
+            .failure_domain(String::from("d"), String::from("r"))
+            .keys(keys)
+            .dialect(sync::Arc::new(dialect::TestDialect))
+            .codec(sync::Arc::new(Codec))
+            .limits(limits)
+            .start()
+            .await
+            .unwrap();
+        let fleet = Self {
+            gateway,
+            source,
+            feed,
+            callers,
+            readiness,
+        };
+        for backend in backends {
+            fleet.announce(backend, 1);
+        }
+        let waiting = async {
+            while fleet.ready().await != 200 {
+                tokio::time::sleep(time::Duration::from_millis(5)).await;
+            }
+        };
+        let limit = time::Duration::from_secs(10);
+        assert!(
+            tokio::time::timeout(limit, waiting).await.is_ok(),
+            "not ready"
+        );
+        fleet
+    }
+
+    /// Makes this member lead or not.
+    pub(crate) fn lead(&self, leads: bool) {
+        self.source
+            .leads
+            .store(leads, sync::atomic::Ordering::SeqCst);
+    }
+
+    pub(crate) fn announce(&self, backend: &backend::Backend, sequence: u64) {
+        self.push(backend, sequence, lift_fleet::BackendState::Ready);
+    }
+
+    pub(crate) fn drain(&self, backend: &backend::Backend, sequence: u64) {
+        self.push(backend, sequence, lift_fleet::BackendState::Draining);
+    }
+
+    fn push(&self, backend: &backend::Backend, sequence: u64, state: lift_fleet::BackendState) {
+        let announcement = lift_fleet::Announcement {
+            id: format!("s{}", backend.address.port()),
+            born: time::SystemTime::UNIX_EPOCH,
+            sequence,
+            service: String::from("s"),
+            address: backend.address,
+            failure_domain: String::from("d"),
+            slots: 8,
+            state,
+            warming: time::Duration::ZERO,
+            models: Vec::new(),
+        };
+        let record = lift_fleet::BackendRecord {
+            announcement,
+            is_silent: false,
+        };
+        let mut backends = self.source.backends.lock();
+        backends.retain(|known| known.announcement.id != record.announcement.id);
+        backends.push(record.clone());
+        self.feed.push_backends(vec![record]);
+    }
+
+    pub(crate) async fn call(&self, route: &str, id: &str) -> (u16, String) {
+        self.call_with_key(route, id, KEY).await
+    }
+
+    pub(crate) async fn call_with_key(&self, route: &str, id: &str, key: &str) -> (u16, String) {
+        self.send(route, id, key).await.unwrap()
+    }
+
+    pub(crate) async fn try_call(&self, route: &str, id: &str) -> Result<(u16, String), String> {
+        self.send(route, id, KEY).await
+    }
+
+    /// Calls until `first` was chosen first, since equal servers are chosen at random.
+    pub(crate) async fn call_preferring(
+        &self,
+        first: &backend::Backend,
+        second: &backend::Backend,
+        route: &str,
+        id: &str,
+    ) -> (u16, String) {
+        self.drain(second, 3);
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+        let calling = self.call(route, id);
+        let adding = async {
+            while first.seen().is_empty() {
+                tokio::time::sleep(time::Duration::from_millis(1)).await;
+            }
+            self.announce(second, 4);
+        };
+        tokio::join!(calling, adding).0
+    }
+
+    /// Status of the readiness check.
+    pub(crate) async fn ready(&self) -> u16 {
+        let got = get(self.readiness, http::Request::new(String::new())).await;
+        got.map_or(0, |(status, _)| status)
+    }
+
+    async fn send(&self, route: &str, id: &str, key: &str) -> Result<(u16, String), String> {
+        let req = http::Request::builder()
+            .uri(format!("/{route}/x"))
+            .header("host", "h")
+            .header("x-id", id)
+            .header("x-key", key)
+            .body(String::new());
+        get(self.callers, req.unwrap()).await
+    }
+}
+
+async fn get(
+    address: net::SocketAddr,
+    mut req: http::Request<String>,
+) -> Result<(u16, String), String> {
+    req.headers_mut()
+        .entry("host")
+        .or_insert(http::HeaderValue::from_static("h"));
+    let stream = tokio::net::TcpStream::connect(address).await;
+    let io = hyper_util::rt::TokioIo::new(stream.map_err(|e| e.to_string())?);
+    let handshake = hyper::client::conn::http1::handshake(io).await;
+    let (mut sender, connection) = handshake.map_err(|e| e.to_string())?;
+    let running = tokio::spawn(connection);
+    let response = sender.send_request(req).await.map_err(|e| e.to_string())?;
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await;
+    running.abort();
+    let body = body.map_err(|e| e.to_string())?.to_bytes();
+    Ok((status, String::from_utf8_lossy(&body).into_owned()))
+}
--- a/crates/lift_registry/tests/members.rs
+++ b/crates/lift_registry/tests/members.rs
@@ -11,10 +11,7 @@
 struct Codec;
 
 impl lift_fleet::DocumentCodec for Codec {
-    fn decode(
-        &self,
-        text: &[u8],
-    ) -> Result<lift_fleet::RoutingTable, lift_fleet::DocumentError> {
+    fn decode(&self, text: &[u8]) -> Result<lift_fleet::RoutingTable, lift_fleet::DocumentError> {
         let text = String::from_utf8_lossy(text);
         let unreadable = || lift_fleet::DocumentError::Unreadable(text.to_string());
         let version = text.trim().parse().map_err(|_| unreadable())?;
@@ -180,7 +177,10 @@
     assert_eq!(read(&all).await, "5");
     let mut refused = 0;
     for member in all {
-        let reply = member.control().replace(bytes::Bytes::from("no number")).await;
+        let reply = member
+            .control()
+            .replace(bytes::Bytes::from("no number"))
+            .await;
         let report = reply.unwrap_err();
         refused += usize::from(matches!(report.current_context(), ControlFault::Invalid(_)));
     }
--- /dev/null
+++ b/crates/lift_stage/tests/support/engine.rs
@@ -0,0 +1,127 @@
+//! A backend server that loads what is staged, as it is.
+
+use std::sync;
+
+use lift_stage::{EngineReport, OrderAnswer, StageError};
+
+use super::origin;
+
+type Result<T> = std::result::Result<T, error_stack::Report<StageError>>;
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Engine {
+    state: sync::Arc<parking_lot::Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    version: u64,
+    staged: indexmap::IndexMap<u32, bytes::Bytes>,
+    /// What was staged at each order, with the version that was ordered.
+    loaded: Vec<(u64, indexmap::IndexMap<u32, bytes::Bytes>)>,
+    /// Pieces that are spoilt once right after they were put.
+    rot: u32,
+    is_down: bool,
+}
+
+impl Engine {
+    pub(crate) fn empty() -> Self {
+        Self::default()
+    }
+
+    pub(crate) fn holding(version: u64) -> Self {
+        let engine = Self::default();
+        engine.state.lock().version = version;
+        engine
+    }
+
+    /// Holds a version that is staged too.
+    pub(crate) fn staged(version: u64, origin: &origin::Origin) -> Self {
+        let engine = Self::holding(version);
+        let pieces = (0..origin.pieces()).map(|i| (i, origin.bytes(version, i)));
+        engine.state.lock().staged = pieces.collect();
+        engine
+    }
+
+    pub(crate) fn version(&self) -> u64 {
+        self.state.lock().version
+    }
+
+    /// Loses what is loaded, as a crash does.
+    pub(crate) fn restart(&self) {
+        self.state.lock().version = 0;
+    }
+
+    pub(crate) fn go_down(&self) {
+        self.state.lock().is_down = true;
+    }
+
+    /// Spoils the next pieces that are put.
+    pub(crate) fn rot(&self, pieces: u32) {
+        self.state.lock().rot = pieces;
+    }
+
+    /// Whether each order found all pieces of its version, whole.
+    pub(crate) fn was_whole(&self, origin: &origin::Origin) -> bool {
+        let state = self.state.lock();
+        !state.loaded.is_empty()
+            && state.loaded.iter().all(|(version, staged)| {
+                (0..origin.pieces()).all(|i| staged.get(&i) == Some(&origin.bytes(*version, i)))
+            })
+    }
+
+    fn check(&self) -> Result<()> {
+        match self.state.lock().is_down {
+            true => Err(error_stack::Report::new(StageError::Backend)),
+            false => Ok(()),
+        }
+    }
+}
+
+#[async_trait::async_trait]
+impl lift_stage::StagePort for Engine {
+    async fn report(&self) -> Result<EngineReport> {
+        self.check()?;
+        let version = self.version();
+        let models = (version > 0).then(|| lift_fleet::LoadedModel {
+            name: String::from("m"),
+            version,
+        });
+        Ok(EngineReport {
+            models: models.into_iter().collect(),
+            ..EngineReport::default()
+        })
+    }
+
+    async fn staged(&self, _: &str) -> Result<Vec<u32>> {
+        self.check()?;
+        Ok(self.state.lock().staged.keys().copied().collect())
+    }
+
+    async fn get_piece(&self, _: &str, index: u32) -> Result<Option<bytes::Bytes>> {
+        self.check()?;
+        Ok(self.state.lock().staged.get(&index).cloned())
+    }
+
+    async fn put_piece(&self, _: &str, index: u32, bytes: bytes::Bytes) -> Result<()> {
+        self.check()?;
+        let mut state = self.state.lock();
+        let is_spoilt = state.rot > 0;
+        state.rot = state.rot.saturating_sub(1);
+        let bytes = match is_spoilt {
+            true => bytes::Bytes::from_static(b"rotten"),
+            false => bytes,
+        };
+        state.staged.insert(index, bytes);
+        Ok(())
+    }
+
+    async fn load(&self, _: &str, version: u64) -> Result<OrderAnswer> {
+        self.check()?;
+        let mut state = self.state.lock();
+        let staged = state.staged.clone();
+        state.loaded.push((version, staged));
+        state.version = version;
+        Ok(OrderAnswer::Begun)
+    }
+}
--- /dev/null
+++ b/crates/lift_stage/tests/support/origin.rs
@@ -0,0 +1,94 @@
+//! An origin that counts what it sends.
+
+use std::{net, sync, time};
+
+use lift_stage::{PieceDigest, PieceManifest, StageError};
+use sync::atomic;
+
+type Result<T> = std::result::Result<T, error_stack::Report<StageError>>;
+
+#[derive(Clone, Debug)]
+pub(crate) struct Origin {
+    state: sync::Arc<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    pieces: u32,
+    reads: atomic::AtomicU32,
+    spoil_every: atomic::AtomicU32,
+    delay: parking_lot::Mutex<time::Duration>,
+}
+
+impl Origin {
+    pub(crate) fn new(pieces: u32) -> Self {
+        let state = State {
+            pieces,
+            reads: atomic::AtomicU32::new(0),
+            spoil_every: atomic::AtomicU32::new(u32::MAX),
+            delay: parking_lot::Mutex::default(),
+        };
+        Self {
+            state: sync::Arc::new(state),
+        }
+    }
+
+    pub(crate) fn reads(&self) -> u32 {
+        self.state.reads.load(atomic::Ordering::SeqCst)
+    }
+
+    pub(crate) fn spoil_every(&self, reads: u32) {
+        self.state
+            .spoil_every
+            .store(reads, atomic::Ordering::SeqCst);
+    }
+
+    pub(crate) fn slow_down(&self, delay: time::Duration) {
+        *self.state.delay.lock() = delay;
+    }
+
+    /// Bytes of a piece.
+    pub(crate) fn bytes(&self, version: u64, index: u32) -> bytes::Bytes {
+        bytes::Bytes::from(format!("piece {index} of version {version}").repeat(20))
+    }
+
+    pub(crate) fn pieces(&self) -> u32 {
+        self.state.pieces
+    }
+}
+
+#[async_trait::async_trait]
+impl lift_stage::OriginPort for Origin {
+    async fn manifest(
+        &self,
+        _: net::SocketAddr,
+        model: &str,
+        version: Option<u64>,
+    ) -> Result<PieceManifest> {
+        let version = version.unwrap_or(1);
+        let digests = (0..self.state.pieces).map(|i| PieceDigest::of(&self.bytes(version, i)));
+        Ok(PieceManifest {
+            model: String::from(model),
+            version,
+            piece_bytes: self.bytes(version, 0).len() as u32,
+            digests: digests.collect(),
+        })
+    }
+
+    async fn piece(
+        &self,
+        _: net::SocketAddr,
+        _: &str,
+        version: u64,
+        index: u32,
+    ) -> Result<bytes::Bytes> {
+        let read = self.state.reads.fetch_add(1, atomic::Ordering::SeqCst);
+        let delay = *self.state.delay.lock();
+        tokio::time::sleep(delay).await;
+        let spoil_every = self.state.spoil_every.load(atomic::Ordering::SeqCst);
+        if read % spoil_every == spoil_every - 1 {
+            return Ok(bytes::Bytes::from_static(b"garbage"));
+        }
+        Ok(self.bytes(version, index))
+    }
+}
--- a/crates/lift_transfer/tests/load_and_link.rs
+++ b/crates/lift_transfer/tests/load_and_link.rs
@@ -11,7 +11,11 @@
     // Guards against a region whose replicas all load at once (22 s to 24 s of quiet-1).
     let delay = |position| {
         let time_left = 5_000 * MS;
-        LoadTurn { position, time_left }.delay()
+        LoadTurn {
+            position,
+            time_left,
+        }
+        .delay()
     };
     assert_eq!(delay(0), time::Duration::ZERO);
     assert!(delay(1) > 1_000 * MS);
