--- a/crates/lift_node/src/fleet_node.rs
+++ b/crates/lift_node/src/fleet_node.rs
@@ -15,8 +15,8 @@
 const CONFIRMATION_PERCENT: u32 = 80;
 
 /// Part of the time in which new weights must be in place for which older ones are accepted.
-/// The rest is for requests that wait in the queue of a backend server.
-const WEIGHTS_PERCENT: u32 = 92;
+/// The rest is for requests that wait on a narrow link and in the queue of a backend server.
+const WEIGHTS_PERCENT: u32 = 85;
 
 /// Part of the repeats that the deployment allows that is used. The rest covers the
 /// differences between gateways and the ends of the window in which they are counted.
