--- a/crates/lift_border/src/http_client.rs
+++ b/crates/lift_border/src/http_client.rs
@@ -39,6 +39,19 @@
         }
     }
 
+    /// Keeps no connection open between requests, for systems that accept few.
+    pub fn without_pool(base: &str) -> Self {
+        let mut connector = legacy::connect::HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        Self {
+            base: String::from(base.trim_end_matches('/')),
+            client: legacy::Client::builder(rt::TokioExecutor::new())
+                .pool_max_idle_per_host(0)
+                .build(connector),
+        }
+    }
+
     /// Starts a request for `path`, which begins with a slash.
     pub fn request(&self, method: http::Method, path: &str) -> http::request::Builder {
         http::Request::builder()
--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, time};
 
-use rand::seq::SliceRandom as _;
+use rand::{RngExt as _, seq::SliceRandom as _};
 use sync::atomic;
 use tokio::sync::watch;
 
@@ -11,6 +11,9 @@
 /// Time between two looks at requests that are late.
 const CLOCK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
+/// Looks between two lines of the log.
+const TICKS_PER_LINE: u32 = 20;
+
 /// Time for one piece from the origin, whose link all agents share.
 const ORIGIN_TIMEOUT: time::Duration = time::Duration::from_secs(4);
 
@@ -21,6 +24,9 @@
 /// read them. The agent that is to read them may run while its backend server is down.
 const STUCK_AFTER: time::Duration = time::Duration::from_millis(1_200);
 
+/// Agents that read at once, on average, where all are stuck.
+const STUCK_AGENTS: usize = 3;
+
 /// Pieces that a stuck agent reads from the origin at once.
 const STUCK_READS: usize = 2;
 
@@ -97,6 +103,7 @@
         let mut named = self.shared.named.subscribe();
         let mut clock = tokio::time::interval(CLOCK_INTERVAL);
         self.set_view();
+        let mut progress_log = ProgressLog::default();
         let mut progress = Progress::new(self.staged.all().len());
         loop {
             tokio::select! {
@@ -107,6 +114,7 @@
                     let percent = self.shared.pressure.lock().percent(lift_clock::now());
                     self.step(lift_transfer::DownloadEvent::Pressure { percent });
                     self.step(lift_transfer::DownloadEvent::Clock { live: 0 });
+                    progress_log.write(self, percent);
                     if progress.is_stuck(self.staged.all().len()) {
                         self.read_missing();
                     }
@@ -115,9 +123,14 @@
         }
     }
 
-    /// Reads some of the missing pieces from the origin.
+    /// Reads some of the missing pieces from the origin. Of many agents that are stuck together
+    /// a few do so, or the origin would be busy with copies of the same pieces.
     fn read_missing(self: &sync::Arc<Self>) {
         self.shared.counters.increment("agent.fetch_stuck");
+        let agents = self.shared.agents().len();
+        if rand::rng().random_range(0..agents.max(1)) >= STUCK_AGENTS {
+            return;
+        }
         let count = self.staged.manifest.digests.len() as lift_types::ChunkIndex;
         let mut missing: Vec<_> = (0..count).filter(|i| !self.staged.holds(*i)).collect();
         missing.shuffle(&mut rand::rng());
@@ -283,6 +296,24 @@
     }
 }
 
+/// Writes how far the transfer is, once a second.
+#[derive(Debug, Default)]
+struct ProgressLog {
+    ticks: u32,
+}
+
+impl ProgressLog {
+    fn write(&mut self, fetch: &Fetch, link_percent: u32) {
+        self.ticks += 1;
+        if self.ticks % TICKS_PER_LINE == 0 {
+            slog::info!(fetch.shared.log, "pieces on their way";
+                "version" => fetch.staged.manifest.version,
+                "held" => fetch.staged.all().len(), "link_percent" => link_percent,
+                "from_origin" => fetch.from_origin.load(atomic::Ordering::Relaxed));
+        }
+    }
+}
+
 /// Notices that no piece comes any more.
 #[derive(Debug)]
 struct Progress {
--- a/crates/lift_stage/src/lib.rs
+++ b/crates/lift_stage/src/lib.rs
@@ -15,6 +15,7 @@
 mod fetch;
 mod fetch_links;
 mod load_reporter;
+mod manifest_source;
 mod order_answer;
 mod origin_port;
 mod piece_digest;
--- a/crates/lift_stage/src/piece_link.rs
+++ b/crates/lift_stage/src/piece_link.rs
@@ -103,6 +103,8 @@
         piece_message::PieceMessage::Missing(chunk) => fetch.step(Event::Missing { chunk, host }),
         piece_message::PieceMessage::Unknown
         | piece_message::PieceMessage::Want { .. }
+        | piece_message::PieceMessage::AskManifest { .. }
+        | piece_message::PieceMessage::Manifest(_)
         | piece_message::PieceMessage::Get(_)
         | piece_message::PieceMessage::Ping => {}
     }
--- a/crates/lift_stage/src/piece_message.rs
+++ b/crates/lift_stage/src/piece_message.rs
@@ -1,5 +1,7 @@
 //! Messages between agents.
 
+use crate::piece_manifest;
+
 /// Message about the pieces of one version. The agent that connects asks, the other one
 /// answers.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -11,6 +13,15 @@
         /// Version of its weights.
         version: lift_fleet::WeightsVersion,
     },
+    /// Asks for the manifest of a version. It is the only message of its connection.
+    AskManifest {
+        /// The model.
+        model: lift_fleet::ModelName,
+        /// Version of its weights.
+        version: lift_fleet::WeightsVersion,
+    },
+    /// The manifest that was asked for.
+    Manifest(piece_manifest::PieceManifest),
     /// The other agent holds these pieces, besides those that it named before.
     Have(Vec<lift_types::ChunkIndex>),
     /// The other agent works on another version.
--- a/crates/lift_stage/src/piece_server.rs
+++ b/crates/lift_stage/src/piece_server.rs
@@ -20,8 +20,12 @@
 /// piece is read from the staging area.
 const SLOTS: usize = 2;
 
-/// Requests of one connection that may wait.
-const MAX_WAITING: usize = 4;
+/// Requests over all connections that may wait or be served. Others are refused at once: they do
+/// better to ask another agent than to wait until they time out here.
+const MAX_QUEUED: usize = 6;
+
+/// Refusals of one connection that may wait to be sent.
+const MAX_REFUSALS: usize = 16;
 
 /// Pause after a failure to accept.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
@@ -33,6 +37,7 @@
 /// Accepts agents until the task is dropped.
 pub(crate) async fn run(shared: sync::Arc<shared::Shared>, listener: tokio::net::TcpListener) {
     let slots = sync::Arc::new(tokio::sync::Semaphore::new(SLOTS));
+    let queue = sync::Arc::new(tokio::sync::Semaphore::new(MAX_QUEUED));
     let mut connections = tokio::task::JoinSet::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -42,8 +47,9 @@
         while connections.try_join_next().is_some() {}
         let shared = sync::Arc::clone(&shared);
         let slots = sync::Arc::clone(&slots);
+        let queue = sync::Arc::clone(&queue);
         connections.spawn(async move {
-            if serve(&shared, &slots, stream).await.is_err() {
+            if serve(&shared, &slots, &queue, stream).await.is_err() {
                 shared.counters.increment("agent.piece_link_ended");
             }
         });
@@ -53,6 +59,7 @@
 async fn serve(
     shared: &shared::Shared,
     slots: &tokio::sync::Semaphore,
+    queue: &sync::Arc<tokio::sync::Semaphore>,
     stream: tokio::net::TcpStream,
 ) -> Result<()> {
     lift_feed::prepare_link(&stream, SILENCE);
@@ -60,8 +67,12 @@
     let accepted = lift_wire::accept(stream, &shared.keys, purpose);
     let (mut reader, mut writer) = within(START_TIMEOUT, accepted).await?;
     let first = within(START_TIMEOUT, reader.recv()).await?;
-    let piece_message::PieceMessage::Want { model, version } = first else {
-        return Err(error_stack::Report::new(lift_wire::WireError::Decode));
+    let (model, version) = match first {
+        piece_message::PieceMessage::Want { model, version } => (model, version),
+        piece_message::PieceMessage::AskManifest { model, version } => {
+            return tell_manifest(shared, &model, version, writer).await;
+        }
+        _ => return Err(error_stack::Report::new(lift_wire::WireError::Decode)),
     };
     let mut current = shared.staged.subscribe();
     loop {
@@ -70,6 +81,7 @@
             let serving = Serving {
                 shared,
                 slots,
+                queue,
                 staged,
             };
             return serving.run(reader, writer).await;
@@ -90,25 +102,46 @@
     }
 }
 
+/// Answers with the manifest, or closes where this agent does not have it yet.
+async fn tell_manifest(
+    shared: &shared::Shared,
+    model: &str,
+    version: lift_fleet::WeightsVersion,
+    mut writer: Writer,
+) -> Result<()> {
+    let staged = shared.staged.borrow().clone();
+    let staged = staged.filter(|s| s.is(model, version));
+    let staged = staged.ok_or(lift_wire::WireError::Closed)?;
+    let answer = piece_message::PieceMessage::Manifest(staged.manifest.clone());
+    within(SILENCE, writer.send(&answer)).await
+}
+
 /// One connection whose version this agent works on.
 struct Serving<'a> {
     shared: &'a shared::Shared,
     slots: &'a tokio::sync::Semaphore,
+    queue: &'a sync::Arc<tokio::sync::Semaphore>,
     staged: sync::Arc<staged::Staged>,
 }
 
 impl Serving<'_> {
     async fn run(&self, mut reader: Reader, mut writer: Writer) -> Result<()> {
-        let (asked, mut waiting) = mpsc::channel(MAX_WAITING);
-        let (refused, mut refusals) = mpsc::channel(MAX_WAITING);
+        let (asked, mut waiting) = mpsc::channel(MAX_QUEUED);
+        let (refused, mut refusals) = mpsc::channel(MAX_REFUSALS);
         let reading = async {
             loop {
                 let message = within(SILENCE, reader.recv()).await?;
-                if let piece_message::PieceMessage::Get(index) = message
-                    && asked.try_send(index).is_err()
-                {
-                    let sent = refused.send(index).await;
-                    sent.change_context(lift_wire::WireError::Closed)?;
+                let piece_message::PieceMessage::Get(index) = message else {
+                    continue;
+                };
+                // The permit is given back once the request is answered.
+                let permit = sync::Arc::clone(self.queue).try_acquire_owned();
+                let is_sent = match permit {
+                    Ok(permit) => asked.send((index, permit)).await.is_ok(),
+                    Err(_) => refused.send(index).await.is_ok(),
+                };
+                if !is_sent {
+                    return Err(error_stack::Report::new(lift_wire::WireError::Closed));
                 }
             }
         };
@@ -119,8 +152,8 @@
             loop {
                 self.announce(&mut told, &mut is_first, &mut writer).await?;
                 tokio::select! {
-                    index = waiting.recv() => {
-                        let Some(index) = index else { return Ok(()) };
+                    asked = waiting.recv() => {
+                        let Some((index, _permit)) = asked else { return Ok(()) };
                         self.answer(index, &mut writer).await?;
                     }
                     index = refusals.recv() => {
--- a/crates/lift_stage/src/stage_error.rs
+++ b/crates/lift_stage/src/stage_error.rs
@@ -6,6 +6,9 @@
     /// The backend server could not be asked.
     #[error("the backend server does not answer")]
     Backend,
+    /// Another agent does not have what it was asked for.
+    #[error("the agent does not have the manifest")]
+    Agent,
     /// The origin could not be asked, or its answer can't be read.
     #[error("the origin of weights does not answer")]
     Origin,
--- a/crates/lift_stage/src/weights_keeper.rs
+++ b/crates/lift_stage/src/weights_keeper.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use crate::{fetch, order_answer, shared, stage_error, staged};
+use crate::{fetch, manifest_source, order_answer, shared, stage_error, staged};
 
 /// Pause between two looks while nothing is to be done.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -10,9 +10,6 @@
 /// Pause after a step that failed.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(150);
 
-/// Time for a manifest from the origin.
-const MANIFEST_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
-
 /// Time for which an order may be carried out before it is given again. Requests that run are
 /// completed first, and then the weights are loaded.
 const LOAD_TIMEOUT: time::Duration = time::Duration::from_secs(6);
@@ -97,9 +94,10 @@
     if let Some(staged) = current {
         return Ok(staged);
     }
-    let version = (named > 0).then_some(named);
-    let asking = shared.origin.manifest(origin.address, model, version);
-    let manifest = shared::within(MANIFEST_TIMEOUT, asking).await?;
+    let manifest = match named {
+        0 => manifest_source::from_origin(shared, model, None, origin).await?,
+        named => manifest_source::find(shared, model, named, origin).await?,
+    };
     slog::info!(shared.log, "weights wanted"; "model" => model, "version" => manifest.version,
         "pieces" => manifest.digests.len());
     let staged = staged::Staged::new(manifest);
