--- a/crates/lift_stage/src/manifest_source.rs
+++ b/crates/lift_stage/src/manifest_source.rs
@@ -10,13 +10,17 @@
 const ORIGIN_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
 /// Time for a manifest from another agent.
-const AGENT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+const AGENT_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 
 /// Pause between two agents that are asked.
 const PAUSE: time::Duration = time::Duration::from_millis(80);
 
-/// Time after which the origin is asked by an agent that is not to ask it.
-const PATIENCE: time::Duration = time::Duration::from_millis(1_500);
+/// Time after which an agent asks the origin, for each agent before it in the region. Where the
+/// first ones are down, the next one soon takes their place.
+const PATIENCE_STEP: time::Duration = time::Duration::from_millis(250);
+
+/// Longest time after which an agent asks the origin.
+const LONGEST_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 
 type Result<T> = std::result::Result<T, error_stack::Report<stage_error::StageError>>;
 
@@ -36,10 +40,11 @@
     let own = shared.card.place.host;
     let before = agents.iter().take_while(|agent| agent.place.host != own);
     let before: Vec<_> = before.collect();
+    let patience = (PATIENCE_STEP * before.len() as u32).min(LONGEST_PATIENCE);
     let started = lift_clock::now();
     for turn in 0.. {
         let waited = lift_clock::now().saturating_duration_since(started);
-        if before.is_empty() || waited > PATIENCE || shared.named(model) > version {
+        if before.is_empty() || waited > patience || shared.named(model) > version {
             break;
         }
         // Mostly the first one, which has it first, and now and then another one.
