--- a/crates/lift_dispatch/tests/choice.rs
+++ b/crates/lift_dispatch/tests/choice.rs
@@ -1,4 +1,5 @@
 //! Choice of a backend server.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use std::{net, sync, time};
 
--- a/crates/lift_feed/tests/feed.rs
+++ b/crates/lift_feed/tests/feed.rs
@@ -1,4 +1,5 @@
 //! The feed between control members and nodes, over loopback.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use std::{net, sync, time};
 
--- a/crates/lift_fleet/tests/routing_table.rs
+++ b/crates/lift_fleet/tests/routing_table.rs
@@ -1,4 +1,5 @@
 //! Routes, keys and their checks.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use std::time;
 
--- a/crates/lift_gateway/tests/gateway.rs
+++ b/crates/lift_gateway/tests/gateway.rs
@@ -1,4 +1,5 @@
 //! A gateway between callers and backend servers of this test, over loopback.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 mod support;
 
--- a/crates/lift_registry/tests/members.rs
+++ b/crates/lift_registry/tests/members.rs
@@ -1,4 +1,5 @@
 //! Control members that meet, lose disks and leave, over loopback.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use std::{net, sync, time};
 
--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -305,7 +305,7 @@
 impl ProgressLog {
     fn write(&mut self, fetch: &Fetch, link_percent: u32) {
         self.ticks += 1;
-        if self.ticks % TICKS_PER_LINE == 0 {
+        if self.ticks.is_multiple_of(TICKS_PER_LINE) {
             slog::info!(fetch.shared.log, "pieces on their way";
                 "version" => fetch.staged.manifest.version,
                 "held" => fetch.staged.all().len(), "link_percent" => link_percent,
