--- a/crates/lift_feed/src/feed_client_builder.rs
+++ b/crates/lift_feed/src/feed_client_builder.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync};
 
-use crate::{feed_client, feed_error, feed_ports, fleet_observer, node_card};
+use crate::{feed_client, feed_error, feed_ports, feed_setup, fleet_observer, node_card};
 
 /// Collects what a [`feed_client::FeedClient`] needs.
 #[derive(Debug, Default)]
@@ -73,7 +73,7 @@
     /// Returns the first setting that is missing.
     pub fn start(self) -> Result<feed_client::FeedClient, feed_error::FeedError> {
         let missing = feed_error::FeedError::Missing;
-        let setup = feed_client::Setup {
+        let setup = feed_setup::Setup {
             card: self.card.ok_or(missing("card"))?,
             ports: self.ports.ok_or(missing("ports"))?,
             keys: self.keys.ok_or(missing("keys"))?,
--- a/crates/lift_feed/src/feed_link.rs
+++ b/crates/lift_feed/src/feed_link.rs
@@ -5,7 +5,7 @@
 use error_stack::ResultExt as _;
 
 use crate::{
-    feed_client, feed_error, fleet_head, link_socket, member_message, node_message, pack,
+    feed_error, feed_shared, fleet_head, link_socket, member_message, node_message, pack,
     server_connection,
 };
 
@@ -34,7 +34,7 @@
 type Writer = lift_wire::FrameWriter<tokio::net::tcp::OwnedWriteHalf>;
 
 /// Keeps a connection to `address` for as long as a control member is expected there.
-pub(crate) async fn run(shared: sync::Arc<feed_client::Shared>, address: net::SocketAddr) {
+pub(crate) async fn run(shared: sync::Arc<feed_shared::Shared>, address: net::SocketAddr) {
     let mut pause = FIRST_PAUSE;
     while shared.keep(address) {
         let mut link = Link {
@@ -62,7 +62,7 @@
 }
 
 struct Link {
-    shared: sync::Arc<feed_client::Shared>,
+    shared: sync::Arc<feed_shared::Shared>,
     address: net::SocketAddr,
     /// Questions on their way, with the time at which they were asked.
     asked: Vec<(u64, time::Instant)>,
--- a/crates/lift_feed/src/lib.rs
+++ b/crates/lift_feed/src/lib.rs
@@ -16,6 +16,8 @@
 mod feed_link;
 mod feed_ports;
 mod feed_server;
+mod feed_setup;
+mod feed_shared;
 mod feed_source;
 mod feed_state;
 mod fleet_head;
--- a/crates/lift_gateway/src/event_stream.rs
+++ b/crates/lift_gateway/src/event_stream.rs
@@ -5,7 +5,7 @@
 use futures_util::stream;
 use http_body_util::BodyExt as _;
 
-use crate::{body_error, event_buffer, exchange, reply, request_run};
+use crate::{body_error, ended, event_buffer, exchange, reply, request_run};
 
 /// Wanted pauses between events after which a silent backend server is given up, where the
 /// stream can go on elsewhere. Callers leave after eight.
@@ -134,8 +134,8 @@
                     self.run.arrived += 1;
                     end = lift_dispatch::AttemptEnd::Failed;
                 }
-                Err(request_run::Ended::Attempt(next)) => end = next,
-                Err(request_run::Ended::Declined(_)) => {
+                Err(ended::Ended::Attempt(next)) => end = next,
+                Err(ended::Ended::Declined(_)) => {
                     return Err(self.fail(body_error::BodyError::Broken));
                 }
             }
--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -6,24 +6,17 @@
 use sync::atomic;
 use tokio::sync::watch;
 
-use crate::{fetch_links, piece_message, shared, stage_error, staged};
+use crate::{fetch_links, fetch_log, fetch_progress, piece_message, shared, stage_error, staged};
 
 /// Time between two looks at requests that are late.
 const CLOCK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
-/// Looks between two lines of the log.
-const TICKS_PER_LINE: u32 = 20;
-
 /// Time for one piece from the origin, whose link all agents share.
 const ORIGIN_TIMEOUT: time::Duration = time::Duration::from_secs(4);
 
 /// Time without a connection to an upstream after which the origin is read in its place.
 const UPSTREAM_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
-/// Time without a new piece after which missing pieces are read from the origin, whoever is to
-/// read them. The agent that is to read them may run while its backend server is down.
-const STUCK_AFTER: time::Duration = time::Duration::from_millis(1_200);
-
 /// Agents that read at once, on average, where all are stuck.
 const STUCK_AGENTS: usize = 3;
 
@@ -46,15 +39,15 @@
 /// held for one step; the connections carry them out.
 #[derive(Debug)]
 pub(crate) struct Fetch {
-    shared: sync::Arc<shared::Shared>,
-    staged: sync::Arc<staged::Staged>,
+    pub(crate) shared: sync::Arc<shared::Shared>,
+    pub(crate) staged: sync::Arc<staged::Staged>,
     origin: net::SocketAddr,
     download: parking_lot::Mutex<lift_transfer::Download>,
     links: parking_lot::Mutex<fetch_links::FetchLinks>,
     /// Agents that can't be reached or are silent. Others take over what they are to read.
     suspects: parking_lot::Mutex<indexmap::IndexSet<lift_types::HostId>>,
     done: watch::Sender<bool>,
-    from_origin: atomic::AtomicU32,
+    pub(crate) from_origin: atomic::AtomicU32,
     from_agents: atomic::AtomicU32,
 }
 
@@ -103,8 +96,8 @@
         let mut named = self.shared.named.subscribe();
         let mut clock = tokio::time::interval(CLOCK_INTERVAL);
         self.set_view();
-        let mut progress_log = ProgressLog::default();
-        let mut progress = Progress::new(self.staged.all().len());
+        let mut progress_log = fetch_log::ProgressLog::default();
+        let mut progress = fetch_progress::Progress::new(self.staged.all().len());
         loop {
             tokio::select! {
                 _ = done.wait_for(|done| *done) => return Ok(()),
@@ -295,47 +288,3 @@
         }
     }
 }
-
-/// Writes how far the transfer is, once a second.
-#[derive(Debug, Default)]
-struct ProgressLog {
-    ticks: u32,
-}
-
-impl ProgressLog {
-    fn write(&mut self, fetch: &Fetch, link_percent: u32) {
-        self.ticks += 1;
-        if self.ticks.is_multiple_of(TICKS_PER_LINE) {
-            slog::info!(fetch.shared.log, "pieces on their way";
-                "version" => fetch.staged.manifest.version,
-                "held" => fetch.staged.all().len(), "link_percent" => link_percent,
-                "from_origin" => fetch.from_origin.load(atomic::Ordering::Relaxed));
-        }
-    }
-}
-
-/// Notices that no piece comes any more.
-#[derive(Debug)]
-struct Progress {
-    held: usize,
-    since: time::Instant,
-}
-
-impl Progress {
-    fn new(held: usize) -> Self {
-        Self {
-            held,
-            since: lift_clock::now(),
-        }
-    }
-
-    /// Whether nothing has come for too long. The time then starts anew.
-    fn is_stuck(&mut self, held: usize) -> bool {
-        let now = lift_clock::now();
-        let is_stuck = held == self.held && now.saturating_duration_since(self.since) > STUCK_AFTER;
-        if is_stuck || held != self.held {
-            *self = Self { held, since: now };
-        }
-        is_stuck
-    }
-}
--- a/crates/lift_stage/src/lib.rs
+++ b/crates/lift_stage/src/lib.rs
@@ -14,6 +14,8 @@
 mod engine_report;
 mod fetch;
 mod fetch_links;
+mod fetch_log;
+mod fetch_progress;
 mod load_reporter;
 mod manifest_source;
 mod order_answer;
