Judge a failure of a backend server once

Cause: a 5xx answer to a request that may be repeated was judged when it was read and again before the next attempt. Each repeat took two from the budget and counted twice in repeat.failed; where the second charge found the budget empty, the caller got 502 in place of the server's own failure. The test counted 2 for one repeat before the change. An attempt that reached a backend server is now counted in one place.

--- a/crates/lift_gateway/src/event_stream.rs
+++ b/crates/lift_gateway/src/event_stream.rs
@@ -122,7 +122,6 @@
             self.buf.drop_part();
             match self.run.attempt(self.buf.last()).await {
                 Ok(exchange) if exchange.parts.status.is_success() => {
-                    self.run.arrived += 1;
                     self.run
                         .shared
                         .counters
@@ -130,10 +129,7 @@
                     self.exchange = Some(exchange);
                     return Ok(());
                 }
-                Ok(_) => {
-                    self.run.arrived += 1;
-                    end = lift_dispatch::AttemptEnd::Failed;
-                }
+                Ok(_) => end = lift_dispatch::AttemptEnd::Failed,
                 Err(ended::Ended::Attempt(next)) => end = next,
                 Err(ended::Ended::Declined(_)) => {
                     return Err(self.fail(body_error::BodyError::Broken));
--- a/crates/lift_gateway/src/lib.rs
+++ b/crates/lift_gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod request_run;
 mod service_pace;
 mod shared;
+mod unanswered;
 mod whole_answer;
 
 pub use answer_head::AnswerHead;
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -57,6 +57,8 @@
         let end = match begun {
             Ok(exchange) => match self.judge(&exchange) {
                 None => {
+                    self.arrived += 1;
+                    self.has_run = true;
                     self.note_head(&backend, now);
                     return Ok(exchange);
                 }
--- a/crates/lift_gateway/src/request_run.rs
+++ b/crates/lift_gateway/src/request_run.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use crate::{caller_head, ended, event_stream, exchange, reply, shared, whole_answer};
+use crate::{caller_head, ended, event_stream, exchange, reply, shared, unanswered, whole_answer};
 
 type Response = http::Response<reply::Body>;
 
@@ -35,32 +35,33 @@
             .with_budget(&self.service, lift_route::RetryBudget::deposit);
         loop {
             let last_event = self.head.last_event;
-            let end = match self.attempt(last_event).await {
+            let (end, failure) = match self.attempt(last_event).await {
                 Ok(exchange) => match self.answer(exchange).await {
                     Ok(response) => return response,
-                    Err((run, end)) => {
-                        self = *run;
-                        end
+                    Err(unanswered) => {
+                        self = unanswered.run;
+                        (unanswered.end, unanswered.failure)
                     }
                 },
                 Err(ended::Ended::Declined(reason)) => return self.decline(reason),
-                Err(ended::Ended::Attempt(end)) => end,
+                Err(ended::Ended::Attempt(end)) => (end, None),
             };
-            if self.after(end) == lift_dispatch::Verdict::GiveUp {
-                let reason = self.give_up_reason(end);
-                return self.decline(reason);
+            if self.after(end) == lift_dispatch::Verdict::Again {
+                continue;
             }
+            return match failure {
+                Some((exchange, body)) => self.pass_on(exchange, body),
+                None => self.decline(self.give_up_reason(end)),
+            };
         }
     }
 
     /// Passes on an answer. Where that is not possible, returns the request for another
     /// attempt.
     async fn answer(
-        mut self,
+        self,
         mut exchange: exchange::Exchange,
-    ) -> Result<Response, (Box<Self>, lift_dispatch::AttemptEnd)> {
-        self.arrived += 1;
-        self.has_run = true;
+    ) -> Result<Response, Box<unanswered::Unanswered>> {
         let status = exchange.parts.status;
         if self.route.kind.is_stream() && status.is_success() {
             return Ok(event_stream::EventStream::reply(self, exchange));
@@ -69,38 +70,37 @@
         let collecting = whole_answer::collect(&mut exchange);
         let collected = tokio::time::timeout(limit, collecting).await;
         let collected = collected.unwrap_or(Err(lift_dispatch::AttemptEnd::Silent));
-        let body = match collected {
-            Ok(body) => body,
-            Err(end) => {
-                self.note_failure(exchange.place.backend(), end);
-                return Err((Box::new(self), end));
+        let (end, failure) = match collected {
+            Ok(body) if !status.is_server_error() => {
+                self.succeed(exchange.place.backend());
+                return Ok(self.pass_on(exchange, body));
             }
+            Ok(body) => (lift_dispatch::AttemptEnd::Failed, Some(body)),
+            Err(end) => (end, None),
         };
-        let backend = sync::Arc::new(exchange.place.backend().clone());
-        if status.is_server_error() {
-            let end = lift_dispatch::AttemptEnd::Failed;
-            self.note_failure(&backend, end);
-            if self.after(end) == lift_dispatch::Verdict::Again {
-                return Err((Box::new(self), end));
-            }
-        } else {
-            self.succeed(&backend);
-        }
-        let response = self.pass_on(&exchange, body);
-        exchange.finish(&self.shared);
-        Ok(response)
+        self.note_failure(exchange.place.backend(), end);
+        Err(Box::new(unanswered::Unanswered {
+            run: self,
+            end,
+            failure: failure.map(|body| (exchange, body)),
+        }))
     }
 
-    fn pass_on(&self, exchange: &exchange::Exchange, body: bytes::Bytes) -> Response {
+    /// Passes on an answer that was read whole, and gives its connection back.
+    fn pass_on(&self, exchange: exchange::Exchange, body: bytes::Bytes) -> Response {
         let status = exchange.parts.status;
         // A status that promises "not run" without the backend server's word for it would be
         // taken as that promise.
         let is_false_promise = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-        if is_false_promise {
-            return self.decline(lift_dispatch::DeclineReason::NoAnswer);
-        }
-        self.log_end("answered", status.as_u16(), &exchange.place.backend().id);
-        reply::whole(&self.shared, exchange, body)
+        let response = match is_false_promise {
+            true => self.decline(lift_dispatch::DeclineReason::NoAnswer),
+            false => {
+                self.log_end("answered", status.as_u16(), &exchange.place.backend().id);
+                reply::whole(&self.shared, &exchange, body)
+            }
+        };
+        exchange.finish(&self.shared);
+        response
     }
 
     /// Decides what follows from the end of an attempt.
--- a/crates/lift_gateway/tests/gateway.rs
+++ b/crates/lift_gateway/tests/gateway.rs
@@ -201,3 +201,15 @@
     assert!(is_drained);
     assert_eq!(ready, 503, "the load balancer is told at once");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_is_charged_once() {
+    // Guards against a failure that is judged twice: the second charge can empty the budget,
+    // and then the caller gets 502 in place of the server's own failure.
+    let backend = Backend::start(&[Reply::status(500)]).await;
+    let other = Backend::start(&[Reply::status(500)]).await;
+    let fleet = Fleet::start(75, &[&backend, &other]).await;
+    assert_eq!(fleet.call("idempotent", "r1").await.0, 500);
+    assert_eq!(backend.seen().len() + other.seen().len(), 2);
+    assert_eq!(fleet.counters.value("repeat.failed"), 1);
+}
--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -95,6 +95,7 @@
 /// A gateway with its control member, both on loopback addresses of one subnet.
 pub(crate) struct Fleet {
     pub(crate) gateway: lift_gateway::Gateway,
+    pub(crate) counters: sync::Arc<lift_obs::Counters>,
     source: sync::Arc<Source>,
     feed: sync::Arc<lift_feed::FeedServer>,
     callers: net::SocketAddr,
@@ -137,6 +138,7 @@
             load_addr: Some(ports.loads(net::IpAddr::from(host))),
             piece_addr: None,
         };
+        let counters = sync::Arc::<lift_obs::Counters>::default();
         let gateway = lift_gateway::Gateway::builder()
             .card(card)
             .callers(callers)
@@ -148,11 +150,13 @@
             .dialect(sync::Arc::new(dialect::TestDialect))
             .codec(sync::Arc::new(Codec))
             .limits(limits)
+            .counters(counters.clone())
             .start()
             .await
             .unwrap();
         let fleet = Self {
             gateway,
+            counters,
             source,
             feed,
             callers,
