Read loads where they are kept, filter headers once

A choice copied the load of every backend server, with its samples and open requests, for each request; it reads them under their lock now. Headers were filtered when a request came and again for each attempt.

--- a/crates/lift_dispatch/src/choice.rs
+++ b/crates/lift_dispatch/src/choice.rs
@@ -30,6 +30,15 @@
 /// Largest cost of slow heads, in shares of the places.
 const MAX_HEAD_PENALTY: f64 = 1.5;
 
+/// Whether a backend server is to be avoided, and its cost in shares of its places.
+type Cost = (bool, f64);
+
+/// What a request costs at one backend server, or why it can't go there.
+pub type Offer = Result<Cost, choice_reason::ChoiceReason>;
+
+/// Reads the load of one backend server.
+pub type ReadLoad<'a> = &'a dyn Fn(&backend_load::BackendLoad) -> Offer;
+
 /// Inputs of the choice for one attempt.
 #[derive(Debug)]
 pub struct Choice<'a> {
@@ -50,8 +59,9 @@
 }
 
 impl Choice<'_> {
-    /// Picks the backend server with the lowest cost among those that have room. `load_of`
-    /// returns the load of one; `draw` is a random number that spreads equal ones.
+    /// Picks the backend server with the lowest cost among those that have room. `look` lets
+    /// the load of one be read where it is kept; `draw` is a random number that spreads equal
+    /// ones.
     ///
     /// # Errors
     ///
@@ -59,41 +69,44 @@
     pub fn pick(
         &self,
         backends: &[sync::Arc<backend::Backend>],
-        load_of: &dyn Fn(&backend::Backend) -> backend_load::BackendLoad,
+        look: &dyn Fn(&backend::Backend, ReadLoad<'_>) -> Offer,
         draw: usize,
     ) -> Result<sync::Arc<backend::Backend>, choice_reason::ChoiceReason> {
         if backends.is_empty() {
             return Err(choice_reason::ChoiceReason::NoBackend);
         }
-        let mut best: Option<(bool, f64, &sync::Arc<backend::Backend>)> = None;
+        let mut best: Option<(Cost, &sync::Arc<backend::Backend>)> = None;
         let mut reason = choice_reason::ChoiceReason::Tried;
         let start = draw % backends.len();
         for backend in backends[start..].iter().chain(&backends[..start]) {
             if self.tried.contains(&backend.id) {
                 continue;
             }
-            let load = load_of(backend);
-            if !self.is_able(backend, &load) {
-                reason = worse(reason, choice_reason::ChoiceReason::NoWeights);
-                continue;
-            }
-            let estimate = load.estimate(self.now, self.gateways);
-            if !self.has_room(backend, estimate) {
-                reason = worse(reason, choice_reason::ChoiceReason::Full);
-                continue;
-            }
-            let is_avoided = load.health.is_avoided(self.now) || self.is_stuck(&load);
-            let cost = self.cost(backend, &load, estimate);
-            let is_better =
-                best.is_none_or(|(avoided, lowest, _)| (is_avoided, cost) < (avoided, lowest));
-            if is_better {
-                best = Some((is_avoided, cost, backend));
+            match look(backend, &|load| self.offer(backend, load)) {
+                Ok(cost) if best.is_none_or(|(lowest, _)| cost < lowest) => {
+                    best = Some((cost, backend));
+                }
+                Ok(_) => {}
+                Err(unable) => reason = worse(reason, unable),
             }
         }
-        best.map(|(_, _, backend)| sync::Arc::clone(backend))
+        best.map(|(_, backend)| sync::Arc::clone(backend))
             .ok_or(reason)
     }
 
+    /// What a request costs at one backend server, or why it can't go there.
+    fn offer(&self, backend: &backend::Backend, load: &backend_load::BackendLoad) -> Offer {
+        if !self.is_able(backend, load) {
+            return Err(choice_reason::ChoiceReason::NoWeights);
+        }
+        let estimate = load.estimate(self.now, self.gateways);
+        if !self.has_room(backend, estimate) {
+            return Err(choice_reason::ChoiceReason::Full);
+        }
+        let is_avoided = load.health.is_avoided(self.now) || self.is_stuck(load);
+        Ok((is_avoided, self.cost(backend, load, estimate)))
+    }
+
     /// Whether it holds what the request needs. A fresh sample goes before the announcement.
     fn is_able(&self, backend: &backend::Backend, load: &backend_load::BackendLoad) -> bool {
         match load.fresh(self.now) {
--- a/crates/lift_dispatch/src/lib.rs
+++ b/crates/lift_dispatch/src/lib.rs
@@ -28,7 +28,7 @@
 pub use backend::Backend;
 pub use backend_health::BackendHealth;
 pub use backend_load::{BackendLoad, Ticket};
-pub use choice::Choice;
+pub use choice::{Choice, Offer, ReadLoad};
 pub use choice_reason::ChoiceReason;
 pub use decline_reason::DeclineReason;
 pub use load_sample::LoadSample;
--- a/crates/lift_dispatch/tests/choice.rs
+++ b/crates/lift_dispatch/tests/choice.rs
@@ -3,7 +3,9 @@
 
 use std::{net, sync, time};
 
-use lift_dispatch::{Backend, BackendLoad, Choice, ChoiceReason, LoadSample, WeightsNeed};
+use lift_dispatch::{
+    Backend, BackendLoad, Choice, ChoiceReason, LoadSample, ReadLoad, WeightsNeed,
+};
 
 const MS: time::Duration = time::Duration::from_millis(1);
 
@@ -68,11 +70,11 @@
             target: 400 * MS,
             tried: &self.tried,
         };
-        let load_of = |b: &Backend| {
+        let look = |b: &Backend, read: ReadLoad<'_>| {
             let position = self.backends.iter().position(|c| c.id == b.id).unwrap();
-            self.loads[position].clone()
+            read(&self.loads[position])
         };
-        let picked = choice.pick(&self.backends, &load_of, 1);
+        let picked = choice.pick(&self.backends, &look, 1);
         picked.map(|b| b.id.clone())
     }
 }
--- a/crates/lift_gateway/src/event_stream.rs
+++ b/crates/lift_gateway/src/event_stream.rs
@@ -159,8 +159,8 @@
         let Some(exchange) = self.exchange.take() else {
             return;
         };
-        let backend = exchange.place.backend().clone();
-        self.run.succeed(&backend);
+        let backend = exchange.place.backend();
+        self.run.succeed(backend);
         let status = exchange.parts.status.as_u16();
         self.run.log_end("answered", status, &backend.id);
         exchange.finish(&self.run.shared);
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -47,18 +47,15 @@
         sync::Arc::clone(&self.roster.read())
     }
 
-    /// Lowest version of a model's weights on which a request may begin.
-    pub(crate) fn at_least(&self, now: time::Instant, model: &str) -> lift_fleet::WeightsVersion {
-        self.gate.lock().at_least(now, model)
-    }
-
-    /// The same for a backend server that may begin late.
-    pub(crate) fn at_least_if_slow(
+    /// Lowest versions of a model's weights on which a request may begin: at most backend
+    /// servers, and at those that may begin late.
+    pub(crate) fn floors(
         &self,
         now: time::Instant,
         model: &str,
-    ) -> lift_fleet::WeightsVersion {
-        self.gate.lock().at_least_if_slow(now, model)
+    ) -> (lift_fleet::WeightsVersion, lift_fleet::WeightsVersion) {
+        let gate = self.gate.lock();
+        (gate.at_least(now, model), gate.at_least_if_slow(now, model))
     }
 
     /// Gateways that share the backend servers.
--- a/crates/lift_gateway/src/load_book.rs
+++ b/crates/lift_gateway/src/load_book.rs
@@ -18,11 +18,17 @@
         }
     }
 
-    /// The load of one, as it is now.
-    pub(crate) fn load(&self, address: net::SocketAddr) -> lift_dispatch::BackendLoad {
+    /// Reads the load of one.
+    pub(crate) fn read<R>(
+        &self,
+        address: net::SocketAddr,
+        read: impl FnOnce(&lift_dispatch::BackendLoad) -> R,
+    ) -> R {
         self.shards
-            .with(&address, |loads| loads.get(&address).cloned())
-            .unwrap_or_default()
+            .with(&address, |loads| match loads.get(&address) {
+                Some(load) => read(load),
+                None => read(&lift_dispatch::BackendLoad::default()),
+            })
     }
 
     /// Changes the load of one.
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt as _;
 
-use crate::{backend_call, end_to_end, ended, exchange, place, request_run};
+use crate::{backend_call, ended, exchange, place, request_run};
 
 /// Part of the wanted latency for which a request may wait for a place before it is refused.
 /// A refused caller comes back sooner than one that waits in vain.
@@ -121,8 +121,7 @@
         let shared = &self.shared;
         let now = lift_clock::now();
         if let Some(model) = &self.need.model {
-            self.need.at_least = shared.fleet.at_least(now, model);
-            self.need.at_least_if_slow = shared.fleet.at_least_if_slow(now, model);
+            (self.need.at_least, self.need.at_least_if_slow) = shared.fleet.floors(now, model);
         }
         let target = self.route.target_latency;
         let choice = lift_dispatch::Choice {
@@ -135,16 +134,18 @@
             tried: &self.tried,
         };
         let roster = shared.fleet.roster();
-        let load_of = |backend: &lift_dispatch::Backend| shared.loads.load(backend.address);
+        let look = |backend: &lift_dispatch::Backend, read: lift_dispatch::ReadLoad<'_>| {
+            shared.loads.read(backend.address, read)
+        };
         let draw = rand::rng().random_range(0..usize::from(u16::MAX));
-        choice.pick(roster.backends(&self.service), &load_of, draw)
+        choice.pick(roster.backends(&self.service), &look, draw)
     }
 
     fn request(
         &self,
         call: &backend_call::BackendCall,
     ) -> http::Request<http_body_util::Full<bytes::Bytes>> {
-        let mut headers = end_to_end::end_to_end(&self.headers);
+        let mut headers = self.headers.clone();
         self.shared.dialect.write_call(&mut headers, call);
         let mut req = http::Request::new(http_body_util::Full::new(self.body.clone()));
         *req.method_mut() = self.method.clone();
--- a/crates/lift_gateway/src/request_notes.rs
+++ b/crates/lift_gateway/src/request_notes.rs
@@ -23,13 +23,15 @@
         }
         let now = lift_clock::now();
         let took = now.saturating_duration_since(sent_at);
-        let load = self.shared.loads.load(backend.address);
-        let sample_age = load.fresh(now).map(|s| now.saturating_duration_since(s.at));
+        let (own, sample_age) = self.shared.loads.read(backend.address, |load| {
+            let age = load.fresh(now).map(|s| now.saturating_duration_since(s.at));
+            (load.own(), age)
+        });
         self.shared.log.decision(|log| {
             slog::info!(log, "attempt failed"; "request" => &self.head.id,
                 "backend" => &backend.id, "address" => backend.address, "end" => %end,
                 "took_ms" => took.as_millis() as u64, "arrived" => self.arrived,
-                "own" => load.own(), "sample_age_ms" => sample_age.map(|a| a.as_millis() as u64));
+                "own" => own, "sample_age_ms" => sample_age.map(|a| a.as_millis() as u64));
         });
     }
 
--- a/crates/lift_gateway/src/request_run.rs
+++ b/crates/lift_gateway/src/request_run.rs
@@ -16,6 +16,7 @@
     pub(crate) workspace: Option<lift_types::WorkspaceId>,
     pub(crate) method: http::Method,
     pub(crate) uri: http::Uri,
+    /// The caller's end-to-end headers.
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: bytes::Bytes,
     pub(crate) started: time::Instant,
