Set up all roles of a fleet from one type

Feed client, gateway, agent and control member each collected card, ports, seeds, keys, codec, logger and counters in a builder of its own, and checked them again. NodeSetup holds them; whether documents are fetched follows from the kind of the node. The leader's two copies of LOST_AFTER become one.

--- a/crates/lift_feed/src/feed_client.rs
+++ b/crates/lift_feed/src/feed_client.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, time};
 
-use crate::{feed_client_builder, feed_link, feed_setup, feed_shared};
+use crate::{feed_link, feed_shared, fleet_observer, node_setup};
 
 /// Time between two looks for control members that are not connected yet.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -15,17 +15,18 @@
 }
 
 impl FeedClient {
-    /// Collects the settings.
-    pub fn builder() -> feed_client_builder::FeedClientBuilder {
-        feed_client_builder::FeedClientBuilder::default()
-    }
-
-    pub(crate) fn start(setup: feed_setup::Setup, seeds: &[net::IpAddr]) -> Self {
+    /// Starts to connect, and tells `observer` what it learns. Control members fetch no
+    /// documents, since they have the log. Call it within a `tokio` runtime.
+    pub fn start(
+        node: node_setup::NodeSetup,
+        observer: sync::Arc<dyn fleet_observer::FleetObserver>,
+    ) -> Self {
         let stop = tokio_util::sync::CancellationToken::new();
         let shared = sync::Arc::new(feed_shared::Shared {
-            setup,
+            seeds: parking_lot::Mutex::new(node.seeds.clone()),
+            node,
+            observer,
             state: parking_lot::Mutex::default(),
-            seeds: parking_lot::Mutex::new(seeds.to_vec()),
             links: parking_lot::Mutex::default(),
         });
         let looking = look(sync::Arc::clone(&shared), stop.clone());
@@ -37,8 +38,8 @@
     }
 
     /// Replaces the seeds, for instance after a change of the settings.
-    pub fn set_seeds(&self, seeds: Vec<net::IpAddr>) {
-        *self.shared.seeds.lock() = seeds;
+    pub fn set_seeds(&self, seeds: &[net::SocketAddr]) {
+        *self.shared.seeds.lock() = seeds.to_vec();
     }
 }
 
--- a/crates/lift_feed/src/feed_link.rs
+++ b/crates/lift_feed/src/feed_link.rs
@@ -45,16 +45,16 @@
         };
         match link.connect().await {
             Ok((reader, writer)) => {
-                let log = &shared.setup.log;
+                let log = &shared.node.log;
                 slog::info!(log, "control member connected"; "member" => address);
                 pause = FIRST_PAUSE;
                 let ended = link.exchange(reader, writer).await;
                 let error = ended.err().map(|e| e.to_string()).unwrap_or_default();
                 slog::warn!(log, "control member lost"; "member" => address, "error" => error);
-                shared.setup.counters.increment("feed.link_lost");
+                shared.node.counters.increment("feed.link_lost");
                 shared.state.lock().link_down(address);
             }
-            Err(_) => shared.setup.counters.increment("feed.connect_failed"),
+            Err(_) => shared.node.counters.increment("feed.connect_failed"),
         }
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(LONGEST_PAUSE);
@@ -71,7 +71,7 @@
 
 impl Link {
     async fn connect(&self) -> Result<(Reader, Writer)> {
-        let setup = &self.shared.setup;
+        let node = &self.shared.node;
         let connecting = tokio::net::TcpStream::connect(self.address);
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
         let connected = connected.change_context(feed_error::FeedError::Connect)?;
@@ -79,8 +79,8 @@
         link_socket::prepare_link(&stream, SILENCE);
         let opening = async {
             let purpose = lift_wire::Purpose::Feed;
-            let (reader, mut writer) = lift_wire::connect(stream, &setup.keys, purpose).await?;
-            let hello = node_message::NodeMessage::Subscribe(setup.card.clone());
+            let (reader, mut writer) = lift_wire::connect(stream, &node.keys, purpose).await?;
+            let hello = node_message::NodeMessage::Subscribe(node.card.clone());
             writer.send(&hello).await?;
             Ok((reader, writer))
         };
@@ -123,14 +123,14 @@
         let position = self.asked.iter().position(|(n, _)| *n == nonce)?;
         let (_, at) = self.asked.drain(..=position).next_back()?;
         let round_trip = lift_clock::now().saturating_duration_since(at);
-        self.shared.setup.observer.on_round_trip(round_trip);
+        self.shared.observer.on_round_trip(round_trip);
         Some(at)
     }
 
     fn take_in(&mut self, message: member_message::MemberMessage) -> Next {
         use member_message::MemberMessage as Message;
         let shared = sync::Arc::clone(&self.shared);
-        let observer = &shared.setup.observer;
+        let observer = &shared.observer;
         match message {
             Message::Members { members, highest } => {
                 let feeds = members.iter().map(|m| m.feed);
@@ -162,14 +162,14 @@
         let now = lift_clock::now();
         let news = self.shared.state.lock().learn_weights(now, head);
         for (model, (version, named_at)) in news {
-            let observer = &self.shared.setup.observer;
+            let observer = &self.shared.observer;
             observer.on_weights(&model, version, named_at);
         }
         self.fetch(head.document)
     }
 
     fn fetch(&self, version: lift_fleet::DocumentVersion) -> Next {
-        let is_wanted = self.shared.setup.codec.is_some();
+        let is_wanted = self.shared.follows_documents();
         let mut state = self.shared.state.lock();
         match is_wanted && state.start_fetch(lift_clock::now(), version) {
             true => Next::Fetch,
@@ -178,24 +178,21 @@
     }
 
     fn take_document(&self, document: &lift_fleet::Document) {
-        let setup = &self.shared.setup;
-        let Some(codec) = &setup.codec else {
-            return;
-        };
+        let node = &self.shared.node;
         if !self.shared.state.lock().is_newer(document.version) {
             return;
         }
         let text = pack::unpack(&document.packed);
         let decoded = text
             .map_err(|e| e.to_string())
-            .and_then(|text| codec.decode(&text).map_err(|e| e.to_string()));
+            .and_then(|text| node.codec.decode(&text).map_err(|e| e.to_string()));
         let table = match decoded {
             Ok(table) => sync::Arc::new(table),
             Err(error) => {
                 // Control accepted the document, so this node runs another version of the code.
-                slog::error!(setup.log, "accepted document can't be read";
+                slog::error!(node.log, "accepted document can't be read";
                     "document" => document.version, "error" => error);
-                setup.counters.increment("feed.document_unreadable");
+                node.counters.increment("feed.document_unreadable");
                 self.shared.state.lock().refuse(document.version);
                 return;
             }
@@ -205,9 +202,9 @@
         let mut state = self.shared.state.lock();
         if state.is_newer(table.version()) {
             state.hold(&table);
-            slog::info!(setup.log, "configuration in force"; "document" => table.version(),
+            slog::info!(node.log, "configuration in force"; "document" => table.version(),
                 "routes" => table.route_count(), "member" => self.address);
-            setup.observer.on_table(table);
+            self.shared.observer.on_table(table);
         }
     }
 
@@ -217,7 +214,7 @@
         };
         let mut state = self.shared.state.lock();
         if state.confirm(asked_at, version) {
-            self.shared.setup.observer.on_confirmed(asked_at);
+            self.shared.observer.on_confirmed(asked_at);
             return Next::Read;
         }
         drop(state);
@@ -232,7 +229,7 @@
         change(&mut state, self.address);
         let nodes = state.nodes();
         // Under the lock, so that the observer sees the changes in their order.
-        self.shared.setup.observer.on_nodes(nodes);
+        self.shared.observer.on_nodes(nodes);
     }
 }
 
--- a/crates/lift_feed/src/lib.rs
+++ b/crates/lift_feed/src/lib.rs
@@ -6,17 +6,17 @@
 //! named weights, other nodes, and since when all this is known to be current. Only the
 //! leader confirms that, under its lease.
 //!
+//! A [`NodeSetup`] holds what the roles of all nodes are set up with.
+//!
 //! Documents travel compressed and are fetched over one connection; every other message goes
 //! over all connections and is merged, so that the loss of any one of them delays nothing.
 //! See `docs/platform.md`.
 
 mod feed_client;
-mod feed_client_builder;
 mod feed_error;
 mod feed_link;
 mod feed_ports;
 mod feed_server;
-mod feed_setup;
 mod feed_shared;
 mod feed_source;
 mod feed_state;
@@ -34,13 +34,14 @@
 mod node_card;
 mod node_kind;
 mod node_message;
+mod node_setup;
+mod node_setup_builder;
 mod pack;
 mod server_connection;
 mod subscriber;
 mod subscribers;
 
 pub use feed_client::FeedClient;
-pub use feed_client_builder::FeedClientBuilder;
 pub use feed_error::FeedError;
 pub use feed_ports::FeedPorts;
 pub use feed_server::FeedServer;
@@ -58,4 +59,6 @@
 pub use node_card::NodeCard;
 pub use node_kind::NodeKind;
 pub use node_message::NodeMessage;
+pub use node_setup::NodeSetup;
+pub use node_setup_builder::NodeSetupBuilder;
 pub use pack::{pack, unpack};
--- a/crates/lift_feed/src/feed_client_builder.rs
+++ b/crates/lift_feed/src/node_setup_builder.rs
@@ -1,23 +1,22 @@
-//! Settings of a feed client.
+//! Collects what every node is set up with.
 
 use std::{net, sync};
 
-use crate::{feed_client, feed_error, feed_ports, feed_setup, fleet_observer, node_card};
+use crate::{feed_error, feed_ports, node_card, node_setup};
 
-/// Collects what a [`feed_client::FeedClient`] needs.
+/// Builds a [`node_setup::NodeSetup`].
 #[derive(Debug, Default)]
-pub struct FeedClientBuilder {
+pub struct NodeSetupBuilder {
     card: Option<node_card::NodeCard>,
     ports: Option<feed_ports::FeedPorts>,
-    seeds: Vec<net::IpAddr>,
+    seeds: Vec<net::SocketAddr>,
     keys: Option<lift_wire::LinkKeys>,
     codec: Option<sync::Arc<dyn lift_fleet::DocumentCodec>>,
-    observer: Option<sync::Arc<dyn fleet_observer::FleetObserver>>,
     log: Option<slog::Logger>,
     counters: sync::Arc<lift_obs::Counters>,
 }
 
-impl FeedClientBuilder {
+impl NodeSetupBuilder {
     /// What control members are told about this node.
     pub fn card(mut self, card: node_card::NodeCard) -> Self {
         self.card = Some(card);
@@ -30,8 +29,8 @@
         self
     }
 
-    /// Hosts of a few control members.
-    pub fn seeds(mut self, seeds: Vec<net::IpAddr>) -> Self {
+    /// Addresses for operators of a few control members.
+    pub fn seeds(mut self, seeds: Vec<net::SocketAddr>) -> Self {
         self.seeds = seeds;
         self
     }
@@ -42,46 +41,39 @@
         self
     }
 
-    /// Decodes configuration documents. Without it no document is fetched.
+    /// Decodes configuration documents.
     pub fn codec(mut self, codec: sync::Arc<dyn lift_fleet::DocumentCodec>) -> Self {
         self.codec = Some(codec);
         self
     }
 
-    /// Who is told.
-    pub fn observer(mut self, observer: sync::Arc<dyn fleet_observer::FleetObserver>) -> Self {
-        self.observer = Some(observer);
-        self
-    }
-
     /// Logger, by default one that drops all events.
     pub fn logger(mut self, log: slog::Logger) -> Self {
         self.log = Some(log);
         self
     }
 
-    /// Counters, by default those of this client alone.
+    /// Counters, by default those of this node alone.
     pub fn counters(mut self, counters: sync::Arc<lift_obs::Counters>) -> Self {
         self.counters = counters;
         self
     }
 
-    /// Starts to connect. Call it within a `tokio` runtime.
+    /// Checks that nothing without a default is missing.
     ///
     /// # Errors
     ///
     /// Returns the first setting that is missing.
-    pub fn start(self) -> Result<feed_client::FeedClient, feed_error::FeedError> {
+    pub fn build(self) -> Result<node_setup::NodeSetup, feed_error::FeedError> {
         let missing = feed_error::FeedError::Missing;
-        let setup = feed_setup::Setup {
+        Ok(node_setup::NodeSetup {
             card: self.card.ok_or(missing("card"))?,
             ports: self.ports.ok_or(missing("ports"))?,
+            seeds: self.seeds,
             keys: self.keys.ok_or(missing("keys"))?,
-            codec: self.codec,
-            observer: self.observer.ok_or(missing("observer"))?,
+            codec: self.codec.ok_or(missing("codec"))?,
             log: self.log.unwrap_or_else(lift_obs::LogConfig::discard),
             counters: self.counters,
-        };
-        Ok(feed_client::FeedClient::start(setup, &self.seeds))
+        })
     }
 }
--- a/crates/lift_feed/tests/feed.rs
+++ b/crates/lift_feed/tests/feed.rs
@@ -5,7 +5,7 @@
 
 use lift_feed::{
     FeedClient, FeedPorts, FeedServer, FeedSource, FleetHead, FleetObserver, JoinAnswer,
-    MemberCard, NamedWeights, Newcomer, NodeCard, NodeKind,
+    MemberCard, NamedWeights, Newcomer, NodeCard, NodeKind, NodeSetup,
 };
 
 const PATIENCE: time::Duration = time::Duration::from_secs(10);
@@ -157,15 +157,15 @@
 }
 
 fn client(observer: &sync::Arc<Observer>, host: [u8; 4], seeds: &[[u8; 4]]) -> FeedClient {
-    FeedClient::builder()
+    let seeds = seeds.iter().map(|ip| net::SocketAddr::from((*ip, 1)));
+    let node = NodeSetup::builder()
         .card(card(net::Ipv4Addr::from(host)))
         .ports(ports())
-        .seeds(seeds.iter().map(|ip| net::IpAddr::from(*ip)).collect())
+        .seeds(seeds.collect())
         .keys(keys())
         .codec(sync::Arc::new(Codec))
-        .observer(observer.clone())
-        .start()
-        .unwrap()
+        .build();
+    FeedClient::start(node.unwrap(), observer.clone())
 }
 
 async fn until(what: &str, condition: impl Fn() -> bool) {
--- a/crates/lift_gateway/src/gateway.rs
+++ b/crates/lift_gateway/src/gateway.rs
@@ -32,41 +32,28 @@
 
     pub(crate) async fn start(settings: gateway_builder::GatewayBuilder) -> Result<Self> {
         let missing = gateway_error::GatewayError::Missing;
-        let card = settings.card.ok_or(missing("card"))?;
-        let ports = settings.ports.ok_or(missing("ports"))?;
-        let keys = settings.keys.ok_or(missing("keys"))?;
-        let logger = settings.log.unwrap_or_else(lift_obs::LogConfig::discard);
+        let node = settings.node.ok_or(missing("node"))?;
         let callers = settings.callers.ok_or(missing("callers"))?;
         let callers = listen(callers, "callers").await?;
         let ready = settings.readiness.ok_or(missing("readiness"))?;
         let ready = listen(ready, "readiness").await?;
-        let host = net::IpAddr::from(net::Ipv4Addr::from(card.place.host));
-        let reports = tokio::net::UdpSocket::bind(ports.loads(host)).await;
+        let reports = tokio::net::UdpSocket::bind(node.ports.loads(node.host())).await;
         let reports =
             reports.change_context(gateway_error::GatewayError::Listen("load reports"))?;
         let shared = sync::Arc::new(shared::Shared::new(
-            card.place.clone(),
+            node.card.place.clone(),
             settings.limits,
             settings.dialect.ok_or(missing("dialect"))?,
             settings.regions,
-            logger.clone(),
-            sync::Arc::clone(&settings.counters),
+            node.log.clone(),
+            sync::Arc::clone(&node.counters),
             settings.latencies,
         ));
         let observer = gateway_observer::GatewayObserver {
             shared: sync::Arc::clone(&shared),
         };
-        let feed = lift_feed::FeedClient::builder()
-            .card(card)
-            .ports(ports)
-            .seeds(settings.seeds)
-            .keys(keys.clone())
-            .codec(settings.codec.ok_or(missing("codec"))?)
-            .observer(sync::Arc::new(observer))
-            .logger(logger)
-            .counters(settings.counters)
-            .start()
-            .change_context(gateway_error::GatewayError::Feed)?;
+        let keys = node.keys.clone();
+        let feed = lift_feed::FeedClient::start(node, sync::Arc::new(observer));
         let stop = tokio_util::sync::CancellationToken::new();
         let closing = tokio_util::sync::CancellationToken::new();
         let receiving = load_receiver::run(sync::Arc::clone(&shared), reports, keys);
@@ -87,7 +74,7 @@
     }
 
     /// Replaces the seeds, for instance after a change of the settings.
-    pub fn set_seeds(&self, seeds: Vec<net::IpAddr>) {
+    pub fn set_seeds(&self, seeds: &[net::SocketAddr]) {
         self.feed.set_seeds(seeds);
     }
 
--- a/crates/lift_gateway/src/gateway_error.rs
+++ b/crates/lift_gateway/src/gateway_error.rs
@@ -9,7 +9,4 @@
     /// A listener can't be opened.
     #[error("the listener for {0} can't be opened")]
     Listen(&'static str),
-    /// The feed can't be started.
-    #[error("the feed of the gateway can't be started")]
-    Feed,
 }
--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -139,18 +139,21 @@
             piece_addr: None,
         };
         let counters = sync::Arc::<lift_obs::Counters>::default();
-        let gateway = lift_gateway::Gateway::builder()
+        let node = lift_feed::NodeSetup::builder()
             .card(card)
+            .ports(ports)
+            .seeds(vec![net::SocketAddr::new(member, 1)])
+            .keys(keys)
+            .codec(sync::Arc::new(Codec))
+            .counters(counters.clone())
+            .build();
+        let gateway = lift_gateway::Gateway::builder()
+            .node(node.unwrap())
             .callers(callers)
             .readiness(readiness)
-            .ports(ports)
-            .seeds(vec![member])
             .failure_domain(String::from("d"), String::from("r"))
-            .keys(keys)
             .dialect(sync::Arc::new(dialect::TestDialect))
-            .codec(sync::Arc::new(Codec))
             .limits(limits)
-            .counters(counters.clone())
             .start()
             .await
             .unwrap();
--- a/crates/lift_node/src/fleet_node.rs
+++ b/crates/lift_node/src/fleet_node.rs
@@ -110,15 +110,14 @@
     /// Takes over what may change while the node runs.
     pub fn reload(&self, settings: &lift_settings::FleetSettings) {
         slog::info!(self.log, "settings reloaded"; "seeds" => ?settings.seeds);
-        let hosts: Vec<_> = settings.seeds.iter().map(net::SocketAddr::ip).collect();
         if let Some(control) = &self.control {
             control.set_seeds(&settings.seeds);
         }
         if let Some(gateway) = &self.gateway {
-            gateway.set_seeds(hosts.clone());
+            gateway.set_seeds(&settings.seeds);
         }
         if let Some(agent) = &self.agent {
-            agent.set_seeds(hosts);
+            agent.set_seeds(&settings.seeds);
         }
     }
 
@@ -155,12 +154,18 @@
         }
     }
 
-    fn seeds(&self) -> Vec<net::IpAddr> {
-        self.settings
-            .seeds
-            .iter()
-            .map(net::SocketAddr::ip)
-            .collect()
+    /// What the roles share, for a role of `kind`.
+    fn node(&self, kind: lift_feed::NodeKind) -> Result<lift_feed::NodeSetup> {
+        let setup = lift_feed::NodeSetup::builder()
+            .card(self.card(kind))
+            .ports(self.ports)
+            .seeds(self.settings.seeds.clone())
+            .keys(self.keys.clone())
+            .codec(self.adapter.codec())
+            .logger(self.log.clone())
+            .counters(self.metrics.counters.clone())
+            .build();
+        setup.change_context(node_error::NodeError::Settings)
     }
 
     async fn control(&self) -> Result<Option<lift_registry::ControlMember>> {
@@ -169,17 +174,11 @@
         };
         let heartbeat = time::Duration::from_millis(self.settings.bounds.heartbeat_ms);
         let mut builder = lift_registry::ControlMember::builder()
-            .card(self.card(lift_feed::NodeKind::Control))
+            .node(self.node(lift_feed::NodeKind::Control)?)
             .folder(&cfg.data_dir)
             .control(cfg.listener)
-            .ports(self.ports)
-            .seeds(self.settings.seeds.clone())
-            .keys(self.keys.clone())
-            .codec(self.adapter.codec())
             .timing(TIMING)
-            .backend_silence(heartbeat * SILENT_HEARTBEATS)
-            .logger(self.log.clone())
-            .counters(self.metrics.counters.clone());
+            .backend_silence(heartbeat * SILENT_HEARTBEATS);
         if self.settings.first_start {
             builder = builder.first_start();
         }
@@ -206,17 +205,11 @@
             ..lift_gateway::GatewayLimits::default()
         };
         let mut builder = lift_gateway::Gateway::builder()
-            .card(self.card(lift_feed::NodeKind::Gateway))
+            .node(self.node(lift_feed::NodeKind::Gateway)?)
             .callers(cfg.callers)
             .readiness(cfg.readiness)
-            .ports(self.ports)
-            .seeds(self.seeds())
-            .keys(self.keys.clone())
             .dialect(self.adapter.dialect())
-            .codec(self.adapter.codec())
             .limits(limits)
-            .logger(self.log.clone())
-            .counters(self.metrics.counters.clone())
             .latencies(self.metrics.latencies.clone());
         for (domain, region) in &self.settings.failure_domains {
             builder = builder.failure_domain(domain.clone(), region.clone());
@@ -231,18 +224,12 @@
             return Ok(None);
         };
         let started = lift_stage::StageAgent::builder()
-            .card(self.card(lift_feed::NodeKind::Agent))
+            .node(self.node(lift_feed::NodeKind::Agent)?)
             .backend(cfg.backend)
-            .ports(self.ports)
-            .seeds(self.seeds())
-            .keys(self.keys.clone())
-            .codec(self.adapter.codec())
             .weights_grace(percent(self.settings.bounds.weights_ms, WEIGHTS_PERCENT))
             .link_bytes_per_s(cfg.link_mbps.map(|rate| (rate * BYTES_PER_MEGABIT) as u64))
             .stage(self.adapter.stage(cfg.backend))
             .origin(self.adapter.origin())
-            .logger(self.log.clone())
-            .counters(self.metrics.counters.clone())
             .start()
             .await;
         let agent = started.change_context(node_error::NodeError::Agent)?;
--- a/crates/lift_registry/src/control_member.rs
+++ b/crates/lift_registry/src/control_member.rs
@@ -44,26 +44,16 @@
         settings: control_member_builder::ControlMemberBuilder,
     ) -> Result<Self> {
         let missing = control_fault::ControlFault::Start;
-        let card = settings.card.ok_or(missing("card"))?;
-        let ports = settings.ports.ok_or(missing("ports"))?;
-        let keys = settings.keys.ok_or(missing("keys"))?;
-        let logger = settings.log.unwrap_or_else(lift_obs::LogConfig::discard);
-        let counters = settings.counters;
-        let host = net::IpAddr::from(net::Ipv4Addr::from(card.place.host));
-        let registry = sync::Arc::new(registry::Registry::new(
-            settings.codec.ok_or(missing("codec"))?,
-            ports,
-            sync::Arc::clone(&counters),
-            logger.clone(),
-        ));
-        let listener = tokio::net::TcpListener::bind(ports.feed(host)).await;
+        let node = settings.node.ok_or(missing("node"))?;
+        let registry = sync::Arc::new(registry::Registry::new(node.clone()));
+        let listener = tokio::net::TcpListener::bind(node.ports.feed(node.host())).await;
         let listener = listener.change_context(missing("feed listener"))?;
         let source: sync::Arc<dyn lift_feed::FeedSource> = registry.clone();
         let feed = lift_feed::FeedServer::new(
             source,
-            keys.clone(),
-            logger.clone(),
-            sync::Arc::clone(&counters),
+            node.keys.clone(),
+            node.log.clone(),
+            sync::Arc::clone(&node.counters),
         );
         let feed = sync::Arc::new(feed);
         let _ = registry.feed.set(sync::Arc::downgrade(&feed));
@@ -72,25 +62,12 @@
             registry: sync::Arc::clone(&registry),
             removed,
         };
-        let others = lift_feed::FeedClient::builder()
-            .card(card)
-            .ports(ports)
-            .seeds(settings.seeds.iter().map(net::SocketAddr::ip).collect())
-            .keys(keys.clone())
-            .observer(sync::Arc::new(observer))
-            .logger(logger.clone())
-            .counters(sync::Arc::clone(&counters))
-            .start()
-            .change_context(missing("feed client"))?;
+        let others = lift_feed::FeedClient::start(node.clone(), sync::Arc::new(observer));
         let start = member_start::MemberStart {
             folder: settings.folder.ok_or(missing("folder"))?,
-            host,
             control: settings.control.ok_or(missing("control"))?,
-            ports,
-            seeds: settings.seeds,
             is_first_start: settings.is_first_start,
-            keys,
-            logger,
+            node,
         };
         let stop = tokio_util::sync::CancellationToken::new();
         let silence = settings.silence.unwrap_or(DEFAULT_SILENCE);
@@ -98,7 +75,6 @@
             registry: sync::Arc::clone(&registry),
             start,
             timing: settings.timing,
-            counters,
         };
         tokio::spawn(sync::Arc::clone(&feed).run(listener, stop.clone()));
         let spawn = |task| tokio::spawn(stop.clone().run_until_cancelled_owned(task));
@@ -127,8 +103,7 @@
 
     /// Replaces the seeds, for instance after a change of the settings.
     pub fn set_seeds(&self, seeds: &[net::SocketAddr]) {
-        let hosts = seeds.iter().map(net::SocketAddr::ip).collect();
-        self.others.set_seeds(hosts);
+        self.others.set_seeds(seeds);
     }
 
     /// Hands the lead to another member, closes all files and stops.
@@ -165,15 +140,14 @@
     registry: sync::Arc<registry::Registry>,
     start: member_start::MemberStart,
     timing: lift_consensus::Timing,
-    counters: sync::Arc<lift_obs::Counters>,
 }
 
 impl Member {
     async fn run(self, mut removed: watch::Receiver<Option<lift_types::MemberId>>) {
         loop {
             if let Err(e) = self.run_once(&mut removed).await {
-                slog::error!(self.start.logger, "control member ended"; "error" => %e);
-                self.counters.increment("control.member_ended");
+                slog::error!(self.start.node.log, "control member ended"; "error" => %e);
+                self.start.node.counters.increment("control.member_ended");
             }
             tokio::time::sleep(RESTART_PAUSE).await;
         }
@@ -186,7 +160,7 @@
         let id = self.start.identifier().await?;
         let log = sync::Arc::new(self.open(id).await?);
         self.registry.slot.set(Some(log.clone()));
-        slog::info!(self.start.logger, "control member runs"; "member" => id);
+        slog::info!(self.start.node.log, "control member runs"; "member" => id);
         let must_clear = tokio::select! {
             end = log.ended() => end == lift_log::LogEnd::DiskReplaced,
             _ = removed.wait_for(|removed| *removed == Some(id)) => true,
@@ -194,7 +168,7 @@
         self.registry.slot.set(None);
         log.abort().await;
         drop(log);
-        slog::warn!(self.start.logger, "control member stopped"; "member" => id,
+        slog::warn!(self.start.node.log, "control member stopped"; "member" => id,
             "must_join_again" => must_clear);
         if must_clear {
             let folder = self.start.folder.clone();
@@ -214,17 +188,17 @@
         let mut builder = lift_log::LogDriver::builder()
             .id(id)
             .folder(&start.folder)
-            .keys(start.keys.clone())
-            .peer_address(start.ports.peer(start.host))
+            .keys(start.node.keys.clone())
+            .peer_address(start.node.ports.peer(start.node.host()))
             .state_machine(self.registry.machine.clone())
             .timing(self.timing)
             .limits(limits)
-            .logger(start.logger.clone())
-            .counters(sync::Arc::clone(&self.counters));
+            .logger(start.node.log.clone())
+            .counters(sync::Arc::clone(&self.start.node.counters));
         let first = start.first_members();
         if first.iter().any(|(first, _)| *first == id) {
             for (id, control) in first {
-                builder = builder.initial_member(id, start.ports.peer(control.ip()), control);
+                builder = builder.initial_member(id, start.node.ports.peer(control.ip()), control);
             }
         }
         let opened = builder.start().await;
--- a/crates/lift_registry/src/directory_keeper.rs
+++ b/crates/lift_registry/src/directory_keeper.rs
@@ -15,7 +15,7 @@
         tokio::time::sleep(INTERVAL).await;
         let refreshed = std::mem::take(&mut *registry.refreshed.lock());
         if !refreshed.is_empty()
-            && let Some(feed) = registry.feed.get().and_then(sync::Weak::upgrade)
+            && let Some(feed) = registry.feed()
         {
             feed.relay_heartbeats(refreshed);
         }
--- a/crates/lift_registry/src/member_keeper.rs
+++ b/crates/lift_registry/src/member_keeper.rs
@@ -7,10 +7,6 @@
 /// Time between two looks at the members.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
-/// Time without an answer, or as leader without having looked, after which a member counts
-/// as lost. Longer than a restart of its process takes.
-const LOST_AFTER: time::Duration = time::Duration::from_secs(4);
-
 /// Makes the changes that are due while this member leads, and tells nodes about changes.
 pub(crate) async fn run(registry: sync::Arc<registry::Registry>) {
     let mut told = None;
@@ -19,7 +15,7 @@
         let source: &dyn lift_feed::FeedSource = &*registry;
         let members = source.members();
         if !members.0.is_empty() && told.as_ref() != Some(&members) {
-            if let Some(feed) = registry.feed.get().and_then(sync::Weak::upgrade) {
+            if let Some(feed) = registry.feed() {
                 feed.push_members(members.0.clone(), members.1);
             }
             told = Some(members);
@@ -32,9 +28,9 @@
     let Ok((log, since)) = registry.slot.leading() else {
         return;
     };
-    let has_looked = lift_clock::now().saturating_duration_since(since) > LOST_AFTER;
+    let has_looked = lift_clock::now().saturating_duration_since(since) > registry::LOST_AFTER;
     let status = log.members();
-    let mut sights = registry.sights(&status, LOST_AFTER);
+    let mut sights = registry.sights(&status);
     if !has_looked {
         // A new leader has heard from few members; only learners can be judged.
         sights
@@ -49,5 +45,5 @@
     };
     let changed = log.change_member(change).await;
     let error = changed.err().map(|e| e.to_string()).unwrap_or_default();
-    slog::info!(registry.logger, "members changed"; "change" => ?change, "error" => error);
+    slog::info!(registry.node.log, "members changed"; "change" => ?change, "error" => error);
 }
--- a/crates/lift_registry/src/member_start.rs
+++ b/crates/lift_registry/src/member_start.rs
@@ -12,16 +12,11 @@
 /// Where a member runs and whom it knows at its start.
 #[derive(Clone, Debug)]
 pub(crate) struct MemberStart {
+    /// At the first start of the fleet its seeds are the first members, in their order.
+    pub(crate) node: lift_feed::NodeSetup,
     pub(crate) folder: path::PathBuf,
-    pub(crate) host: net::IpAddr,
     pub(crate) control: net::SocketAddr,
-    pub(crate) ports: lift_feed::FeedPorts,
-    /// Addresses for operators of the seeds. At the first start of the fleet they are the
-    /// first members, in this order.
-    pub(crate) seeds: Vec<net::SocketAddr>,
     pub(crate) is_first_start: bool,
-    pub(crate) keys: lift_wire::LinkKeys,
-    pub(crate) logger: slog::Logger,
 }
 
 impl MemberStart {
@@ -45,7 +40,7 @@
         if !self.is_first_start {
             return Vec::new();
         }
-        (1..).zip(self.seeds.iter().copied()).collect()
+        (1..).zip(self.node.seeds.iter().copied()).collect()
     }
 
     fn first_identifier(&self) -> Option<lift_types::MemberId> {
@@ -56,23 +51,27 @@
 
     async fn join(&self) -> lift_types::MemberId {
         let newcomer = lift_feed::Newcomer {
-            peer: self.ports.peer(self.host),
+            peer: self.node.ports.peer(self.node.host()),
             control: self.control,
         };
         let mut hint = None;
         for turn in 0.. {
-            let seeds = self.seeds.iter().map(|seed| self.ports.feed(seed.ip()));
-            let seeds: Vec<_> = seeds.filter(|feed| feed.ip() != self.host).collect();
+            let seeds = self
+                .node
+                .seeds
+                .iter()
+                .map(|seed| self.node.ports.feed(seed.ip()));
+            let seeds: Vec<_> = seeds.filter(|feed| feed.ip() != self.node.host()).collect();
             let next = seeds.get(turn % seeds.len().max(1)).copied();
             if let Some(address) = hint.take().or(next) {
-                match lift_feed::join(address, &self.keys, newcomer).await {
+                match lift_feed::join(address, &self.node.keys, newcomer).await {
                     Ok(lift_feed::JoinAnswer::Joined(id)) => {
-                        slog::info!(self.logger, "joined control"; "member" => id);
+                        slog::info!(self.node.log, "joined control"; "member" => id);
                         return id;
                     }
                     Ok(lift_feed::JoinAnswer::Elsewhere(leader)) => hint = leader,
                     Ok(lift_feed::JoinAnswer::Later) => {}
-                    Err(e) => slog::debug!(self.logger, "join failed"; "at" => address,
+                    Err(e) => slog::debug!(self.node.log, "join failed"; "at" => address,
                         "error" => %e),
                 }
             }
--- a/crates/lift_registry/src/registry.rs
+++ b/crates/lift_registry/src/registry.rs
@@ -4,6 +4,10 @@
 
 use crate::{fleet_machine, log_slot};
 
+/// Time without an answer, or as leader without having looked, after which a member counts
+/// as lost. Longer than a restart of its process takes.
+pub(crate) const LOST_AFTER: time::Duration = time::Duration::from_secs(4);
+
 /// What a control member knows: the state of the log, and the backend servers, which are
 /// kept in memory alone since they announce themselves again within seconds.
 #[derive(Debug)]
@@ -15,37 +19,31 @@
     pub(crate) directory: parking_lot::Mutex<lift_fleet::Directory>,
     /// Heartbeats that changed nothing and wait to be relayed to the other members.
     pub(crate) refreshed: parking_lot::Mutex<Vec<lift_fleet::BackendRecord>>,
-    pub(crate) codec: sync::Arc<dyn lift_fleet::DocumentCodec>,
-    pub(crate) ports: lift_feed::FeedPorts,
+    pub(crate) node: lift_feed::NodeSetup,
     pub(crate) feed: sync::OnceLock<sync::Weak<lift_feed::FeedServer>>,
-    pub(crate) counters: sync::Arc<lift_obs::Counters>,
-    pub(crate) logger: slog::Logger,
     /// Adding a host takes several changes of the members, which must not be interleaved with
     /// those of another host.
     pub(crate) joining: tokio::sync::Mutex<()>,
 }
 
 impl Registry {
-    pub(crate) fn new(
-        codec: sync::Arc<dyn lift_fleet::DocumentCodec>,
-        ports: lift_feed::FeedPorts,
-        counters: sync::Arc<lift_obs::Counters>,
-        logger: slog::Logger,
-    ) -> Self {
+    pub(crate) fn new(node: lift_feed::NodeSetup) -> Self {
         Self {
             machine: sync::Arc::new(fleet_machine::FleetMachine::new()),
             slot: log_slot::LogSlot::default(),
             directory: parking_lot::Mutex::default(),
             refreshed: parking_lot::Mutex::default(),
-            codec,
-            ports,
+            node,
             feed: sync::OnceLock::new(),
-            counters,
-            logger,
             joining: tokio::sync::Mutex::new(()),
         }
     }
 
+    /// The feed, until the member stops.
+    pub(crate) fn feed(&self) -> Option<sync::Arc<lift_feed::FeedServer>> {
+        self.feed.get().and_then(sync::Weak::upgrade)
+    }
+
     /// Takes in what another member knows of backend servers, and passes on what is news.
     pub(crate) fn merge(&self, now: time::Instant, records: &[lift_fleet::BackendRecord]) {
         let mut changed = Vec::new();
@@ -68,27 +66,23 @@
         }
         for record in &changed {
             let said = &record.announcement;
-            slog::info!(self.logger, "backend server changed"; "backend" => &said.id,
+            slog::info!(self.node.log, "backend server changed"; "backend" => &said.id,
                 "service" => &said.service, "address" => said.address,
                 "state" => %said.state, "silent" => record.is_silent,
                 "sequence" => said.sequence, "models" => ?said.models);
         }
-        if let Some(feed) = self.feed.get().and_then(sync::Weak::upgrade) {
+        if let Some(feed) = self.feed() {
             feed.push_backends(changed);
         }
     }
 
     /// The log's members as the leader sees them, with the highest identifier in use.
-    pub(crate) fn sights(
-        &self,
-        status: &lift_log::LogStatus,
-        lost_after: time::Duration,
-    ) -> Vec<lift_fleet::MemberSight> {
+    pub(crate) fn sights(&self, status: &lift_log::LogStatus) -> Vec<lift_fleet::MemberSight> {
         let now = lift_clock::now();
         let is_answering = |id: lift_types::MemberId| {
             let answered = status.answers.get(&id);
             id == status.id
-                || answered.is_some_and(|at| now.saturating_duration_since(*at) < lost_after)
+                || answered.is_some_and(|at| now.saturating_duration_since(*at) < LOST_AFTER)
         };
         let sight = |(id, member): (lift_types::MemberId, &lift_consensus::Member)| {
             lift_fleet::MemberSight {
--- a/crates/lift_registry/src/registry_control.rs
+++ b/crates/lift_registry/src/registry_control.rs
@@ -12,7 +12,7 @@
 impl fleet_control::FleetControl for registry::Registry {
     async fn replace(&self, text: bytes::Bytes) -> Result<lift_fleet::FleetReply> {
         self.slot.leading()?;
-        let table = self.codec.decode(&text);
+        let table = self.node.codec.decode(&text);
         let table = table.map_err(control_fault::ControlFault::Invalid)?;
         let version = table.version();
         if version <= self.machine.document_version() {
@@ -24,7 +24,7 @@
         let document = lift_fleet::Document { version, packed };
         let command = lift_fleet::FleetCommand::Replace(document);
         let reply = self.propose(&command).await;
-        slog::info!(self.logger, "document received"; "document" => version,
+        slog::info!(self.node.log, "document received"; "document" => version,
             "routes" => table.route_count(), "bytes" => text.len(),
             "outcome" => outcome(&reply));
         reply
@@ -55,7 +55,7 @@
             version,
         };
         let reply = self.propose(&command).await;
-        slog::info!(self.logger, "weights named"; "model" => model, "version" => version,
+        slog::info!(self.node.log, "weights named"; "model" => model, "version" => version,
             "outcome" => outcome(&reply));
         reply
     }
@@ -69,7 +69,9 @@
             (size, directory.get(&id).cloned())
         };
         match size {
-            lift_fleet::ChangeSize::Stale => self.counters.increment("control.heartbeat_stale"),
+            lift_fleet::ChangeSize::Stale => {
+                self.node.counters.increment("control.heartbeat_stale")
+            }
             lift_fleet::ChangeSize::Refreshed => self.refreshed.lock().extend(record),
             lift_fleet::ChangeSize::Changed => self.push(record.into_iter().collect()),
         }
@@ -93,7 +95,7 @@
         let reply = match log.propose(command).await {
             Ok(reply) => reply,
             Err(report) => {
-                self.counters.increment("control.propose_failed");
+                self.node.counters.increment("control.propose_failed");
                 let fault = match report.current_context() {
                     lift_log::ProposeError::NotLeader => control_fault::ControlFault::NotLeader {
                         leader: self.slot.leader_elsewhere(),
@@ -118,7 +120,7 @@
         if self.slot.is_in_touch() {
             return Ok(());
         }
-        self.counters.increment("control.heartbeat_refused");
+        self.node.counters.increment("control.heartbeat_refused");
         Err(error_stack::Report::new(
             control_fault::ControlFault::Unavailable,
         ))
--- a/crates/lift_registry/src/registry_source.rs
+++ b/crates/lift_registry/src/registry_source.rs
@@ -1,15 +1,12 @@
 //! What a member feeds to nodes.
 
-use std::{sync, time};
+use std::sync;
 
 use crate::registry;
 
 /// Changes of the members that one request to join may take.
 const MAX_STEPS: usize = 4;
 
-/// Time without an answer after which a member counts as lost when a host joins.
-const LOST_AFTER: time::Duration = time::Duration::from_secs(4);
-
 #[async_trait::async_trait]
 impl lift_feed::FeedSource for registry::Registry {
     fn members(&self) -> (Vec<lift_feed::MemberCard>, lift_types::MemberId) {
@@ -20,7 +17,7 @@
         let card =
             |(id, member): (lift_types::MemberId, &lift_consensus::Member)| lift_feed::MemberCard {
                 id,
-                feed: self.ports.feed(member.peer.ip()),
+                feed: self.node.ports.feed(member.peer.ip()),
                 control: member.client,
             };
         (members.iter().map(card).collect(), members.highest())
@@ -49,11 +46,11 @@
         for _ in 0..MAX_STEPS {
             let Ok((log, _)) = self.slot.leading() else {
                 let leader = self.slot.leader_elsewhere();
-                let feed = leader.map(|address| self.ports.feed(address.ip()));
+                let feed = leader.map(|address| self.node.ports.feed(address.ip()));
                 return lift_feed::JoinAnswer::Elsewhere(feed);
             };
             let status = log.members();
-            let sights = self.sights(&status, LOST_AFTER);
+            let sights = self.sights(&status);
             let plan = lift_fleet::MemberPlan::for_newcomer(&sights, newcomer.peer);
             let id = status.members.highest() + 1;
             let change = match plan {
@@ -66,7 +63,7 @@
             };
             let changed = log.change_member(change).await;
             let error = changed.as_ref().err().map(ToString::to_string);
-            slog::info!(self.logger, "members changed for a newcomer";
+            slog::info!(self.node.log, "members changed for a newcomer";
                 "change" => ?change, "error" => error.unwrap_or_default());
             match (changed, change) {
                 (Ok(()), lift_consensus::MemberChange::AddLearner { id, .. }) => {
--- a/crates/lift_registry/tests/members.rs
+++ b/crates/lift_registry/tests/members.rs
@@ -57,14 +57,17 @@
             piece_addr: None,
         };
         let key = lift_wire::LinkKey::new(1, [7; 32]);
-        let mut builder = ControlMember::builder()
-            .folder(self.disks[number].path())
+        let node = lift_feed::NodeSetup::builder()
             .card(card)
-            .control(self.control(number))
             .ports(lift_feed::FeedPorts::new(17_490..=17_493).unwrap())
             .seeds((0..3).map(|n| self.control(n)).collect())
             .keys(lift_wire::LinkKeys::new(key))
-            .codec(sync::Arc::new(Codec));
+            .codec(sync::Arc::new(Codec))
+            .build();
+        let mut builder = ControlMember::builder()
+            .node(node.unwrap())
+            .folder(self.disks[number].path())
+            .control(self.control(number));
         if is_first {
             builder = builder.first_start();
         }
--- a/crates/lift_stage/src/stage_agent.rs
+++ b/crates/lift_stage/src/stage_agent.rs
@@ -31,24 +31,21 @@
 
     pub(crate) async fn start(settings: stage_agent_builder::StageAgentBuilder) -> Result<Self> {
         let missing = stage_error::StageError::Missing;
-        let card = settings.card.ok_or(missing("card"))?;
-        let ports = settings.ports.ok_or(missing("ports"))?;
-        let keys = settings.keys.ok_or(missing("keys"))?;
-        let logger = settings.log.unwrap_or_else(lift_obs::LogConfig::discard);
-        let host = net::IpAddr::from(net::Ipv4Addr::from(card.place.host));
-        let listener = tokio::net::TcpListener::bind(ports.pieces(host)).await;
+        let node = settings.node.ok_or(missing("node"))?;
+        let host = node.host();
+        let listener = tokio::net::TcpListener::bind(node.ports.pieces(host)).await;
         let listener = listener.change_context(stage_error::StageError::Listen)?;
         let reports = tokio::net::UdpSocket::bind((host, 0)).await;
         let reports = reports.change_context(stage_error::StageError::Listen)?;
         let shared = sync::Arc::new(shared::Shared {
-            service: card.service.clone().ok_or(missing("service"))?,
-            card: card.clone(),
+            service: node.card.service.clone().ok_or(missing("service"))?,
+            card: node.card.clone(),
             backend: settings.backend.ok_or(missing("backend"))?,
-            keys: keys.clone(),
+            keys: node.keys.clone(),
             stage: settings.stage.ok_or(missing("stage"))?,
             origin: settings.origin.ok_or(missing("origin"))?,
-            log: logger.clone(),
-            counters: sync::Arc::clone(&settings.counters),
+            log: node.log.clone(),
+            counters: sync::Arc::clone(&node.counters),
             table: watch::Sender::new(None),
             named: watch::Sender::new(lift_dispatch::WeightsGate::new(settings.weights_grace)),
             nodes: watch::Sender::new(Vec::new()),
@@ -61,17 +58,7 @@
         let observer = agent_observer::AgentObserver {
             shared: sync::Arc::clone(&shared),
         };
-        let feed = lift_feed::FeedClient::builder()
-            .card(card)
-            .ports(ports)
-            .seeds(settings.seeds)
-            .keys(keys)
-            .codec(settings.codec.ok_or(missing("codec"))?)
-            .observer(sync::Arc::new(observer))
-            .logger(logger)
-            .counters(settings.counters)
-            .start()
-            .change_context(missing("feed"))?;
+        let feed = lift_feed::FeedClient::start(node, sync::Arc::new(observer));
         let stop = tokio_util::sync::CancellationToken::new();
         let run = |task: Task| {
             tokio::spawn(stop.clone().run_until_cancelled_owned(task));
@@ -92,7 +79,7 @@
     }
 
     /// Replaces the seeds, for instance after a change of the settings.
-    pub fn set_seeds(&self, seeds: Vec<net::IpAddr>) {
+    pub fn set_seeds(&self, seeds: &[net::SocketAddr]) {
         self.feed.set_seeds(seeds);
     }
 }
--- a/crates/lift_stage/tests/support/fleet.rs
+++ b/crates/lift_stage/tests/support/fleet.rs
@@ -124,13 +124,16 @@
                 load_addr: None,
                 piece_addr: Some(ports.pieces(net::IpAddr::from(host))),
             };
-            let agent = lift_stage::StageAgent::builder()
+            let node = lift_feed::NodeSetup::builder()
                 .card(card)
-                .backend(net::SocketAddr::from((host, 1)))
                 .ports(ports)
-                .seeds(vec![member])
+                .seeds(vec![net::SocketAddr::new(member, 1)])
                 .keys(keys.clone())
                 .codec(sync::Arc::new(Codec))
+                .build();
+            let agent = lift_stage::StageAgent::builder()
+                .node(node.unwrap())
+                .backend(net::SocketAddr::from((host, 1)))
                 .stage(sync::Arc::new(engine.clone()))
                 .origin(sync::Arc::new(origin.clone()))
                 .weights_grace(time::Duration::from_millis(500))
