Share reading of settings, connections between agents and HTTP client set-up

Twins that the fleet had brought: Settings and FleetSettings read and decoded files alike, two places opened a connection to another agent, two constructors built the same HTTP client, and LOG_FLUSH stood twice.

--- a/crates/lift_border/src/http_client.rs
+++ b/crates/lift_border/src/http_client.rs
@@ -27,27 +27,23 @@
 impl HttpClient {
     /// Makes a client whose connections start at `local_ip`, where one is given.
     pub fn new(base: &str, local_ip: Option<net::IpAddr>) -> Self {
-        let mut connector = legacy::connect::HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_local_address(local_ip);
-        Self {
-            base: String::from(base.trim_end_matches('/')),
-            client: legacy::Client::builder(rt::TokioExecutor::new())
-                .pool_max_idle_per_host(MAX_IDLE)
-                .build(connector),
-        }
+        Self::with_idle(base, local_ip, MAX_IDLE)
     }
 
     /// Keeps no connection open between requests, for systems that accept few.
     pub fn without_pool(base: &str) -> Self {
+        Self::with_idle(base, None, 0)
+    }
+
+    fn with_idle(base: &str, local_ip: Option<net::IpAddr>, max_idle: usize) -> Self {
         let mut connector = legacy::connect::HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_local_address(local_ip);
         Self {
             base: String::from(base.trim_end_matches('/')),
             client: legacy::Client::builder(rt::TokioExecutor::new())
-                .pool_max_idle_per_host(0)
+                .pool_max_idle_per_host(max_idle)
                 .build(connector),
         }
     }
--- a/crates/lift_node/src/fleet_run.rs
+++ b/crates/lift_node/src/fleet_run.rs
@@ -9,9 +9,6 @@
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// Time for the last lines of the log, which another thread writes.
-const LOG_FLUSH: time::Duration = time::Duration::from_millis(20);
-
 /// Starts a node and stops it gracefully on SIGTERM or SIGINT. A second signal ends it at once.
 /// Seeds are read again after SIGHUP and when the file changes.
 ///
@@ -57,7 +54,7 @@
             return Ok(run::RunEnd::Killed);
         }
     };
-    tokio::time::sleep(LOG_FLUSH).await;
+    tokio::time::sleep(run::LOG_FLUSH).await;
     Ok(match is_drained {
         true => run::RunEnd::Drained,
         false => run::RunEnd::CutOff,
--- a/crates/lift_node/src/run.rs
+++ b/crates/lift_node/src/run.rs
@@ -50,7 +50,7 @@
 }
 
 /// Time for the last lines of the log.
-const LOG_FLUSH: time::Duration = time::Duration::from_millis(20);
+pub(crate) const LOG_FLUSH: time::Duration = time::Duration::from_millis(20);
 
 /// Signals that ask a node to stop.
 pub(crate) struct Signals {
--- a/crates/lift_settings/src/fleet_settings.rs
+++ b/crates/lift_settings/src/fleet_settings.rs
@@ -1,8 +1,11 @@
 //! Settings of a node of a fleet whose backend servers announce themselves.
 
-use std::{fs, net, path, time};
+use std::{net, path, time};
 
-use crate::{fleet_agent, fleet_bounds, fleet_control, fleet_gateway, fleet_links, settings_error};
+use crate::{
+    fleet_agent, fleet_bounds, fleet_control, fleet_gateway, fleet_links, settings_error,
+    settings_text,
+};
 
 /// Ports that are needed for the listeners between nodes.
 const NEEDED_PORTS: u16 = 4;
@@ -37,7 +40,7 @@
     /// ports can take part, so the network must keep others away.
     pub links: fleet_links::FleetLinks,
     /// Lowest level that is logged: trace, debug, info, warning, error or critical.
-    #[serde(default = "default_log_level")]
+    #[serde(default = "settings_text::default_log_level")]
     pub log_level: String,
     /// Where counters and latencies are served as text over HTTP. Not served without it.
     #[serde(default)]
@@ -63,14 +66,7 @@
     ///
     /// Returns the first field at fault.
     pub fn load(file: &path::Path) -> Result<Self> {
-        let text = fs::read_to_string(file).map_err(|e| {
-            settings_error::SettingsError::new(
-                "(file)",
-                format!("{} can't be read: {}", file.display(), e.kind()),
-                "a readable JSON file",
-            )
-        })?;
-        let settings = Self::parse(&text)?;
+        let settings = Self::parse(&settings_text::read(file)?)?;
         settings.check()?;
         Ok(settings)
     }
@@ -81,13 +77,7 @@
     ///
     /// Returns the first field that is unknown, missing or of the wrong type.
     pub fn parse(text: &str) -> Result<Self> {
-        let mut decoder = serde_json::Deserializer::from_str(text);
-        let settings = serde_path_to_error::deserialize(&mut decoder)
-            .map_err(|e| settings_error::SettingsError::from_decoder(&e))?;
-        decoder.end().map_err(|e| {
-            settings_error::SettingsError::new("(file)", e.to_string(), "one JSON object")
-        })?;
-        Ok(settings)
+        settings_text::parse(text)
     }
 
     /// Checks that the fields fit together.
@@ -127,7 +117,3 @@
     let error = settings_error::SettingsError::new(path, problem, allowed);
     Err(error_stack::Report::new(error))
 }
-
-fn default_log_level() -> String {
-    String::from("info")
-}
--- a/crates/lift_settings/src/lib.rs
+++ b/crates/lift_settings/src/lib.rs
@@ -29,6 +29,7 @@
 mod role;
 mod settings;
 mod settings_error;
+mod settings_text;
 mod tls_settings;
 
 pub use agent_settings::AgentSettings;
--- a/crates/lift_settings/src/settings.rs
+++ b/crates/lift_settings/src/settings.rs
@@ -1,10 +1,10 @@
 //! Settings of a node.
 
-use std::{fs, net, path, time};
+use std::{net, path, time};
 
 use crate::{
     agent_settings, check, control_settings, entry_settings, link_key_settings, role,
-    settings_error,
+    settings_error, settings_text,
 };
 
 /// Grace time without a setting, in milliseconds.
@@ -26,7 +26,7 @@
     /// Roles of this node. Each one needs the section of the same name.
     pub roles: Vec<role::Role>,
     /// Lowest level that is logged: trace, debug, info, warning, error or critical.
-    #[serde(default = "default_log_level")]
+    #[serde(default = "settings_text::default_log_level")]
     pub log_level: String,
     /// UDP address of a statsd receiver for counters. Nothing is sent without it.
     #[serde(default)]
@@ -57,14 +57,7 @@
     pub fn load(
         file: &path::Path,
     ) -> Result<Self, error_stack::Report<settings_error::SettingsError>> {
-        let text = fs::read_to_string(file).map_err(|e| {
-            settings_error::SettingsError::new(
-                "(file)",
-                format!("{} can't be read: {}", file.display(), e.kind()),
-                "a readable JSON file",
-            )
-        })?;
-        let settings = Self::parse(&text)?;
+        let settings = Self::parse(&settings_text::read(file)?)?;
         settings.check()?;
         Ok(settings)
     }
@@ -75,13 +68,7 @@
     ///
     /// Returns the first field that is unknown, missing or of the wrong type.
     pub fn parse(text: &str) -> Result<Self, error_stack::Report<settings_error::SettingsError>> {
-        let mut decoder = serde_json::Deserializer::from_str(text);
-        let settings = serde_path_to_error::deserialize(&mut decoder)
-            .map_err(|e| settings_error::SettingsError::from_decoder(&e))?;
-        decoder.end().map_err(|e| {
-            settings_error::SettingsError::new("(file)", e.to_string(), "one JSON object")
-        })?;
-        Ok(settings)
+        settings_text::parse(text)
     }
 
     /// Checks that the fields fit together and that the files they name can be read.
@@ -113,10 +100,6 @@
     }
 }
 
-fn default_log_level() -> String {
-    String::from("info")
-}
-
 fn default_grace_ms() -> u64 {
     DEFAULT_GRACE_MS
 }
--- a/crates/lift_stage/src/lib.rs
+++ b/crates/lift_stage/src/lib.rs
@@ -20,6 +20,7 @@
 mod manifest_source;
 mod order_answer;
 mod origin_port;
+mod piece_connection;
 mod piece_digest;
 mod piece_link;
 mod piece_manifest;
--- a/crates/lift_stage/src/manifest_source.rs
+++ b/crates/lift_stage/src/manifest_source.rs
@@ -4,7 +4,7 @@
 
 use error_stack::ResultExt as _;
 
-use crate::{piece_manifest, piece_message, piece_server, shared, stage_error};
+use crate::{piece_connection, piece_manifest, piece_message, shared, stage_error};
 
 /// Time for a manifest from the origin.
 const ORIGIN_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
@@ -75,20 +75,16 @@
     version: lift_fleet::WeightsVersion,
 ) -> Result<piece_manifest::PieceManifest> {
     let failed = stage_error::StageError::Agent;
+    let ask = piece_message::PieceMessage::AskManifest {
+        model: String::from(model),
+        version,
+    };
     let asking = async {
-        let stream = tokio::net::TcpStream::connect(agent.chunk_addr).await;
-        let stream = stream.change_context(lift_wire::WireError::Closed)?;
-        lift_feed::prepare_link(&stream, AGENT_TIMEOUT);
-        let purpose = lift_wire::Purpose::Pieces;
-        let (mut reader, mut writer) = lift_wire::connect(stream, &shared.keys, purpose).await?;
-        let ask = piece_message::PieceMessage::AskManifest {
-            model: String::from(model),
-            version,
-        };
-        writer.send(&ask).await?;
+        let opening = piece_connection::open(&shared.keys, agent.chunk_addr, AGENT_TIMEOUT, &ask);
+        let (mut reader, _writer) = opening.await?;
         reader.recv().await
     };
-    let answer = piece_server::within(AGENT_TIMEOUT, asking).await;
+    let answer = piece_connection::within(AGENT_TIMEOUT, asking).await;
     match answer.change_context(failed.clone())? {
         piece_message::PieceMessage::Manifest(manifest)
             if manifest.model == model && manifest.version == version =>
--- a/crates/lift_stage/src/piece_link.rs
+++ b/crates/lift_stage/src/piece_link.rs
@@ -2,10 +2,9 @@
 
 use std::{sync, time};
 
-use error_stack::ResultExt as _;
 use tokio::sync::mpsc;
 
-use crate::{fetch, piece_message, piece_server};
+use crate::{fetch, piece_connection, piece_message};
 
 /// Time to open a connection.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(600);
@@ -45,16 +44,9 @@
     queue: &mut mpsc::UnboundedReceiver<lift_types::ChunkIndex>,
 ) -> Result<()> {
     let host = peer.place.host;
-    let opening = async {
-        let stream = tokio::net::TcpStream::connect(peer.chunk_addr).await;
-        let stream = stream.change_context(lift_wire::WireError::Closed)?;
-        lift_feed::prepare_link(&stream, SILENCE);
-        let purpose = lift_wire::Purpose::Pieces;
-        let (reader, mut writer) = lift_wire::connect(stream, fetch.keys(), purpose).await?;
-        writer.send(&fetch.want()).await?;
-        Ok((reader, writer))
-    };
-    let (mut reader, mut writer) = piece_server::within(CONNECT_TIMEOUT, opening).await?;
+    let want = fetch.want();
+    let opening = piece_connection::open(fetch.keys(), peer.chunk_addr, SILENCE, &want);
+    let (mut reader, mut writer) = piece_connection::within(CONNECT_TIMEOUT, opening).await?;
     let place = peer.place.clone();
     fetch.step(lift_transfer::DownloadEvent::PeerUp { place });
     fetch.suspect(host, false);
@@ -69,7 +61,7 @@
             index = queue.recv() => {
                 let Some(index) = index else { return Ok(()) };
                 let get = piece_message::PieceMessage::Get(index);
-                piece_server::within(SILENCE, writer.send(&get)).await?;
+                piece_connection::within(SILENCE, writer.send(&get)).await?;
             }
             _ = ping.tick() => {
                 let silence = lift_clock::now().saturating_duration_since(heard);
@@ -77,7 +69,7 @@
                     return Err(error_stack::Report::new(lift_wire::WireError::Closed));
                 }
                 let ping = piece_message::PieceMessage::Ping;
-                piece_server::within(SILENCE, writer.send(&ping)).await?;
+                piece_connection::within(SILENCE, writer.send(&ping)).await?;
             }
         }
     }
--- a/crates/lift_stage/src/piece_server.rs
+++ b/crates/lift_stage/src/piece_server.rs
@@ -5,7 +5,7 @@
 use error_stack::ResultExt as _;
 use tokio::sync::mpsc;
 
-use crate::{piece_message, shared, staged};
+use crate::{piece_connection, piece_message, shared, staged};
 
 /// Silence after which a connection is closed.
 const SILENCE: time::Duration = time::Duration::from_secs(5);
@@ -31,8 +31,6 @@
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
 type Result<T> = std::result::Result<T, error_stack::Report<lift_wire::WireError>>;
-type Reader = lift_wire::FrameReader<tokio::net::tcp::OwnedReadHalf>;
-type Writer = lift_wire::FrameWriter<tokio::net::tcp::OwnedWriteHalf>;
 
 /// Accepts agents until the task is dropped.
 pub(crate) async fn run(shared: sync::Arc<shared::Shared>, listener: tokio::net::TcpListener) {
@@ -65,8 +63,8 @@
     lift_feed::prepare_link(&stream, SILENCE);
     let purpose = lift_wire::Purpose::Pieces;
     let accepted = lift_wire::accept(stream, &shared.keys, purpose);
-    let (mut reader, mut writer) = within(START_TIMEOUT, accepted).await?;
-    let first = within(START_TIMEOUT, reader.recv()).await?;
+    let (mut reader, mut writer) = piece_connection::within(START_TIMEOUT, accepted).await?;
+    let first = piece_connection::within(START_TIMEOUT, reader.recv()).await?;
     let (model, version) = match first {
         piece_message::PieceMessage::Want { model, version } => (model, version),
         piece_message::PieceMessage::AskManifest { model, version } => {
@@ -89,13 +87,14 @@
         // This agent may not have heard of the version yet, or its backend server may hold the
         // version since before the agent started.
         shared.asked.send_replace(Some((model.clone(), version)));
-        within(SILENCE, writer.send(&piece_message::PieceMessage::Unknown)).await?;
+        piece_connection::within(SILENCE, writer.send(&piece_message::PieceMessage::Unknown))
+            .await?;
         tokio::select! {
             changed = current.changed() => {
                 changed.change_context(lift_wire::WireError::Closed)?;
             }
             () = tokio::time::sleep(PING_INTERVAL) => {}
-            message = within(SILENCE, reader.recv::<piece_message::PieceMessage>()) => {
+            message = piece_connection::within(SILENCE, reader.recv::<piece_message::PieceMessage>()) => {
                 message?;
             }
         }
@@ -107,13 +106,13 @@
     shared: &shared::Shared,
     model: &str,
     version: lift_fleet::WeightsVersion,
-    mut writer: Writer,
+    mut writer: piece_connection::Writer,
 ) -> Result<()> {
     let staged = shared.staged.borrow().clone();
     let staged = staged.filter(|s| s.is(model, version));
     let staged = staged.ok_or(lift_wire::WireError::Closed)?;
     let answer = piece_message::PieceMessage::Manifest(staged.manifest.clone());
-    within(SILENCE, writer.send(&answer)).await
+    piece_connection::within(SILENCE, writer.send(&answer)).await
 }
 
 /// One connection whose version this agent works on.
@@ -125,12 +124,16 @@
 }
 
 impl Serving<'_> {
-    async fn run(&self, mut reader: Reader, mut writer: Writer) -> Result<()> {
+    async fn run(
+        &self,
+        mut reader: piece_connection::Reader,
+        mut writer: piece_connection::Writer,
+    ) -> Result<()> {
         let (asked, mut waiting) = mpsc::channel(MAX_QUEUED);
         let (refused, mut refusals) = mpsc::channel(MAX_REFUSALS);
         let reading = async {
             loop {
-                let message = within(SILENCE, reader.recv()).await?;
+                let message = piece_connection::within(SILENCE, reader.recv()).await?;
                 let piece_message::PieceMessage::Get(index) = message else {
                     continue;
                 };
@@ -159,11 +162,11 @@
                     index = refusals.recv() => {
                         let Some(index) = index else { return Ok(()) };
                         let busy = piece_message::PieceMessage::Busy(index);
-                        within(SILENCE, writer.send(&busy)).await?;
+                        piece_connection::within(SILENCE, writer.send(&busy)).await?;
                     }
                     () = tokio::time::sleep(PING_INTERVAL) => {
                         let ping = piece_message::PieceMessage::Ping;
-                        within(SILENCE, writer.send(&ping)).await?;
+                        piece_connection::within(SILENCE, writer.send(&ping)).await?;
                     }
                     changed = count.changed() => {
                         changed.change_context(lift_wire::WireError::Closed)?;
@@ -181,7 +184,7 @@
         &self,
         told: &mut indexmap::IndexSet<lift_types::ChunkIndex>,
         is_first: &mut bool,
-        writer: &mut Writer,
+        writer: &mut piece_connection::Writer,
     ) -> Result<()> {
         let news: Vec<_> = self.staged.all();
         let news: Vec<_> = news.into_iter().filter(|i| told.insert(*i)).collect();
@@ -190,14 +193,18 @@
             return Ok(());
         }
         *is_first = false;
-        within(
+        piece_connection::within(
             SILENCE,
             writer.send(&piece_message::PieceMessage::Have(news)),
         )
         .await
     }
 
-    async fn answer(&self, index: lift_types::ChunkIndex, writer: &mut Writer) -> Result<()> {
+    async fn answer(
+        &self,
+        index: lift_types::ChunkIndex,
+        writer: &mut piece_connection::Writer,
+    ) -> Result<()> {
         let slot = self.slots.acquire().await;
         let _slot = slot.change_context(lift_wire::WireError::Closed)?;
         let answer = match self.read(index).await {
@@ -208,7 +215,7 @@
             }
             None => piece_message::PieceMessage::Missing(index),
         };
-        within(SILENCE, writer.send(&answer)).await
+        piece_connection::within(SILENCE, writer.send(&answer)).await
     }
 
     /// Waits until a piece may be sent.
@@ -241,12 +248,3 @@
         None
     }
 }
-
-/// Waits for a step of a connection, but not for ever.
-pub(crate) async fn within<T>(
-    limit: time::Duration,
-    step: impl Future<Output = Result<T>>,
-) -> Result<T> {
-    let done = tokio::time::timeout(limit, step).await;
-    done.map_err(|_| error_stack::Report::new(lift_wire::WireError::Closed))?
-}
