Count prompts that wait to be read in the choice of a backend server

Cause: a server that has just loaded gets as many requests at once as it has places, from all gateways.

Agents now report how many prompts wait to be read, and a server whose prompts would not be read within three quarters of the wanted latency counts as full.

--- a/crates/lift_dispatch/src/backend_load.rs
+++ b/crates/lift_dispatch/src/backend_load.rs
@@ -8,6 +8,10 @@
 /// the agent is taken to be down.
 const SAMPLE_MAX_AGE: time::Duration = time::Duration::from_millis(400);
 
+/// Requests that begin at a backend server between two samples for one of this gateway. Gateways
+/// of the same region choose alike.
+const SHARED_FACTOR: u32 = 2;
+
 /// Number of one request at one backend server.
 pub type Ticket = u64;
 
@@ -89,6 +93,16 @@
             .max(self.own)
     }
 
+    /// Requests whose prompts are read before that of one that is sent at `now`.
+    pub fn unread(&self, now: time::Instant) -> u32 {
+        if self.fresh(now).is_none() {
+            return 0;
+        }
+        self.sample.as_ref().map_or(0, |(sample, own_then)| {
+            sample.unread + SHARED_FACTOR * self.own.saturating_sub(*own_then)
+        })
+    }
+
     /// Whether nothing would be lost with this record.
     pub fn is_idle(&self, now: time::Instant) -> bool {
         self.own == 0 && self.fresh(now).is_none() && !self.health.is_avoided(now)
--- a/crates/lift_dispatch/src/choice.rs
+++ b/crates/lift_dispatch/src/choice.rs
@@ -30,6 +30,10 @@
 /// Largest cost of slow heads, in shares of the places.
 const MAX_HEAD_PENALTY: f64 = 1.5;
 
+/// Part of the wanted latency that may pass until the prompt has been read. The rest is for
+/// the way there and back, and for the tokens of others between the parts of a prompt.
+const READ_PART: f64 = 0.75;
+
 /// Share of the usual traffic below which the link of a backend server counts as jammed, in
 /// percent. Requests wait there for seconds, and so do the resets of those that are given up.
 const JAMMED_PERCENT: u32 = 25;
@@ -57,6 +61,8 @@
     pub need: &'a weights_need::WeightsNeed,
     /// Requests over its places that a backend server may have, as a share of its places.
     pub queue_share: f64,
+    /// Time to read the usual prompt. Zero where nothing is to be read.
+    pub read_time: time::Duration,
     /// Latency that callers want.
     pub target: time::Duration,
     /// Backend servers that have had the request.
@@ -124,7 +130,7 @@
             return Err(choice_reason::ChoiceReason::NoWeights);
         }
         let estimate = load.estimate(self.now, self.gateways);
-        if !self.has_room(backend, estimate) {
+        if !self.has_room(backend, estimate) || !self.is_read_in_time(load) {
             return Err(choice_reason::ChoiceReason::Full);
         }
         let is_avoided = load.health.is_avoided(self.now) || self.is_stuck(load);
@@ -147,6 +153,12 @@
         f64::from(estimate) + 1.0 <= places.max(1.0)
     }
 
+    /// Whether the prompt is read soon enough.
+    fn is_read_in_time(&self, load: &backend_load::BackendLoad) -> bool {
+        let unread = load.unread(self.now);
+        unread == 0 || self.read_time * (unread + 1) <= self.target.mul_f64(READ_PART)
+    }
+
     fn cost(
         &self,
         backend: &backend::Backend,
--- a/crates/lift_dispatch/src/load_sample.rs
+++ b/crates/lift_dispatch/src/load_sample.rs
@@ -7,6 +7,8 @@
 pub struct LoadSample {
     /// Requests that run or wait.
     pub requests: u32,
+    /// Those of them whose prompts wait to be read.
+    pub unread: u32,
     /// Models that it holds whole.
     pub models: Vec<lift_fleet::LoadedModel>,
     /// Share of the usual traffic that the link of its host bears, in percent.
--- a/crates/lift_dispatch/tests/choice.rs
+++ b/crates/lift_dispatch/tests/choice.rs
@@ -30,6 +30,7 @@
 fn sample(at: time::Instant, requests: u32) -> LoadSample {
     LoadSample {
         requests,
+        unread: 0,
         models: vec![model(1)],
         link_percent: 100,
         is_loading: false,
@@ -67,6 +68,7 @@
             gateways: 2,
             need: &self.need,
             queue_share: 0.0,
+            read_time: 40 * MS,
             target: 400 * MS,
             tried: &self.tried,
         };
@@ -202,3 +204,17 @@
         "where most links look jammed it is control that is slow"
     );
 }
+
+#[test]
+fn prompts_that_wait_to_be_read_fill_a_server_that_has_places() {
+    // Guards against a server that has loaded and gets more requests at once than it can read
+    // in time (VERSION and GONE on named-twice-behind-narrow-links).
+    let mut case = Case::new(&["here", "there"]);
+    let mut reading = sample(case.now, 3);
+    reading.unread = 8;
+    case.loads[0].sample(reading);
+    case.loads[1].sample(sample(case.now, 3));
+    assert_eq!(case.pick().as_deref(), Ok("s1"));
+    case.tried.push(String::from("s1"));
+    assert_eq!(case.pick(), Err(ChoiceReason::Full));
+}
--- a/crates/lift_feed/src/load_report.rs
+++ b/crates/lift_feed/src/load_report.rs
@@ -11,6 +11,8 @@
     pub running: u32,
     /// Requests that wait in its queue.
     pub waiting: u32,
+    /// Requests whose prompts wait to be read.
+    pub unread: u32,
     /// Models that it holds whole.
     pub models: Vec<lift_fleet::LoadedModel>,
     /// Share of the usual traffic that the link of its host bears, in percent.
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -36,6 +36,17 @@
         self.table.read().clone()
     }
 
+    /// Time in which the engines of a service read the usual prompt. Zero for a service without
+    /// engines, and where nothing is known of them.
+    pub(crate) fn read_time(&self, service: &str) -> time::Duration {
+        let table = self.table.read();
+        let service = table.as_ref().and_then(|table| table.service(service));
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine
+            .and_then(lift_fleet::EngineShape::read_time)
+            .unwrap_or_default()
+    }
+
     /// Age of the last confirmation.
     pub(crate) fn confirmation_age(&self, now: time::Instant) -> Option<time::Duration> {
         let at = *self.confirmed_at.read();
--- a/crates/lift_gateway/src/load_receiver.rs
+++ b/crates/lift_gateway/src/load_receiver.rs
@@ -25,6 +25,7 @@
         };
         let sample = lift_dispatch::LoadSample {
             requests: report.running + report.waiting,
+            unread: report.unread,
             models: report.models,
             link_percent: report.link_percent.min(100),
             is_loading: report.is_loading,
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -124,12 +124,14 @@
             (self.need.at_least, self.need.at_least_if_slow) = shared.fleet.floors(now, model);
         }
         let target = self.route.target_latency;
+        let read_time = shared.fleet.read_time(&self.service);
         let choice = lift_dispatch::Choice {
             now,
             region: &shared.place.region,
             gateways: shared.fleet.gateways(),
             need: &self.need,
             queue_share: shared.with_pace(&self.service, |pace| pace.queue_share(target)),
+            read_time,
             target,
             tried: &self.tried,
         };
--- a/crates/lift_gateway/src/request_notes.rs
+++ b/crates/lift_gateway/src/request_notes.rs
@@ -23,15 +23,18 @@
         }
         let now = lift_clock::now();
         let took = now.saturating_duration_since(sent_at);
-        let (own, sample_age) = self.shared.loads.read(backend.address, |load| {
-            let age = load.fresh(now).map(|s| now.saturating_duration_since(s.at));
-            (load.own(), age)
+        let (own, sample) = self.shared.loads.read(backend.address, |load| {
+            (load.own(), load.fresh(now).cloned())
         });
+        let sample_age = sample.as_ref().map(|s| now.saturating_duration_since(s.at));
         self.shared.log.decision(|log| {
             slog::info!(log, "attempt failed"; "request" => &self.head.id,
                 "backend" => &backend.id, "address" => backend.address, "end" => %end,
                 "took_ms" => took.as_millis() as u64, "arrived" => self.arrived,
-                "own" => own, "sample_age_ms" => sample_age.map(|a| a.as_millis() as u64));
+                "own" => own, "sample_age_ms" => sample_age.map(|a| a.as_millis() as u64),
+                "requests" => sample.as_ref().map(|s| s.requests),
+                "unread" => sample.as_ref().map(|s| s.unread),
+                "link_percent" => sample.as_ref().map(|s| s.link_percent));
         });
     }
 
--- a/crates/lift_stage/src/load_reporter.rs
+++ b/crates/lift_stage/src/load_reporter.rs
@@ -13,6 +13,7 @@
 /// Asks the backend server again and again and tells all gateways.
 pub(crate) async fn run(shared: sync::Arc<shared::Shared>, socket: tokio::net::UdpSocket) {
     let mut is_up = None;
+    let mut read_queue = lift_dispatch::ReadQueue::default();
     loop {
         let asked = shared::within(shared::BACKEND_TIMEOUT, shared.stage.report()).await;
         let was_up = is_up.replace(asked.is_ok());
@@ -22,7 +23,11 @@
         }
         match asked {
             Ok(report) => {
-                tell(&shared, &socket, &report).await;
+                let now = lift_clock::now();
+                let requests = report.running + report.waiting;
+                let read_time = shared.read_time().unwrap_or_default();
+                let unread = read_queue.sample(now, requests, read_time);
+                tell(&shared, &socket, &report, unread).await;
                 shared
                     .report
                     .send_replace(Some((report, lift_clock::now())));
@@ -41,11 +46,13 @@
     shared: &shared::Shared,
     socket: &tokio::net::UdpSocket,
     report: &engine_report::EngineReport,
+    unread: u32,
 ) {
     let report = lift_feed::LoadReport {
         backend: shared.backend,
         running: report.running,
         waiting: report.waiting,
+        unread,
         models: report.models.clone(),
         link_percent: shared.pressure.lock().percent(lift_clock::now()),
         is_loading: report.is_busy,
--- a/crates/lift_stage/src/shared.rs
+++ b/crates/lift_stage/src/shared.rs
@@ -73,6 +73,12 @@
         engine.models.first().cloned()
     }
 
+    /// Time in which the backend server reads the usual prompt, as far as it is known.
+    pub(crate) fn read_time(&self) -> Option<time::Duration> {
+        let table = self.table.borrow().clone()?;
+        table.service(&self.service)?.engine.as_ref()?.read_time()
+    }
+
     /// Newest named version of `model`, 0 where none was named.
     pub(crate) fn named(&self, model: &str) -> lift_fleet::WeightsVersion {
         self.named.borrow().newest(model)
