Count what the other gateways have sent since a load report

Cause: reports come every 50 ms, and all gateways act on the same one. When places became free after a load, each gateway filled them: a server with 16 slots had 31 requests, and those at the end of its queue were given up after 1.2 to 1.6 s, or began after the time of their version.

The estimate now takes the other gateways to have sent as much since the report as this one.

--- a/crates/lift_dispatch/src/backend_load.rs
+++ b/crates/lift_dispatch/src/backend_load.rs
@@ -8,9 +8,9 @@
 /// the agent is taken to be down.
 const SAMPLE_MAX_AGE: time::Duration = time::Duration::from_millis(400);
 
-/// Requests that begin at a backend server between two samples for one of this gateway. Gateways
-/// of the same region choose alike.
-const SHARED_FACTOR: u32 = 2;
+/// Gateways that are taken to have sent prompts since the last sample. To count all of them
+/// leaves engines idle: a prompt that waits a little too long costs less than a place.
+const UNREAD_FACTOR: u32 = 2;
 
 /// Number of one request at one backend server.
 pub type Ticket = u64;
@@ -78,9 +78,9 @@
         self.sample.is_some() && self.fresh(now).is_none()
     }
 
-    /// Requests that the backend server is likely to have at `now`. Without a fresh sample
-    /// the other gateways, of which there are `gateways` with this one, are taken to send as
-    /// much as this one.
+    /// Requests that the backend server is likely to have at `now`. Of what the other gateways,
+    /// of which there are `gateways` with this one, have begun nothing is known since the last
+    /// sample, or at all without one: they are taken to send as much as this one.
     pub fn estimate(&self, now: time::Instant, gateways: u32) -> u32 {
         if self.fresh(now).is_none() {
             return self.own.saturating_mul(gateways.max(1));
@@ -88,19 +88,23 @@
         let Some((sample, own_then)) = &self.sample else {
             return self.own;
         };
-        (sample.requests + self.own)
-            .saturating_sub(*own_then)
+        (sample.requests + self.begun(gateways))
+            .saturating_sub(own_then.saturating_sub(self.own))
             .max(self.own)
     }
 
     /// Requests whose prompts are read before that of one that is sent at `now`.
     pub fn unread(&self, now: time::Instant) -> u32 {
-        if self.fresh(now).is_none() {
-            return 0;
-        }
-        self.sample.as_ref().map_or(0, |(sample, own_then)| {
-            sample.unread + SHARED_FACTOR * self.own.saturating_sub(*own_then)
-        })
+        let sample = self.fresh(now);
+        sample.map_or(0, |sample| sample.unread + self.begun(UNREAD_FACTOR))
+    }
+
+    /// Requests that were begun since the last sample, if `gateways` have sent as much as this
+    /// one.
+    fn begun(&self, gateways: u32) -> u32 {
+        let own_then = self.sample.as_ref().map_or(0, |(_, own_then)| *own_then);
+        let own = self.own.saturating_sub(own_then);
+        own.saturating_mul(gateways.max(1))
     }
 
     /// Whether nothing would be lost with this record.
--- a/crates/lift_dispatch/tests/choice.rs
+++ b/crates/lift_dispatch/tests/choice.rs
@@ -218,3 +218,16 @@
     case.tried.push(String::from("s1"));
     assert_eq!(case.pick(), Err(ChoiceReason::Full));
 }
+
+#[test]
+fn the_other_gateways_are_taken_to_follow_the_same_report() {
+    // Guards against several gateways that each fill the places of which one report tells.
+    let mut case = Case::new(&["here"]);
+    case.loads[0].sample(sample(case.now, 1));
+    case.loads[0].begin(case.now);
+    assert_eq!(case.pick().as_deref(), Ok("s0"), "three of four places");
+    case.loads[0].begin(case.now);
+    assert_eq!(case.pick(), Err(ChoiceReason::Full));
+    case.loads[0].sample(sample(case.now, 3));
+    assert_eq!(case.pick().as_deref(), Ok("s0"), "the report counts them");
+}
