Add a fault soak of real processes

lift_soak starts three control members, two gateways and two agents on loopback, with stand-ins for callers, backend servers, the origin and the operator. Signals, restarts, a lost disk and forwarders before every listener inject faults drawn from a seed; what callers and servers see is checked. lift_peer holds the platform's side of the wire for stand-ins.

The setting listen_ip lets a node listen elsewhere than others reach it, which the forwarders need and address translation does too.

--- a/crates/lift_feed/src/node_setup.rs
+++ b/crates/lift_feed/src/node_setup.rs
@@ -10,6 +10,8 @@
 pub struct NodeSetup {
     /// What control members are told about this node.
     pub card: node_card::NodeCard,
+    /// Where listeners between nodes are opened, if not at the address of the host.
+    pub listen: Option<net::IpAddr>,
     /// Ports of the listeners between nodes.
     pub ports: feed_ports::FeedPorts,
     /// Addresses for operators of a few control members.
@@ -30,7 +32,12 @@
         node_setup_builder::NodeSetupBuilder::default()
     }
 
-    /// Address of the host.
+    /// Address at which listeners between nodes are opened.
+    pub fn listen_host(&self) -> net::IpAddr {
+        self.listen.unwrap_or(self.host())
+    }
+
+    /// Address of the host, at which the other nodes reach it.
     pub fn host(&self) -> net::IpAddr {
         net::IpAddr::from(net::Ipv4Addr::from(self.card.place.host))
     }
--- a/crates/lift_feed/src/node_setup_builder.rs
+++ b/crates/lift_feed/src/node_setup_builder.rs
@@ -8,6 +8,7 @@
 #[derive(Debug, Default)]
 pub struct NodeSetupBuilder {
     card: Option<node_card::NodeCard>,
+    listen: Option<net::IpAddr>,
     ports: Option<feed_ports::FeedPorts>,
     seeds: Vec<net::SocketAddr>,
     keys: Option<lift_wire::LinkKeys>,
@@ -23,6 +24,12 @@
         self
     }
 
+    /// Where listeners between nodes are opened, if not at the address of the host.
+    pub fn listen(mut self, listen: Option<net::IpAddr>) -> Self {
+        self.listen = listen;
+        self
+    }
+
     /// Ports of the listeners between nodes.
     pub fn ports(mut self, ports: feed_ports::FeedPorts) -> Self {
         self.ports = Some(ports);
@@ -68,6 +75,7 @@
         let missing = feed_error::FeedError::Missing;
         Ok(node_setup::NodeSetup {
             card: self.card.ok_or(missing("card"))?,
+            listen: self.listen,
             ports: self.ports.ok_or(missing("ports"))?,
             seeds: self.seeds,
             keys: self.keys.ok_or(missing("keys"))?,
--- a/crates/lift_gateway/src/gateway.rs
+++ b/crates/lift_gateway/src/gateway.rs
@@ -37,7 +37,7 @@
         let callers = listen(callers, "callers").await?;
         let ready = settings.readiness.ok_or(missing("readiness"))?;
         let ready = listen(ready, "readiness").await?;
-        let reports = tokio::net::UdpSocket::bind(node.ports.loads(node.host())).await;
+        let reports = tokio::net::UdpSocket::bind(node.ports.loads(node.listen_host())).await;
         let reports =
             reports.change_context(gateway_error::GatewayError::Listen("load reports"))?;
         let shared = sync::Arc::new(shared::Shared::new(
--- a/crates/lift_node/src/fleet_node.rs
+++ b/crates/lift_node/src/fleet_node.rs
@@ -159,6 +159,7 @@
         let setup = lift_feed::NodeSetup::builder()
             .card(self.card(kind))
             .ports(self.ports)
+            .listen(self.settings.listen_ip.map(net::IpAddr::from))
             .seeds(self.settings.seeds.clone())
             .keys(self.keys.clone())
             .codec(self.adapter.codec())
@@ -188,7 +189,11 @@
         let router = self
             .adapter
             .control(member.control(), counters, self.log.clone());
-        self.serve(cfg.listener, router).await?;
+        let mut listener = cfg.listener;
+        if let Some(ip) = self.settings.listen_ip {
+            listener.set_ip(net::IpAddr::from(ip));
+        }
+        self.serve(listener, router).await?;
         Ok(Some(member))
     }
 
--- a/crates/lift_registry/src/control_member.rs
+++ b/crates/lift_registry/src/control_member.rs
@@ -46,7 +46,7 @@
         let missing = control_fault::ControlFault::Start;
         let node = settings.node.ok_or(missing("node"))?;
         let registry = sync::Arc::new(registry::Registry::new(node.clone()));
-        let listener = tokio::net::TcpListener::bind(node.ports.feed(node.host())).await;
+        let listener = tokio::net::TcpListener::bind(node.ports.feed(node.listen_host())).await;
         let listener = listener.change_context(missing("feed listener"))?;
         let source: sync::Arc<dyn lift_feed::FeedSource> = registry.clone();
         let feed = lift_feed::FeedServer::new(
@@ -189,7 +189,7 @@
             .id(id)
             .folder(&start.folder)
             .keys(start.node.keys.clone())
-            .peer_address(start.node.ports.peer(start.node.host()))
+            .peer_address(start.node.ports.peer(start.node.listen_host()))
             .state_machine(self.registry.machine.clone())
             .timing(self.timing)
             .limits(limits)
--- a/crates/lift_settings/src/fleet_settings.rs
+++ b/crates/lift_settings/src/fleet_settings.rs
@@ -19,8 +19,12 @@
 pub struct FleetSettings {
     /// Name of this node, for logs.
     pub node: String,
-    /// Address of the host. Listeners between nodes are opened here.
+    /// Address of the host, at which the other nodes reach it.
     pub ip: net::Ipv4Addr,
+    /// Address at which the control listener and those between nodes are opened, if other nodes
+    /// reach them elsewhere: behind address translation, or a forwarder.
+    #[serde(default)]
+    pub listen_ip: Option<net::Ipv4Addr>,
     /// Region of the host.
     pub region: lift_types::RegionId,
     /// Failure domain of the host.
--- /dev/null
+++ b/crates/lift_soak/src/lib.rs
@@ -0,0 +1,44 @@
+//! A randomized fault soak of a fleet.
+//!
+//! [`run`] starts a small fleet as separate processes on loopback: three control members, two
+//! gateways and two agents. Callers, backend servers, an operator and an origin surround it. Faults
+//! come from outside: signals, restarts, a lost disk, and forwarders before every listener that
+//! delay, reset, cut and silence connections. A seed decides which faults come when.
+//!
+//! What callers and backend servers see is checked while it happens: whole answers to one's own
+//! request, at most one run, true refusals, streams without gaps on one version of the weights,
+//! weights whose pieces are right, keys that stop working, configurations that never go back.
+//! After the last fault the fleet must serve again, and planned stops must cut nothing.
+
+mod answer_text;
+mod cast;
+mod control_calls;
+mod fault;
+mod fault_plan;
+mod heartbeats;
+mod host_link;
+mod link_fault;
+mod oracle;
+mod process_settings;
+mod request_kind;
+mod server_calls;
+mod server_engine;
+mod soak_caller;
+mod soak_error;
+mod soak_fleet;
+mod soak_host;
+mod soak_operator;
+mod soak_options;
+mod soak_origin;
+mod soak_process;
+mod soak_report;
+mod soak_run;
+mod soak_server;
+mod soak_weights;
+
+pub use fault::Fault;
+pub use link_fault::LinkFault;
+pub use soak_error::SoakError;
+pub use soak_options::SoakOptions;
+pub use soak_report::SoakReport;
+pub use soak_run::run;
--- /dev/null
+++ b/crates/lift_soak/src/process_settings.rs
@@ -0,0 +1,66 @@
+//! Settings files of the fleet.
+
+use std::{fs, path};
+
+use crate::{cast, soak_error};
+
+/// Time in which new weights must be in place, in milliseconds.
+pub(crate) const WEIGHTS_MS: u64 = 8_000;
+
+/// Time after which a key that was taken away must not work anywhere, in milliseconds.
+pub(crate) const REVOKE_MS: u64 = 5_000;
+
+/// Time between heartbeats of a backend server, in milliseconds.
+pub(crate) const HEARTBEAT_MS: u64 = 500;
+
+/// Longest time of a planned stop, in seconds.
+pub(crate) const GRACE_S: u64 = 8;
+
+/// Service of the backend servers with engines.
+pub(crate) const ENGINE_SERVICE: &str = "llm";
+
+/// Writes the settings of the process on `host`. At the first start of the fleet its seeds are
+/// its first members.
+pub(crate) fn write(
+    cast: cast::Cast,
+    host: u8,
+    is_first_start: bool,
+    folder: &path::Path,
+    data: &path::Path,
+) -> Result<(), soak_error::SoakError> {
+    let seeds = (0..cast::CONTROLS).map(|i| cast.service(cast::Cast::control(i)).public);
+    let last_port = cast::FIRST_PORT + cast::PORTS - 1;
+    let mut settings = serde_json::json!({
+        "node": format!("h{host}"), "ip": cast.public(host),
+        "region": "r", "failure_domain": "d", "failure_domains": { "d": "r" },
+        "ports": [cast::FIRST_PORT, last_port], "seeds": seeds.collect::<Vec<_>>(),
+        "first_start": is_first_start, "links": "open", "log_level": "info",
+        "bounds": {
+            "grace_s": GRACE_S, "heartbeat_ms": HEARTBEAT_MS, "revoke_ms": REVOKE_MS,
+            "weights_ms": WEIGHTS_MS, "repeat_share": 0.2, "repeat_burst": 100.0,
+        },
+    });
+    let service = cast.service(host);
+    if cast::Cast::is_gateway(host) {
+        // Load reports are datagrams, which no forwarder carries.
+        settings["ip"] = serde_json::json!(cast.own(host));
+        settings["gateway"] =
+            serde_json::json!({ "callers": service.own, "readiness": cast.ready(host) });
+    } else {
+        settings["listen_ip"] = serde_json::json!(cast.own(host));
+    }
+    if cast::Cast::is_control(host) {
+        settings["control"] = serde_json::json!({ "listener": service.public, "data_dir": data });
+    }
+    if cast::Cast::is_agent(host) {
+        settings["agent"] = serde_json::json!({
+            "backend": service.public, "service": ENGINE_SERVICE, "link_mbps": 100.0,
+        });
+    }
+    let failed = |e| soak_error::SoakError::Io("settings", e);
+    fs::create_dir_all(folder).map_err(failed)?;
+    // The file changes at one moment, since the process reads it whenever it does.
+    let next = folder.join("settings.next");
+    fs::write(&next, settings.to_string()).map_err(failed)?;
+    fs::rename(&next, folder.join("settings.json")).map_err(failed)
+}
--- /dev/null
+++ b/crates/lift_soak/src/server_calls.rs
@@ -0,0 +1,109 @@
+//! What a backend server answers.
+
+use std::{sync, time};
+
+use axum::{extract, response::IntoResponse as _, routing};
+
+use crate::{soak_server, soak_weights};
+
+/// Time in which an engine loads weights.
+const LOAD: time::Duration = time::Duration::from_millis(300);
+
+type Server = extract::State<sync::Arc<soak_server::SoakServer>>;
+type Query = extract::Query<indexmap::IndexMap<String, String>>;
+
+/// Routes of a backend server. Requests of callers are all others.
+pub(crate) fn router(server: sync::Arc<soak_server::SoakServer>) -> axum::Router {
+    axum::Router::new()
+        .route(lift_peer::REPORT_PATH, routing::get(report))
+        .route(lift_peer::ORDER_PATH, routing::post(order))
+        .route(
+            &format!("{}{{model}}", lift_peer::STAGE_PUT_PATH),
+            routing::put(put),
+        )
+        .route(
+            &format!("{}{{model}}", lift_peer::STAGE_GET_PATH),
+            routing::get(get),
+        )
+        .fallback(|extract::State(server): Server, req: extract::Request| server.call(req))
+        .with_state(server)
+}
+
+async fn report(extract::State(server): Server) -> axum::response::Response {
+    let (weights, is_busy) = match &server.engine {
+        Some(engine) => {
+            let engine = engine.lock();
+            (engine.weights(), engine.loading.is_some())
+        }
+        None => (None, false),
+    };
+    let running = server.running();
+    axum::Json(lift_peer::ServerText::report(weights, is_busy, running)).into_response()
+}
+
+async fn order(extract::State(server): Server, body: bytes::Bytes) -> http::StatusCode {
+    let (Some(order), Some(engine)) = (lift_peer::OrderText::read(&body), &server.engine) else {
+        return http::StatusCode::BAD_REQUEST;
+    };
+    let id = server.text().id;
+    {
+        let mut engine = engine.lock();
+        if engine.version == order.version {
+            return http::StatusCode::OK;
+        }
+        if engine.loading.is_some() {
+            return http::StatusCode::CONFLICT;
+        }
+        if !engine.holds(order.version) {
+            let what = format!(
+                "{id} is to load version {} with wrong pieces",
+                order.version
+            );
+            server.oracle.violate(what);
+        }
+        engine.loading = Some(order.version);
+    }
+    let loading = sync::Arc::clone(&server);
+    tokio::spawn(async move {
+        tokio::time::sleep(LOAD).await;
+        let is_same_start = loading.text().id == id;
+        if let Some(engine) = loading.engine.as_ref().filter(|_| is_same_start) {
+            let mut engine = engine.lock();
+            engine.version = order.version;
+            engine.loading = None;
+        }
+    });
+    http::StatusCode::ACCEPTED
+}
+
+fn position(query: &Query) -> Option<usize> {
+    query.get(lift_peer::PIECE_QUERY)?.parse().ok()
+}
+
+async fn put(extract::State(server): Server, query: Query, body: bytes::Bytes) -> http::StatusCode {
+    let (Some(engine), Some(index)) = (&server.engine, position(&query)) else {
+        return http::StatusCode::BAD_REQUEST;
+    };
+    if index >= soak_weights::PIECES {
+        return http::StatusCode::BAD_REQUEST;
+    }
+    engine.lock().staged.insert(index, body);
+    http::StatusCode::OK
+}
+
+async fn get(extract::State(server): Server, query: Query) -> axum::response::Response {
+    let Some(engine) = &server.engine else {
+        return http::StatusCode::NOT_FOUND.into_response();
+    };
+    let engine = engine.lock();
+    match position(&query) {
+        Some(index) => match engine.staged.get(&index) {
+            Some(piece) => piece.clone().into_response(),
+            None => http::StatusCode::NOT_FOUND.into_response(),
+        },
+        None => {
+            let held: Vec<usize> = engine.staged.keys().copied().collect();
+            axum::Json(serde_json::json!({ "held": held })).into_response()
+        }
+    }
+}
--- /dev/null
+++ b/crates/lift_soak/src/soak_operator.rs
@@ -0,0 +1,159 @@
+//! The operator.
+
+use std::{sync, time};
+
+use tokio::sync::mpsc;
+
+use crate::{
+    cast, control_calls, oracle, process_settings, request_kind, soak_caller, soak_server,
+    soak_weights,
+};
+
+/// Pause before an order without an acknowledgement is sent again.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(150);
+
+/// Time between two reads of the configuration.
+const READ_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// Key that is never taken away.
+const LASTING_KEY: &str = "lasting";
+
+/// What the operator is to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Order {
+    /// Sends a configuration with another route.
+    Change,
+    /// Sends a configuration in which a key is replaced.
+    Revoke,
+    /// Names new weights.
+    NameWeights,
+}
+
+/// Sends each order until it is acknowledged.
+#[derive(Debug)]
+pub(crate) struct SoakOperator {
+    pub(crate) cast: cast::Cast,
+    pub(crate) calls: sync::Arc<control_calls::ControlCalls>,
+    pub(crate) oracle: sync::Arc<oracle::Oracle>,
+    pub(crate) callers: sync::Arc<soak_caller::Callers>,
+    document: u64,
+    guest: u64,
+    weights: sync::Arc<sync::atomic::AtomicU64>,
+}
+
+impl SoakOperator {
+    /// `weights` is told the newest version that was acknowledged.
+    pub(crate) fn new(
+        cast: cast::Cast,
+        calls: sync::Arc<control_calls::ControlCalls>,
+        callers: sync::Arc<soak_caller::Callers>,
+        weights: sync::Arc<sync::atomic::AtomicU64>,
+    ) -> Self {
+        Self {
+            cast,
+            calls,
+            oracle: sync::Arc::clone(&callers.oracle),
+            callers,
+            document: 0,
+            guest: 0,
+            weights,
+        }
+    }
+
+    /// Carries out orders until there are no more.
+    pub(crate) async fn run(mut self, mut orders: mpsc::UnboundedReceiver<Order>) {
+        while let Some(order) = orders.recv().await {
+            match order {
+                Order::Change => self.send_document(None).await,
+                Order::Revoke => {
+                    let old = guest_key(self.guest);
+                    self.guest += 1;
+                    self.send_document(Some(old)).await;
+                }
+                Order::NameWeights => self.name_weights().await,
+            }
+        }
+    }
+
+    async fn send_document(&mut self, revoked: Option<String>) {
+        self.document += 1;
+        let text = self.document_text();
+        self.insist(lift_peer::REPLACE_PATH, &text).await;
+        self.oracle.acknowledge(self.document, revoked.as_deref());
+        let mut keys = vec![String::from(LASTING_KEY), guest_key(self.guest)];
+        // A key that was taken away is tried on, so that its refusal is seen.
+        keys.extend(revoked);
+        *self.callers.keys.lock() = keys;
+    }
+
+    async fn name_weights(&self) {
+        let version = self.weights.load(sync::atomic::Ordering::Relaxed) + 1;
+        let text = lift_peer::DocumentText::weights(soak_weights::MODEL, version);
+        self.insist(lift_peer::WEIGHTS_PATH, &text).await;
+        self.weights.store(version, sync::atomic::Ordering::Relaxed);
+    }
+
+    async fn insist(&self, path: &str, text: &str) {
+        while self.calls.post(path, String::from(text)).await.is_none() {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn document_text(&self) -> String {
+        let timeout = time::Duration::from_secs(3);
+        let mut document = lift_peer::DocumentText::new(self.document)
+            .service(soak_server::PLAIN_SERVICE)
+            .engines(
+                process_settings::ENGINE_SERVICE,
+                soak_weights::MODEL,
+                soak_server::SLOTS,
+                soak_weights::PIECES,
+                soak_weights::PIECE_BYTES,
+            )
+            .origin("origin", self.cast.service(cast::Cast::origin()).own, "d")
+            .workspace("house", &[String::from(LASTING_KEY)])
+            .workspace("guests", &[guest_key(self.guest)]);
+        let kinds = [
+            (request_kind::RequestKind::Read, soak_server::PLAIN_SERVICE),
+            (request_kind::RequestKind::Write, soak_server::PLAIN_SERVICE),
+            (
+                request_kind::RequestKind::Stream,
+                process_settings::ENGINE_SERVICE,
+            ),
+        ];
+        for (kind, service) in kinds {
+            let host = soak_caller::HOST;
+            document = document.route(host, kind.prefix(), kind.route_kind(), service, timeout);
+        }
+        let extra = format!("/extra{}/", self.document);
+        let kind = lift_fleet::RouteKind::Idempotent;
+        document
+            .route(
+                soak_caller::HOST,
+                &extra,
+                kind,
+                soak_server::PLAIN_SERVICE,
+                timeout,
+            )
+            .text()
+    }
+}
+
+fn guest_key(number: u64) -> String {
+    format!("guest-{number}")
+}
+
+/// Reads the configuration again and again at any member.
+pub(crate) async fn read(
+    calls: sync::Arc<control_calls::ControlCalls>,
+    oracle: sync::Arc<oracle::Oracle>,
+) {
+    loop {
+        let asked_at = time::Instant::now();
+        let text = calls.get(lift_peer::DOCUMENT_PATH).await;
+        if let Some(version) = text.and_then(|t| lift_peer::DocumentText::version_of(&t)) {
+            oracle.read(asked_at, version);
+        }
+        tokio::time::sleep(READ_INTERVAL).await;
+    }
+}
--- a/crates/lift_stage/src/stage_agent.rs
+++ b/crates/lift_stage/src/stage_agent.rs
@@ -32,7 +32,7 @@
     pub(crate) async fn start(settings: stage_agent_builder::StageAgentBuilder) -> Result<Self> {
         let missing = stage_error::StageError::Missing;
         let node = settings.node.ok_or(missing("node"))?;
-        let host = node.host();
+        let host = node.listen_host();
         let listener = tokio::net::TcpListener::bind(node.ports.pieces(host)).await;
         let listener = listener.change_context(stage_error::StageError::Listen)?;
         let reports = tokio::net::UdpSocket::bind((host, 0)).await;
