--- a/crates/marjoramlift/examples/soak.rs
+++ b/crates/marjoramlift/examples/soak.rs
@@ -7,8 +7,12 @@
 use clap::Parser as _;
 use futures_util::StreamExt as _;
 
-/// First loopback network that is used; each soak that is played at the same time has its own.
-const FIRST_NETWORK: u8 = 100;
+/// First loopback network that is used. Each seed has its own, since the listeners of the one
+/// before may still be open.
+const FIRST_NETWORK: u64 = 100;
+
+/// Networks that are used in turn.
+const NETWORKS: u64 = 100;
 
 /// Plays the fault soak.
 #[derive(Debug, clap::Parser)]
@@ -32,21 +36,14 @@
 
 fn main() -> std::process::ExitCode {
     let args = Args::parse();
-    let networks = std::sync::Mutex::new((0..args.jobs.max(1)).collect::<Vec<u8>>());
     let play = |seed| {
-        let networks = &networks;
         let options = lift_soak::SoakOptions {
             seed,
             length: time::Duration::from_secs(args.length),
             program: args.program.clone(),
         };
         async move {
-            let take = || networks.lock().ok().and_then(|mut free| free.pop());
-            let network = take().unwrap_or_default();
-            let played = tokio::task::spawn_blocking(move || play_one(&options, network)).await;
-            if let Ok(mut free) = networks.lock() {
-                free.push(network);
-            }
+            let played = tokio::task::spawn_blocking(move || play_one(&options)).await;
             (seed, played.unwrap_or_else(|e| Err(e.to_string())))
         }
     };
@@ -70,12 +67,10 @@
 }
 
 /// Plays one seed on a runtime of its own, with which its stand-ins end.
-fn play_one(
-    options: &lift_soak::SoakOptions,
-    network: u8,
-) -> Result<lift_soak::SoakReport, String> {
+fn play_one(options: &lift_soak::SoakOptions) -> Result<lift_soak::SoakReport, String> {
+    let network = (FIRST_NETWORK + options.seed % NETWORKS) as u8;
     let runtime = tokio::runtime::Runtime::new().map_err(|e| e.to_string())?;
-    let played = runtime.block_on(lift_soak::run(options, FIRST_NETWORK + network));
+    let played = runtime.block_on(lift_soak::run(options, network));
     runtime.shutdown_background();
     played.map_err(|e| e.to_string())
 }
