--- a/crates/lift_soak/src/soak_caller.rs
+++ b/crates/lift_soak/src/soak_caller.rs
@@ -13,6 +13,9 @@
 /// Host name of all routes.
 pub(crate) const HOST: &str = "soak.example";
 
+/// Key that is never taken away.
+pub(crate) const LASTING_KEY: &str = "lasting";
+
 /// Time for which a caller waits.
 const PATIENCE: time::Duration = time::Duration::from_secs(3);
 
@@ -37,8 +40,9 @@
 pub(crate) struct Callers {
     pub(crate) oracle: sync::Arc<oracle::Oracle>,
     pub(crate) gateways: Vec<net::SocketAddr>,
-    /// Keys that may be used. The last one is taken away now and then.
+    /// Keys that are used. One may have been taken away.
     pub(crate) keys: parking_lot::Mutex<Vec<String>>,
+    /// Requests with the lasting key, which nothing but a fault keeps from being served.
     pub(crate) counts: parking_lot::Mutex<indexmap::IndexMap<request_kind::RequestKind, Counts>>,
     /// Whether nothing but planned stops goes on, so that no request may be cut.
     pub(crate) is_calm: atomic::AtomicBool,
@@ -92,6 +96,9 @@
         };
         let took = started.elapsed();
         callers.note(kind, &id, &end, was_calm, took);
+        if key == LASTING_KEY {
+            callers.count(kind, &end);
+        }
         kept = match end {
             End::Answered => sender,
             End::Declined(_) | End::Cut => None,
@@ -182,12 +189,8 @@
         was_calm: bool,
         took: time::Duration,
     ) {
-        let mut counts = self.counts.lock();
-        let counts = counts.entry(kind).or_default();
-        counts.sent += 1;
         match end {
             End::Answered => {
-                counts.served += 1;
                 self.oracle.served.fetch_add(1, atomic::Ordering::Relaxed);
             }
             End::Declined(status) if lift_peer::CallerText::is_not_run(*status) => {
@@ -208,6 +211,13 @@
         }
     }
 
+    fn count(&self, kind: request_kind::RequestKind, end: &End) {
+        let mut counts = self.counts.lock();
+        let counts = counts.entry(kind).or_default();
+        counts.sent += 1;
+        counts.served += u64::from(matches!(end, End::Answered));
+    }
+
     /// Starts to count anew, and returns what was counted.
     pub(crate) fn take_counts(&self) -> indexmap::IndexMap<request_kind::RequestKind, Counts> {
         std::mem::take(&mut self.counts.lock())
--- a/crates/lift_soak/src/soak_operator.rs
+++ b/crates/lift_soak/src/soak_operator.rs
@@ -15,9 +15,6 @@
 /// Time between two reads of the configuration.
 const READ_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
-/// Key that is never taken away.
-const LASTING_KEY: &str = "lasting";
-
 /// What the operator is to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Order {
@@ -80,7 +77,10 @@
         let text = self.document_text();
         self.insist(lift_peer::REPLACE_PATH, &text).await;
         self.oracle.acknowledge(self.document, revoked.as_deref());
-        let mut keys = vec![String::from(LASTING_KEY), guest_key(self.guest)];
+        let mut keys = vec![
+            String::from(soak_caller::LASTING_KEY),
+            guest_key(self.guest),
+        ];
         // A key that was taken away is tried on, so that its refusal is seen.
         keys.extend(revoked);
         *self.callers.keys.lock() = keys;
@@ -111,7 +111,7 @@
                 soak_weights::PIECE_BYTES,
             )
             .origin("origin", self.cast.service(cast::Cast::origin()).own, "d")
-            .workspace("house", &[String::from(LASTING_KEY)])
+            .workspace("house", &[String::from(soak_caller::LASTING_KEY)])
             .workspace("guests", &[guest_key(self.guest)]);
         let kinds = [
             (request_kind::RequestKind::Read, soak_server::PLAIN_SERVICE),
--- a/crates/lift_soak/src/soak_run.rs
+++ b/crates/lift_soak/src/soak_run.rs
@@ -21,11 +21,10 @@
 const SETTLE: time::Duration = time::Duration::from_secs(5);
 
 /// Time for which requests are counted after the recovery.
-const CALM: time::Duration = time::Duration::from_secs(2);
+const CALM: time::Duration = time::Duration::from_secs(3);
 
-/// Least part of the requests that must be served then, in percent. Some use a key that was
-/// taken away.
-const LEAST_SERVED_PERCENT: u64 = 55;
+/// Least part of the requests with a lasting key that must be served then, in percent.
+const LEAST_SERVED_PERCENT: u64 = 95;
 
 /// Planned stops in a series.
 const STOPS: usize = 3;
--- a/crates/lift_transfer/tests/load_and_link.rs
+++ b/crates/lift_transfer/tests/load_and_link.rs
@@ -10,7 +10,7 @@
 fn half_of_a_region_waits_while_the_other_half_loads() {
     // Guards against a region whose replicas all load at once (22 s to 24 s of quiet-1).
     let delay = |position| {
-        let time_left = 5_000 * MS;
+        let time_left = 2_500 * MS;
         LoadTurn {
             position,
             time_left,
@@ -23,6 +23,23 @@
     assert_eq!(delay(3), delay(1));
 }
 
+#[test]
+fn more_groups_take_turns_where_there_is_time() {
+    // Guards against half of a large region that loads at once although the older version is
+    // of use for seconds more (24 s to 27 s of quiet-1 of gcrsc-haul-grown).
+    let time_left = 4_000 * MS;
+    let delays = [0, 1, 2, 3].map(|position| {
+        LoadTurn {
+            position,
+            time_left,
+        }
+        .delay()
+    });
+    assert!(delays[0] < delays[1] && delays[1] < delays[2]);
+    assert_eq!(delays[3], delays[0]);
+    assert!(delays[2] < time_left);
+}
+
 #[test]
 fn nobody_waits_longer_than_the_old_version_is_of_use() {
     let turn = LoadTurn {
