Advertise the address of a member, time waits by durations, log changes of the leader

A member with listen_ip told the others where it listens, not where they reach it, so their links went past forwarders.

The timer of the log waited until a point in time of lift_clock. After a suspension that clock is ahead of the one of the wait, so each wait would last longer by the whole suspension.

Each change of the leader is one line in the log.

--- a/crates/lift_log/src/leadership.rs
+++ b/crates/lift_log/src/leadership.rs
@@ -1,6 +1,6 @@
 //! Who leads the replicated log.
 
-use std::{net, time};
+use std::{fmt, net, time};
 
 /// What a member knows of the leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,6 +22,18 @@
     },
 }
 
+impl fmt::Display for Leadership {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Leader { .. } => write!(f, "leads"),
+            Self::Follower { leader: None } => write!(f, "follows nobody"),
+            Self::Follower {
+                leader: Some((id, _)),
+            } => write!(f, "follows {id}"),
+        }
+    }
+}
+
 impl Leadership {
     /// Whether nothing but the end of the lease differs.
     pub(crate) fn differs_in_lease_only(&self, other: &Self) -> bool {
--- a/crates/lift_log/src/log_driver_builder.rs
+++ b/crates/lift_log/src/log_driver_builder.rs
@@ -17,6 +17,7 @@
     address: Option<net::SocketAddr>,
     keys: Option<lift_wire::LinkKeys>,
     machine: Option<sync::Arc<dyn state_machine::StateMachine>>,
+    advertised: Option<net::SocketAddr>,
     log: slog::Logger,
     counters: Option<sync::Arc<lift_obs::Counters>>,
     switch: Option<sync::Arc<link_switch::LinkSwitch>>,
@@ -29,6 +30,7 @@
             files: None,
             listener: None,
             address: None,
+            advertised: None,
             keys: None,
             machine: None,
             log: lift_obs::LogConfig::discard(),
@@ -75,6 +77,12 @@
         self
     }
 
+    /// Where the other members reach this one, if not where it accepts them.
+    pub fn advertise(mut self, address: net::SocketAddr) -> Self {
+        self.advertised = Some(address);
+        self
+    }
+
     /// Accepts other members at a port that is open already.
     pub fn peer_listener(mut self, listener: net::TcpListener) -> Self {
         self.listener = Some(listener);
@@ -147,6 +155,7 @@
             keys,
             machine,
             listener,
+            advertised: self.advertised,
         };
         parts.start(files)
     }
--- a/crates/lift_log/src/member_start.rs
+++ b/crates/lift_log/src/member_start.rs
@@ -1,6 +1,6 @@
 //! Starts the threads and tasks of a member.
 
-use std::{sync, thread};
+use std::{net, sync, thread};
 
 use error_stack::ResultExt as _;
 use rand::SeedableRng as _;
@@ -25,6 +25,7 @@
     pub(crate) keys: lift_wire::LinkKeys,
     pub(crate) machine: sync::Arc<dyn state_machine::StateMachine>,
     pub(crate) listener: tokio::net::TcpListener,
+    pub(crate) advertised: Option<net::SocketAddr>,
 }
 
 /// Receiving ends of the channels of a member.
@@ -43,6 +44,7 @@
     pub(crate) fn start(self, files: member_files::MemberFiles) -> Result<log_driver::LogDriver> {
         let own_address = self.listener.local_addr();
         let own_address = own_address.change_context(start_error::StartError::Port)?;
+        let own_address = self.advertised.unwrap_or(own_address);
         let (node, jobs) = self.node(files.restored, files.identity);
         let driver = log_driver::LogDriver::new(sync::Arc::clone(&node));
         let (store, identities, snapshots) = (files.store, files.identities, files.snapshots);
--- a/crates/lift_log/src/node.rs
+++ b/crates/lift_log/src/node.rs
@@ -98,11 +98,15 @@
         if self.stopped.load(atomic::Ordering::Acquire) {
             return;
         }
-        self.leadership.send_if_modified(|current| {
+        let has_changed = self.leadership.send_if_modified(|current| {
             let changed = !current.differs_in_lease_only(&new);
-            *current = new;
+            *current = new.clone();
             changed
         });
+        if has_changed {
+            slog::info!(self.log, "leadership changed"; "member" => self.id, "now" => %new,
+                "term" => replica.term(), "voters" => replica.members().voters().count());
+        }
         if !replica.is_leading() {
             self.waiters.give_up();
         }
--- a/crates/lift_log/src/timer_thread.rs
+++ b/crates/lift_log/src/timer_thread.rs
@@ -18,11 +18,13 @@
         self.changed.notify_all();
     }
 
-    /// Waits until `deadline`. Returns whether the thread goes on.
-    fn wait_until(&self, deadline: time::Instant) -> bool {
+    /// Waits for `limit`. Returns whether the thread goes on. It takes no point in time: after
+    /// the host was suspended those of `lift_clock` are ahead of the clock of the wait, which
+    /// would last longer by the whole suspension, again and again.
+    fn wait_for(&self, limit: time::Duration) -> bool {
         let mut stopped = self.stopped.lock();
         if !*stopped {
-            self.changed.wait_until(&mut stopped, deadline);
+            self.changed.wait_for(&mut stopped, limit);
         }
         !*stopped
     }
@@ -35,8 +37,8 @@
     let max_wait = node.timing.heartbeat / 2;
     loop {
         let deadline = node.replica.lock().deadline();
-        let wake = deadline.min(lift_clock::now() + max_wait);
-        if !node.timer.wait_until(wake) {
+        let left = deadline.saturating_duration_since(lift_clock::now());
+        if !node.timer.wait_for(left.min(max_wait)) {
             return;
         }
         if lift_clock::now() >= deadline {
--- a/crates/lift_registry/src/control_member.rs
+++ b/crates/lift_registry/src/control_member.rs
@@ -190,6 +190,7 @@
             .folder(&start.folder)
             .keys(start.node.keys.clone())
             .peer_address(start.node.ports.peer(start.node.listen_host()))
+            .advertise(start.node.ports.peer(start.node.host()))
             .state_machine(self.registry.machine.clone())
             .timing(self.timing)
             .limits(limits)
--- a/crates/marjoramlift/examples/soak.rs
+++ b/crates/marjoramlift/examples/soak.rs
@@ -7,12 +7,9 @@
 use clap::Parser as _;
 use futures_util::StreamExt as _;
 
-/// First loopback network that is used. Each seed has its own, since the listeners of the one
-/// before may still be open.
-const FIRST_NETWORK: u64 = 100;
-
-/// Networks that are used in turn.
-const NETWORKS: u64 = 100;
+/// Loopback networks that are used in turn, from the first one on. Each seed has its own, since
+/// the listeners of the one before may still be open.
+const NETWORKS: u64 = 20;
 
 /// Plays the fault soak.
 #[derive(Debug, clap::Parser)]
@@ -29,6 +26,9 @@
     /// Seconds in which faults come.
     #[arg(long, default_value_t = 20)]
     length: u64,
+    /// First loopback network that is used, so that two series don't meet.
+    #[arg(long, default_value_t = 100)]
+    network: u8,
     /// Soaks that are played at the same time.
     #[arg(long, default_value_t = 4)]
     jobs: u8,
@@ -37,13 +37,14 @@
 fn main() -> std::process::ExitCode {
     let args = Args::parse();
     let play = |seed| {
+        let network = args.network + (seed % NETWORKS) as u8;
         let options = lift_soak::SoakOptions {
             seed,
             length: time::Duration::from_secs(args.length),
             program: args.program.clone(),
         };
         async move {
-            let played = tokio::task::spawn_blocking(move || play_one(&options)).await;
+            let played = tokio::task::spawn_blocking(move || play_one(&options, network)).await;
             (seed, played.unwrap_or_else(|e| Err(e.to_string())))
         }
     };
@@ -67,8 +68,10 @@
 }
 
 /// Plays one seed on a runtime of its own, with which its stand-ins end.
-fn play_one(options: &lift_soak::SoakOptions) -> Result<lift_soak::SoakReport, String> {
-    let network = (FIRST_NETWORK + options.seed % NETWORKS) as u8;
+fn play_one(
+    options: &lift_soak::SoakOptions,
+    network: u8,
+) -> Result<lift_soak::SoakReport, String> {
     let runtime = tokio::runtime::Runtime::new().map_err(|e| e.to_string())?;
     let played = runtime.block_on(lift_soak::run(options, network));
     runtime.shutdown_background();
