Get manifests from any agent of the region

Cause: an agent asked only those before it in the region, and else the origin.

Each agent now asks the others of its region until one has it, beside the origin.

--- a/crates/lift_stage/src/manifest_source.rs
+++ b/crates/lift_stage/src/manifest_source.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use error_stack::ResultExt as _;
+use rand::RngExt as _;
 
 use crate::{piece_connection, piece_manifest, piece_message, shared, stage_error};
 
@@ -22,11 +23,15 @@
 /// Longest time after which an agent asks the origin.
 const LONGEST_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 
+/// Time for which other agents are asked on after the origin has failed.
+const LAST_QUESTIONS: time::Duration = time::Duration::from_millis(400);
+
 type Result<T> = std::result::Result<T, error_stack::Report<stage_error::StageError>>;
 
 /// Gets the manifest of a named version. The first agent of a region asks the origin and the
 /// others ask the first ones of their region: the manifests of a large fleet would take the
-/// origin's link for as long as the weights, and all its connections.
+/// origin's link for as long as the weights, and all its connections. Meanwhile each agent asks
+/// the others, so that one that has the manifest is enough while the origin is down.
 pub(crate) async fn find(
     shared: &shared::Shared,
     model: &str,
@@ -34,27 +39,50 @@
     origin: &lift_fleet::OriginPlace,
 ) -> Result<piece_manifest::PieceManifest> {
     let region = &shared.card.place.region;
+    let own = shared.card.place.host;
     let mut agents = shared.agents();
-    agents.retain(|agent| agent.place.region == *region);
+    agents.retain(|agent| agent.place.region == *region && agent.place.host != own);
     agents.sort_by_key(|agent| agent.place.host);
-    let own = shared.card.place.host;
-    let before = agents.iter().take_while(|agent| agent.place.host != own);
-    let before: Vec<_> = before.collect();
-    let patience = (PATIENCE_STEP * before.len() as u32).min(LONGEST_PATIENCE);
-    let started = lift_clock::now();
-    for turn in 0.. {
-        let waited = lift_clock::now().saturating_duration_since(started);
-        if before.is_empty() || waited > patience || shared.named(model) > version {
-            break;
+    let before = agents.iter().filter(|agent| agent.place.host < own).count();
+    let patience = (PATIENCE_STEP * before as u32).min(LONGEST_PATIENCE);
+    let mut named = shared.named.subscribe();
+    let asked = async {
+        let is_newer = named.wait_for(|named| named.newest(model) > version);
+        let _ = tokio::time::timeout(patience, is_newer).await;
+        let answer = from_origin(shared, model, Some(version), origin).await;
+        if answer.is_err() {
+            tokio::time::sleep(LAST_QUESTIONS).await;
         }
-        // Mostly the first one, which has it first, and now and then another one.
-        let agent = before[(turn / 2) % before.len() * (turn % 2)];
-        if let Ok(manifest) = ask(shared, agent, model, version).await {
-            return Ok(manifest);
+        answer
+    };
+    tokio::select! {
+        manifest = from_agents(shared, &agents, model, version) => Ok(manifest),
+        answer = asked => answer,
+    }
+}
+
+/// Asks agents one after the other until one has the manifest: mostly the first one, which has
+/// it first, and now and then another one.
+async fn from_agents(
+    shared: &shared::Shared,
+    agents: &[lift_transfer::SwarmPeer],
+    model: &str,
+    version: lift_fleet::WeightsVersion,
+) -> piece_manifest::PieceManifest {
+    let start = rand::rng().random_range(0..agents.len().max(1));
+    for turn in 0.. {
+        let position = match turn % 2 {
+            0 => 0,
+            _ => (start + turn / 2) % agents.len().max(1),
+        };
+        if let Some(agent) = agents.get(position)
+            && let Ok(manifest) = ask(shared, agent, model, version).await
+        {
+            return manifest;
         }
         tokio::time::sleep(PAUSE).await;
     }
-    from_origin(shared, model, Some(version), origin).await
+    std::future::pending().await
 }
 
 /// Gets the manifest of a version, or of the newest one, from the origin.
--- a/crates/lift_stage/tests/stage.rs
+++ b/crates/lift_stage/tests/stage.rs
@@ -104,3 +104,24 @@
     .await;
     assert!(engines[0].was_whole(&origin));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn any_agent_hands_out_a_manifest_that_the_origin_does_not() {
+    // Guards against agents that wait for the origin although one of their region works on the
+    // version (scale-1 on gcrsc-haul-grown: 45 of 76 agents, 7 s to 10 s).
+    let origin = Origin::new(20);
+    let engines = [Engine::holding(1), Engine::holding(1)];
+    let fleet = Fleet::start(86, &origin, &engines).await;
+    engines[0].go_down();
+    fleet.name(2);
+    until("the second one loads version 2", || {
+        engines[1].version() == 2
+    })
+    .await;
+    origin.refuse_manifests();
+    engines[0].come_back();
+    until("the first one loads version 2", || {
+        engines[0].version() == 2
+    })
+    .await;
+}
--- a/crates/lift_stage/tests/support/engine.rs
+++ b/crates/lift_stage/tests/support/engine.rs
@@ -56,6 +56,10 @@
         self.state.lock().is_down = true;
     }
 
+    pub(crate) fn come_back(&self) {
+        self.state.lock().is_down = false;
+    }
+
     /// Spoils the next pieces that are put.
     pub(crate) fn rot(&self, pieces: u32) {
         self.state.lock().rot = pieces;
--- a/crates/lift_stage/tests/support/origin.rs
+++ b/crates/lift_stage/tests/support/origin.rs
@@ -18,6 +18,7 @@
     reads: atomic::AtomicU32,
     spoil_every: atomic::AtomicU32,
     delay: parking_lot::Mutex<time::Duration>,
+    has_manifests: atomic::AtomicBool,
 }
 
 impl Origin {
@@ -27,6 +28,7 @@
             reads: atomic::AtomicU32::new(0),
             spoil_every: atomic::AtomicU32::new(u32::MAX),
             delay: parking_lot::Mutex::default(),
+            has_manifests: atomic::AtomicBool::new(true),
         };
         Self {
             state: sync::Arc::new(state),
@@ -47,6 +49,13 @@
         *self.state.delay.lock() = delay;
     }
 
+    /// Hands out no manifest any more.
+    pub(crate) fn refuse_manifests(&self) {
+        self.state
+            .has_manifests
+            .store(false, atomic::Ordering::SeqCst);
+    }
+
     /// Bytes of a piece.
     pub(crate) fn bytes(&self, version: u64, index: u32) -> bytes::Bytes {
         bytes::Bytes::from(format!("piece {index} of version {version}").repeat(20))
@@ -65,6 +74,9 @@
         model: &str,
         version: Option<u64>,
     ) -> Result<PieceManifest> {
+        if !self.state.has_manifests.load(atomic::Ordering::SeqCst) {
+            return Err(error_stack::Report::new(StageError::Origin));
+        }
         let version = version.unwrap_or(1);
         let digests = (0..self.state.pieces).map(|i| PieceDigest::of(&self.bytes(version, i)));
         Ok(PieceManifest {
