--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -15,7 +15,7 @@
 
 /// Wanted latencies after which a stream without a head is begun elsewhere. Reading a long
 /// prompt behind others takes two of them.
-const STREAM_PATIENCE: u32 = 4;
+const STREAM_PATIENCE: u32 = 3;
 
 impl request_run::RequestRun {
     /// Chooses a backend server and sends the request there.
