--- a/crates/lift_dispatch/src/choice.rs
+++ b/crates/lift_dispatch/src/choice.rs
@@ -100,7 +100,7 @@
             }
             let offer = look(backend, &|load| offer::Offer {
                 is_jammed: self.is_jammed(load),
-                cost: self.offer(backend, load),
+                cost: self.cost_of(backend, load),
             });
             jammed += usize::from(offer.is_jammed);
             match offer.cost {
@@ -126,7 +126,7 @@
     }
 
     /// What a request costs at one backend server, or why it can't go there.
-    fn offer(
+    fn cost_of(
         &self,
         backend: &backend::Backend,
         load: &backend_load::BackendLoad,
