Share the platform's paths, and remove repetition found in a second reading

- Whether a server is behind a jam is read once for each choice, not twice.
- The load for the line on a failed attempt is read only if the line is written.
- The soak lists kinds of requests, their services, seeds and queries once, and its operator keeps no second handle of the book.
- Questions to agents are a plain loop without an end that is never reached.

--- a/crates/lift_dispatch/src/choice.rs
+++ b/crates/lift_dispatch/src/choice.rs
@@ -98,10 +98,7 @@
             if self.tried.contains(&backend.id) {
                 continue;
             }
-            let offer = look(backend, &|load| offer::Offer {
-                is_jammed: self.is_jammed(load),
-                cost: self.cost_of(backend, load),
-            });
+            let offer = look(backend, &|load| self.offer(backend, load));
             jammed += usize::from(offer.is_jammed);
             match offer.cost {
                 Ok(cost) if offer.is_jammed => behind_jam.compare(cost, backend),
@@ -125,13 +122,22 @@
         is_narrow || load.missing(self.now) > MAX_MISSING
     }
 
+    fn offer(&self, backend: &backend::Backend, load: &backend_load::BackendLoad) -> offer::Offer {
+        let is_jammed = self.is_jammed(load);
+        offer::Offer {
+            is_jammed,
+            cost: self.cost_of(backend, load, is_jammed),
+        }
+    }
+
     /// What a request costs at one backend server, or why it can't go there.
     fn cost_of(
         &self,
         backend: &backend::Backend,
         load: &backend_load::BackendLoad,
+        is_jammed: bool,
     ) -> Result<Cost, choice_reason::ChoiceReason> {
-        if !self.is_able(backend, load) {
+        if !self.is_able(backend, load, is_jammed) {
             return Err(choice_reason::ChoiceReason::NoWeights);
         }
         let estimate = load.estimate(self.now, self.gateways);
@@ -143,12 +149,16 @@
     }
 
     /// Whether it holds what the request needs. A fresh sample goes before the announcement.
-    fn is_able(&self, backend: &backend::Backend, load: &backend_load::BackendLoad) -> bool {
+    fn is_able(
+        &self,
+        backend: &backend::Backend,
+        load: &backend_load::BackendLoad,
+        is_jammed: bool,
+    ) -> bool {
         match load.fresh(self.now) {
             Some(sample) => {
-                let is_slow = self.head_penalty(load) > 0.0
-                    || sample.link_percent < 100
-                    || self.is_jammed(load);
+                let is_slow =
+                    self.head_penalty(load) > 0.0 || sample.link_percent < 100 || is_jammed;
                 !sample.is_loading && self.need.is_met_by(&sample.models, is_slow)
             }
             None => self.need.is_met_by(&backend.models, true),
--- a/crates/lift_gateway/src/request_notes.rs
+++ b/crates/lift_gateway/src/request_notes.rs
@@ -23,11 +23,11 @@
         }
         let now = lift_clock::now();
         let took = now.saturating_duration_since(sent_at);
-        let (own, sample) = self.shared.loads.read(backend.address, |load| {
-            (load.own(), load.fresh(now).cloned())
-        });
-        let sample_age = sample.as_ref().map(|s| now.saturating_duration_since(s.at));
         self.shared.log.decision(|log| {
+            let (own, sample) = self.shared.loads.read(backend.address, |load| {
+                (load.own(), load.fresh(now).cloned())
+            });
+            let sample_age = sample.as_ref().map(|s| now.saturating_duration_since(s.at));
             slog::info!(log, "attempt failed"; "request" => &self.head.id,
                 "backend" => &backend.id, "address" => backend.address, "end" => %end,
                 "took_ms" => took.as_millis() as u64, "arrived" => self.arrived,
--- a/crates/lift_soak/src/cast.rs
+++ b/crates/lift_soak/src/cast.rs
@@ -62,6 +62,11 @@
         FIRST_CONTROL + i
     }
 
+    /// Where operators and backend servers reach the control members, which are the seeds.
+    pub(crate) fn seeds(self) -> impl Iterator<Item = net::SocketAddr> {
+        (0..CONTROLS).map(move |i| self.service(Self::control(i)).public)
+    }
+
     /// Host of gateway `i`.
     pub(crate) fn gateway(i: u8) -> u8 {
         FIRST_GATEWAY + i
--- a/crates/lift_soak/src/control_calls.rs
+++ b/crates/lift_soak/src/control_calls.rs
@@ -20,10 +20,7 @@
 
 impl ControlCalls {
     pub(crate) fn new(cast: cast::Cast) -> Self {
-        let bases = (0..cast::CONTROLS).map(|i| {
-            let address = cast.service(cast::Cast::control(i)).public;
-            format!("http://{address}")
-        });
+        let bases = cast.seeds().map(|seed| format!("http://{seed}"));
         Self {
             bases: bases.collect(),
         }
--- a/crates/lift_soak/src/lib.rs
+++ b/crates/lift_soak/src/lib.rs
@@ -25,6 +25,7 @@
 mod operator_order;
 mod oracle;
 mod process_settings;
+mod query;
 mod request_kind;
 mod server_calls;
 mod server_engine;
--- a/crates/lift_soak/src/process_settings.rs
+++ b/crates/lift_soak/src/process_settings.rs
@@ -28,12 +28,11 @@
     folder: &path::Path,
     data: &path::Path,
 ) -> Result<(), soak_error::SoakError> {
-    let seeds = (0..cast::CONTROLS).map(|i| cast.service(cast::Cast::control(i)).public);
     let last_port = cast::FIRST_PORT + cast::PORTS - 1;
     let mut settings = serde_json::json!({
         "node": format!("h{host}"), "ip": cast.public(host),
         "region": "r", "failure_domain": "d", "failure_domains": { "d": "r" },
-        "ports": [cast::FIRST_PORT, last_port], "seeds": seeds.collect::<Vec<_>>(),
+        "ports": [cast::FIRST_PORT, last_port], "seeds": cast.seeds().collect::<Vec<_>>(),
         "first_start": is_first_start, "links": "open", "log_level": "info",
         "bounds": {
             "grace_s": GRACE_S, "heartbeat_ms": HEARTBEAT_MS, "revoke_ms": REVOKE_MS,
--- a/crates/lift_soak/src/request_kind.rs
+++ b/crates/lift_soak/src/request_kind.rs
@@ -1,5 +1,9 @@
 //! Kinds of requests.
 
+use strum::IntoEnumIterator as _;
+
+use crate::{process_settings, soak_server};
+
 /// What callers ask for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::EnumIter, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -30,10 +34,16 @@
         }
     }
 
+    /// Service that answers it.
+    pub(crate) fn service(self) -> &'static str {
+        match self {
+            Self::Read | Self::Write => soak_server::PLAIN_SERVICE,
+            Self::Stream => process_settings::ENGINE_SERVICE,
+        }
+    }
+
     /// The kind of a path.
     pub(crate) fn of_path(path: &str) -> Option<Self> {
-        [Self::Read, Self::Write, Self::Stream]
-            .into_iter()
-            .find(|kind| path.starts_with(kind.prefix()))
+        Self::iter().find(|kind| path.starts_with(kind.prefix()))
     }
 }
--- a/crates/lift_soak/src/server_calls.rs
+++ b/crates/lift_soak/src/server_calls.rs
@@ -4,25 +4,24 @@
 
 use axum::{extract, response::IntoResponse as _, routing};
 
-use crate::{soak_server, soak_weights};
+use crate::{query, soak_server, soak_weights};
 
 /// Time in which an engine loads weights.
 const LOAD: time::Duration = time::Duration::from_millis(300);
 
 type Server = extract::State<sync::Arc<soak_server::SoakServer>>;
-type Query = extract::Query<indexmap::IndexMap<String, String>>;
 
 /// Routes of a backend server. Requests of callers are all others.
 pub(crate) fn router(server: sync::Arc<soak_server::SoakServer>) -> axum::Router {
     axum::Router::new()
-        .route(lift_peer::REPORT_PATH, routing::get(report))
-        .route(lift_peer::ORDER_PATH, routing::post(order))
+        .route(lift_peer::paths::REPORT, routing::get(report))
+        .route(lift_peer::paths::ORDER, routing::post(order))
         .route(
-            &format!("{}{{model}}", lift_peer::STAGE_PUT_PATH),
+            &format!("{}{{model}}", lift_peer::paths::STAGE_PUT),
             routing::put(put),
         )
         .route(
-            &format!("{}{{model}}", lift_peer::STAGE_GET_PATH),
+            &format!("{}{{model}}", lift_peer::paths::STAGE_GET),
             routing::get(get),
         )
         .fallback(|extract::State(server): Server, req: extract::Request| server.call(req))
@@ -76,12 +75,15 @@
     http::StatusCode::ACCEPTED
 }
 
-fn position(query: &Query) -> Option<usize> {
-    query.get(lift_peer::PIECE_QUERY)?.parse().ok()
-}
-
-async fn put(extract::State(server): Server, query: Query, body: bytes::Bytes) -> http::StatusCode {
-    let (Some(engine), Some(index)) = (&server.engine, position(&query)) else {
+async fn put(
+    extract::State(server): Server,
+    query: query::Query,
+    body: bytes::Bytes,
+) -> http::StatusCode {
+    let (Some(engine), Some(index)) = (
+        &server.engine,
+        query::number::<usize>(&query, lift_peer::paths::PIECE_QUERY),
+    ) else {
         return http::StatusCode::BAD_REQUEST;
     };
     if index >= soak_weights::PIECES {
@@ -91,12 +93,12 @@
     http::StatusCode::OK
 }
 
-async fn get(extract::State(server): Server, query: Query) -> axum::response::Response {
+async fn get(extract::State(server): Server, query: query::Query) -> axum::response::Response {
     let Some(engine) = &server.engine else {
         return http::StatusCode::NOT_FOUND.into_response();
     };
     let engine = engine.lock();
-    match position(&query) {
+    match query::number::<usize>(&query, lift_peer::paths::PIECE_QUERY) {
         Some(index) => match engine.staged.get(&index) {
             Some(piece) => piece.clone().into_response(),
             None => http::StatusCode::NOT_FOUND.into_response(),
--- a/crates/lift_soak/src/server_engine.rs
+++ b/crates/lift_soak/src/server_engine.rs
@@ -9,7 +9,7 @@
     pub(crate) staged: indexmap::IndexMap<usize, bytes::Bytes>,
     /// Version that is loaded, 0 for none.
     pub(crate) version: u64,
-    /// Version that is being loaded, and whether all its pieces were right when the order came.
+    /// Version that is being loaded.
     pub(crate) loading: Option<u64>,
 }
 
--- a/crates/lift_soak/src/soak_caller.rs
+++ b/crates/lift_soak/src/soak_caller.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt as _;
 use hyper_util::rt;
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
+use strum::IntoEnumIterator as _;
 
 use crate::{call_end, callers, request_kind, soak_weights};
 
@@ -31,17 +32,13 @@
 /// Sends requests for ever, on connections that it keeps.
 pub(crate) async fn run(callers: sync::Arc<callers::Callers>, number: u64, seed: u64) {
     let mut rng = rand::rngs::StdRng::seed_from_u64(seed ^ (number << 32));
+    let kinds: Vec<_> = request_kind::RequestKind::iter().collect();
     let mut kept: Option<Sender> = None;
     for turn in 0_u64.. {
         tokio::time::sleep(time::Duration::from_millis(
             rng.random_range(5..MAX_PAUSE_MS),
         ))
         .await;
-        let kinds = [
-            request_kind::RequestKind::Read,
-            request_kind::RequestKind::Write,
-            request_kind::RequestKind::Stream,
-        ];
         let kind = kinds[rng.random_range(0..kinds.len())];
         let key = callers.keys.lock().choose(&mut rng).cloned();
         let gateway = callers.gateways.choose(&mut rng).copied();
--- a/crates/lift_soak/src/soak_operator.rs
+++ b/crates/lift_soak/src/soak_operator.rs
@@ -2,6 +2,7 @@
 
 use std::{sync, time};
 
+use strum::IntoEnumIterator as _;
 use tokio::sync::mpsc;
 
 use crate::{
@@ -18,10 +19,9 @@
 /// Sends each order until it is acknowledged.
 #[derive(Debug)]
 pub(crate) struct SoakOperator {
-    pub(crate) cast: cast::Cast,
-    pub(crate) calls: sync::Arc<control_calls::ControlCalls>,
-    pub(crate) oracle: sync::Arc<oracle::Oracle>,
-    pub(crate) callers: sync::Arc<callers::Callers>,
+    cast: cast::Cast,
+    calls: sync::Arc<control_calls::ControlCalls>,
+    callers: sync::Arc<callers::Callers>,
     document: u64,
     guest: u64,
     weights: sync::Arc<sync::atomic::AtomicU64>,
@@ -38,7 +38,6 @@
         Self {
             cast,
             calls,
-            oracle: sync::Arc::clone(&callers.oracle),
             callers,
             document: 0,
             guest: 0,
@@ -67,8 +66,9 @@
     async fn send_document(&mut self, revoked: Option<String>) {
         self.document += 1;
         let text = self.document_text();
-        self.insist(lift_peer::REPLACE_PATH, &text).await;
-        self.oracle.acknowledge(self.document, revoked.as_deref());
+        self.insist(lift_peer::paths::REPLACE, &text).await;
+        let oracle = &self.callers.oracle;
+        oracle.acknowledge(self.document, revoked.as_deref());
         let mut keys = vec![
             String::from(soak_caller::LASTING_KEY),
             guest_key(self.guest),
@@ -81,7 +81,7 @@
     async fn name_weights(&self) {
         let version = self.weights.load(sync::atomic::Ordering::Relaxed) + 1;
         let text = lift_peer::DocumentText::weights(soak_weights::MODEL, version);
-        self.insist(lift_peer::WEIGHTS_PATH, &text).await;
+        self.insist(lift_peer::paths::WEIGHTS, &text).await;
         self.weights.store(version, sync::atomic::Ordering::Relaxed);
     }
 
@@ -105,17 +105,10 @@
             .origin("origin", self.cast.service(cast::Cast::origin()).own, "d")
             .workspace("house", &[String::from(soak_caller::LASTING_KEY)])
             .workspace("guests", &[guest_key(self.guest)]);
-        let kinds = [
-            (request_kind::RequestKind::Read, soak_server::PLAIN_SERVICE),
-            (request_kind::RequestKind::Write, soak_server::PLAIN_SERVICE),
-            (
-                request_kind::RequestKind::Stream,
-                process_settings::ENGINE_SERVICE,
-            ),
-        ];
-        for (kind, service) in kinds {
-            let host = soak_caller::HOST;
-            document = document.route(host, kind.prefix(), kind.route_kind(), service, timeout);
+        let host = soak_caller::HOST;
+        for kind in request_kind::RequestKind::iter() {
+            let (prefix, service) = (kind.prefix(), kind.service());
+            document = document.route(host, prefix, kind.route_kind(), service, timeout);
         }
         let extra = format!("/extra{}/", self.document);
         let kind = lift_fleet::RouteKind::Idempotent;
@@ -142,7 +135,7 @@
 ) {
     loop {
         let asked_at = time::Instant::now();
-        let text = calls.get(lift_peer::DOCUMENT_PATH).await;
+        let text = calls.get(lift_peer::paths::DOCUMENT).await;
         if let Some(version) = text.and_then(|t| lift_peer::DocumentText::version_of(&t)) {
             oracle.read(asked_at, version);
         }
--- a/crates/lift_soak/src/soak_origin.rs
+++ b/crates/lift_soak/src/soak_origin.rs
@@ -4,9 +4,7 @@
 
 use axum::{extract, response::IntoResponse as _, routing};
 
-use crate::{soak_error, soak_server, soak_weights};
-
-type Query = extract::Query<indexmap::IndexMap<String, String>>;
+use crate::{query, soak_error, soak_server, soak_weights};
 
 /// Hands out manifests and pieces, and spoils or refuses them when it is told.
 #[derive(Debug, Default)]
@@ -23,11 +21,11 @@
     ) -> Result<(), soak_error::SoakError> {
         let router = axum::Router::new()
             .route(
-                &format!("{}{{model}}", lift_peer::MANIFEST_PATH),
+                &format!("{}{{model}}", lift_peer::paths::MANIFEST),
                 routing::get(manifest),
             )
             .route(
-                &format!("{}{{model}}", lift_peer::PIECE_PATH),
+                &format!("{}{{model}}", lift_peer::paths::PIECE),
                 routing::get(piece),
             )
             .with_state(self);
@@ -35,16 +33,12 @@
     }
 }
 
-fn number(query: &Query, name: &str) -> Option<u64> {
-    query.get(name)?.parse().ok()
-}
-
 async fn manifest(
     extract::State(origin): extract::State<sync::Arc<SoakOrigin>>,
     extract::Path(model): extract::Path<String>,
-    query: Query,
+    query: query::Query,
 ) -> axum::response::Response {
-    let version = number(&query, lift_peer::VERSION_QUERY);
+    let version = query::number::<u64>(&query, lift_peer::paths::VERSION_QUERY);
     let (false, Some(version)) = (origin.is_down.load(atomic::Ordering::Relaxed), version) else {
         return http::StatusCode::INTERNAL_SERVER_ERROR.into_response();
     };
@@ -58,10 +52,10 @@
 
 async fn piece(
     extract::State(origin): extract::State<sync::Arc<SoakOrigin>>,
-    query: Query,
+    query: query::Query,
 ) -> axum::response::Response {
-    let version = number(&query, lift_peer::VERSION_QUERY);
-    let index = number(&query, lift_peer::PIECE_QUERY);
+    let version = query::number::<u64>(&query, lift_peer::paths::VERSION_QUERY);
+    let index = query::number::<u64>(&query, lift_peer::paths::PIECE_QUERY);
     let (Some(version), Some(index)) = (version, index) else {
         return http::StatusCode::BAD_REQUEST.into_response();
     };
--- a/crates/lift_soak/src/soak_run.rs
+++ b/crates/lift_soak/src/soak_run.rs
@@ -2,6 +2,8 @@
 
 use std::{path, sync::atomic, time};
 
+use strum::IntoEnumIterator as _;
+
 use crate::{
     cast, fault, fault_plan, operator_order, request_kind, soak_error, soak_fleet, soak_options,
     soak_report,
@@ -133,11 +135,7 @@
         self.fleet.callers.take_counts();
         self.until(CALM, |_| false).await?;
         let counts = self.fleet.callers.take_counts();
-        for kind in [
-            request_kind::RequestKind::Read,
-            request_kind::RequestKind::Write,
-            request_kind::RequestKind::Stream,
-        ] {
+        for kind in request_kind::RequestKind::iter() {
             let count = counts.get(&kind).copied().unwrap_or_default();
             if count.served * 100 < count.sent * LEAST_SERVED_PERCENT || count.sent == 0 {
                 let kind = <&str>::from(kind);
@@ -212,7 +210,7 @@
 
     async fn read_document(&self) -> Option<u64> {
         for _ in 0..10 {
-            let text = self.fleet.calls.get(lift_peer::DOCUMENT_PATH).await;
+            let text = self.fleet.calls.get(lift_peer::paths::DOCUMENT).await;
             if let Some(version) = text.and_then(|t| lift_peer::DocumentText::version_of(&t)) {
                 return Some(version);
             }
--- a/crates/lift_stage/src/manifest_source.rs
+++ b/crates/lift_stage/src/manifest_source.rs
@@ -70,7 +70,8 @@
     version: lift_fleet::WeightsVersion,
 ) -> piece_manifest::PieceManifest {
     let start = rand::rng().random_range(0..agents.len().max(1));
-    for turn in 0.. {
+    let mut turn = 0;
+    loop {
         let position = match turn % 2 {
             0 => 0,
             _ => (start + turn / 2) % agents.len().max(1),
@@ -81,8 +82,8 @@
             return manifest;
         }
         tokio::time::sleep(PAUSE).await;
+        turn += 1;
     }
-    std::future::pending().await
 }
 
 /// Gets the manifest of a version, or of the newest one, from the origin.
