Deny unknown routes and keys only under a recent confirmation

Cause: a gateway acted on its configuration for up to 4 s after the last confirmation (80% of the time in which a key must be refused), also when it answered 401 or 404. A configuration must be in force everywhere within bounds.apply_ms (2 s), so a gateway that was cut off without noticing denied a new route for good up to 2 s too long.

Change: ConfirmationLimits decides from the age of the confirmation whether to serve and whether to deny. Above apply_ms an unknown route or key is answered 503 with Retry-After. An argument by property: a request that arrives later than apply_ms after the acknowledgement is never denied by a gateway that has not asked since the acknowledgement.

Ruled out: refusing all requests after apply_ms, since an election takes part of that time and the old routes are still right.

--- a/crates/lift_dispatch/src/lib.rs
+++ b/crates/lift_dispatch/src/lib.rs
@@ -5,7 +5,8 @@
 //! from its delayed load reports and from what this gateway has sent since. [`BackendSelector`]
 //! selects the one with the lowest cost that can accept the request. [`RetryContext`] decides
 //! whether to retry after an attempt has failed ([`AttemptFailure`]). [`TargetVersions`]
-//! determines on which versions of the weights a request may start.
+//! determines on which versions of the weights a request may start. [`ConfirmationLimits`] tells
+//! how long a gateway may rely on its configuration.
 //!
 //! Agents use [`PrefillQueue`] to report how many prompts an engine has not read yet, and
 //! [`TargetVersions`] to find the version to load.
@@ -18,6 +19,7 @@
 mod backend_load;
 mod backend_score;
 mod backend_selector;
+mod confirmation_limits;
 mod load_sample;
 mod prefill_queue;
 mod rejection_reason;
@@ -34,6 +36,7 @@
 pub use backend_load::{BackendLoad, Ticket};
 pub use backend_score::BackendScore;
 pub use backend_selector::{BackendSelector, ScoreFn};
+pub use confirmation_limits::ConfirmationLimits;
 pub use load_sample::LoadSample;
 pub use prefill_queue::PrefillQueue;
 pub use rejection_reason::RejectionReason;
--- a/crates/lift_gateway/src/gateway_limits.rs
+++ b/crates/lift_gateway/src/gateway_limits.rs
@@ -5,9 +5,8 @@
 /// Limits of a gateway. The deployment can set each of them.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GatewayLimits {
-    /// Age of the last confirmation of the configuration from which on requests are rejected, so
-    /// that a key that was revoked in the meantime is not accepted.
-    pub max_confirmation_age: time::Duration,
+    /// How long the gateway may act on its configuration after the last confirmation.
+    pub confirmation: lift_dispatch::ConfirmationLimits,
     /// Time for which requests may start on older weights after a new target version was set.
     pub weights_grace: time::Duration,
     /// Number of retries that each request adds to the retry budget of its service.
@@ -25,7 +24,10 @@
     /// Limits for a fleet whose load balancer notices within 2 s that a gateway is not ready.
     fn default() -> Self {
         Self {
-            max_confirmation_age: time::Duration::from_secs(4),
+            confirmation: lift_dispatch::ConfirmationLimits {
+                serving: time::Duration::from_secs(4),
+                denial: time::Duration::from_secs(2),
+            },
             weights_grace: time::Duration::from_secs(6),
             retry_ratio: 0.15,
             retry_burst: 50.0,
--- a/crates/lift_gateway/src/http_server.rs
+++ b/crates/lift_gateway/src/http_server.rs
@@ -119,9 +119,11 @@
         return Err(lift_dispatch::RejectionReason::Unconfirmed);
     }
     let host = host(&parts).ok_or(lift_dispatch::RejectionReason::Malformed)?;
+    let denial = |reason| shared.denial_reason(reason);
     let route = table.find(host, parts.uri.path());
-    let route = sync::Arc::clone(route.ok_or(lift_dispatch::RejectionReason::NoRoute)?);
-    let workspace = workspace(&table, &route, &head)?;
+    let route = route.ok_or(lift_dispatch::RejectionReason::NoRoute);
+    let route = sync::Arc::clone(route.map_err(denial)?);
+    let workspace = workspace(&table, &route, &head).map_err(denial)?;
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = started + timeout;
     let body = read_body(&table, body, deadline).await?;
--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -71,7 +71,20 @@
     /// Whether the last confirmation of the configuration is recent enough to serve requests.
     pub(crate) fn is_confirmed(&self, now: time::Instant) -> bool {
         let age = self.fleet.confirmation_age(now);
-        age.is_some_and(|age| age < self.limits.max_confirmation_age)
+        self.limits.confirmation.allow_serving(age)
+    }
+
+    /// Reason for rejecting a request whose route or key is unknown: `denial` if the configuration
+    /// is known to be recent enough, and otherwise one that asks the caller to come back.
+    pub(crate) fn denial_reason(
+        &self,
+        denial: lift_dispatch::RejectionReason,
+    ) -> lift_dispatch::RejectionReason {
+        let age = self.fleet.confirmation_age(lift_clock::now());
+        match self.limits.confirmation.allow_denial(age) {
+            true => denial,
+            false => lift_dispatch::RejectionReason::Unconfirmed,
+        }
     }
 
     /// Checks whether requests can be served.
--- a/crates/lift_gateway/tests/gateway.rs
+++ b/crates/lift_gateway/tests/gateway.rs
@@ -155,6 +155,20 @@
     assert_eq!(fleet.call("non_idempotent", "r3").await.0, 200);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unknown_route_is_not_denied_while_the_configuration_may_be_out_of_date() {
+    // Guards against denying a route or key that was added while this gateway was disconnected
+    // from the control members: the caller would not come back.
+    let backend = Backend::start(&[]).await;
+    let fleet = Fleet::start(83, &[&backend]).await;
+    assert_eq!(fleet.call("nowhere", "r1").await.0, 404);
+    fleet.set_leader(false);
+    tokio::time::sleep(time::Duration::from_millis(900)).await;
+    assert_eq!(fleet.call("nowhere", "r2").await.0, 503);
+    assert_eq!(fleet.call_with_key("idempotent", "r3", "new").await.0, 503);
+    assert_eq!(fleet.call("idempotent", "r4").await.0, 200);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_draining_server_gets_no_more_requests() {
     let backend = Backend::start(&[]).await;
--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -125,7 +125,10 @@
         let callers = net::SocketAddr::from((host, 17_604));
         let readiness = net::SocketAddr::from((host, 17_605));
         let limits = lift_gateway::GatewayLimits {
-            max_confirmation_age: time::Duration::from_millis(1_500),
+            confirmation: lift_dispatch::ConfirmationLimits {
+                serving: time::Duration::from_millis(1_500),
+                denial: time::Duration::from_millis(700),
+            },
             shutdown_delay: time::Duration::from_millis(500),
             ..lift_gateway::GatewayLimits::default()
         };
--- a/crates/lift_node/src/fleet_node.rs
+++ b/crates/lift_node/src/fleet_node.rs
@@ -203,7 +203,10 @@
         };
         let bounds = &self.settings.bounds;
         let limits = lift_gateway::GatewayLimits {
-            max_confirmation_age: percent(bounds.revoke_ms, CONFIRMATION_PERCENT),
+            confirmation: lift_dispatch::ConfirmationLimits {
+                serving: percent(bounds.revoke_ms, CONFIRMATION_PERCENT),
+                denial: time::Duration::from_millis(bounds.apply_ms),
+            },
             weights_grace: percent(bounds.weights_ms, WEIGHTS_PERCENT),
             retry_ratio: bounds.repeat_share * REPEAT_PART,
             retry_burst: bounds.repeat_burst * REPEAT_PART,
--- a/crates/lift_settings/src/fleet_bounds.rs
+++ b/crates/lift_settings/src/fleet_bounds.rs
@@ -10,6 +10,9 @@
     pub grace_s: f64,
     /// Time between heartbeats of a backend server, in milliseconds.
     pub heartbeat_ms: u64,
+    /// Time within which an accepted configuration must be in force everywhere, in
+    /// milliseconds.
+    pub apply_ms: u64,
     /// Time after which a key that was taken away must not be accepted anywhere, in
     /// milliseconds.
     pub revoke_ms: u64,
@@ -32,6 +35,7 @@
                 10.0,
                 600_000.0,
             ),
+            ("bounds.apply_ms", self.apply_ms as f64, 500.0, 600_000.0),
             ("bounds.revoke_ms", self.revoke_ms as f64, 500.0, 600_000.0),
             (
                 "bounds.weights_ms",
@@ -59,6 +63,7 @@
         Self {
             grace_s: 30.0,
             heartbeat_ms: 1_000,
+            apply_ms: 2_000,
             revoke_ms: 5_000,
             weights_ms: 60_000,
             repeat_share: 0.2,
