Limit the answers of engines and origins in size and time

Cause: HttpClient::send collected any answer. A server in trouble that sends a chunked body without an end cost the process all memory that it could get.

Change: a body may have 16 MiB, a head 64 KiB, and an answer must be complete in 30 s.

--- a/crates/lift_border/src/http_client.rs
+++ b/crates/lift_border/src/http_client.rs
@@ -12,6 +12,15 @@
 /// Time in which a connection must be open.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// Largest body of an answer, in bytes. Chunks of weights and manifests are far smaller.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Largest buffer for the head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Time in which an answer must be complete, also where its sender sends something now and then.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
 /// A request could not be completed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the HTTP request could not be completed")]
@@ -44,6 +53,7 @@
             base: String::from(base.trim_end_matches('/')),
             client: legacy::Client::builder(rt::TokioExecutor::new())
                 .pool_max_idle_per_host(max_idle)
+                .http1_max_buf_size(MAX_HEAD_BYTES)
                 .build(connector),
         }
     }
@@ -59,7 +69,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error where the connection or the answer broke. The request may have run.
+    /// Returns an error where the connection or the answer broke, or where the answer is too long
+    /// or takes too long. The request may have run.
     pub async fn send(
         &self,
         req: http::request::Builder,
@@ -68,9 +79,18 @@
         let req = req
             .body(http_body_util::Full::new(body))
             .change_context(HttpError)?;
+        let answered = tokio::time::timeout(ANSWER_TIMEOUT, self.answer(req)).await;
+        answered.change_context(HttpError)?
+    }
+
+    async fn answer(
+        &self,
+        req: http::Request<http_body_util::Full<bytes::Bytes>>,
+    ) -> Result<http::Response<bytes::Bytes>, error_stack::Report<HttpError>> {
         let reply = self.client.request(req).await.change_context(HttpError)?;
         let (head, body) = reply.into_parts();
-        let body = body.collect().await.change_context(HttpError)?;
+        let body = http_body_util::Limited::new(body, MAX_BODY_BYTES);
+        let body = body.collect().await.map_err(|_| HttpError)?;
         Ok(http::Response::from_parts(head, body.to_bytes()))
     }
 
