Bound what a backend server in trouble costs, and answer what a stop accepts

- A copy of an answer without an identifier, sent while the next request waited, was that request's answer.
A connection whose server has repeated identifiers now requires them.
- Endless informational heads and chunk sizes were read until the deadline (4 s of full speed).
A connection may deliver 256 KiB without content.
All answers that are held until they are complete share one budget; the first 16 KiB of each are always granted.
- A stream that got a byte or a comment now and then never counted as stalled.
The stall timer counts from the last event.
- A slow but sound stream was cut after 1.5 s of pause although no other server could take over.
It moves only if another server continues it, and goes on at its own otherwise.
- A stream that broke off looked complete to an HTTP/1.0 caller.
Such a caller gets the whole stream with its length, or 502.
- Connections in the backlog of a stopping gateway were reset, and the HTTP library closed an accepted connection whose first request had not been read.

Mended beside them: events that a part completes before an invalid one are no longer lost for a resumed stream; the successor of a stream must answer on the same weights, and a failed resumption is recorded for its server; a deadline that passes before a connection is open proves that the request was not sent.

--- a/crates/lift_gateway/src/backend_connection.rs
+++ b/crates/lift_gateway/src/backend_connection.rs
@@ -1,9 +1,11 @@
 //! A connection to a backend server.
 
-use std::{net, time};
+use std::{net, sync, time};
 
 use hyper_util::rt;
 
+use crate::{limited_stream, read_allowance};
+
 /// Timeout for opening a connection. Round trips to backend servers take milliseconds, and a lost
 /// SYN packet is retransmitted only after a second.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
@@ -25,26 +27,84 @@
 
 type Body = http_body_util::Full<bytes::Bytes>;
 
-/// Sends requests on a connection, one at a time.
-pub(crate) type Sender = hyper::client::conn::http1::SendRequest<Body>;
-
-/// Opens a connection to `address`. Returns `None` if that fails or times out.
-pub(crate) async fn open(address: net::SocketAddr) -> Option<Sender> {
-    let connecting = tokio::net::TcpStream::connect(address);
-    let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-    let stream = connected.ok()?.ok()?;
-    set_options(&stream);
-    let io = rt::TokioIo::new(stream);
-    let handshake = hyper::client::conn::http1::Builder::new()
-        .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(io);
-    let (sender, connection) = handshake.await.ok()?;
-    // An error is also reported to the request on the connection. An idle connection is just
-    // closed.
-    tokio::spawn(async move {
-        let _ = connection.await;
-    });
-    Some(sender)
+type SendError = hyper::client::conn::TrySendError<http::Request<Body>>;
+
+/// A connection to a backend server, for one request at a time.
+#[derive(Debug)]
+pub(crate) struct BackendConnection {
+    sender: hyper::client::conn::http1::SendRequest<Body>,
+    allowance: sync::Arc<read_allowance::ReadAllowance>,
+    /// Whether an answer on this connection has repeated the identifier of its request.
+    has_echoed: bool,
+}
+
+impl BackendConnection {
+    /// Opens a connection to `address`. Returns `None` if that fails or times out.
+    pub(crate) async fn open(address: net::SocketAddr) -> Option<Self> {
+        let connecting = tokio::net::TcpStream::connect(address);
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        let stream = connected.ok()?.ok()?;
+        set_options(&stream);
+        let allowance = sync::Arc::new(read_allowance::ReadAllowance::new());
+        let stream = limited_stream::LimitedStream::new(stream, sync::Arc::clone(&allowance));
+        let handshake = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(rt::TokioIo::new(stream));
+        let (sender, connection) = handshake.await.ok()?;
+        // An error is also reported to the request on the connection. An idle connection is just
+        // closed.
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Some(Self {
+            sender,
+            allowance,
+            has_echoed: false,
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection breaks. It holds the request if nothing was sent.
+    pub(crate) async fn send(
+        &mut self,
+        req: http::Request<Body>,
+    ) -> Result<http::Response<hyper::body::Incoming>, SendError> {
+        self.allowance.renew();
+        let sent = self.sender.try_send_request(req).await;
+        self.allowance.renew();
+        sent
+    }
+
+    /// Records that content of an answer has arrived.
+    pub(crate) fn record_content(&self) {
+        self.allowance.renew();
+    }
+
+    /// Checks the identifier that an answer repeats against that of the request. A server that has
+    /// repeated one before must go on to do so: an answer without one may be a late copy of an
+    /// earlier answer.
+    pub(crate) fn check_echo(&mut self, echoed: Option<&str>, id: &str) -> bool {
+        match echoed {
+            Some(echoed) => {
+                self.has_echoed = true;
+                echoed == id
+            }
+            None => !self.has_echoed,
+        }
+    }
+
+    /// Whether a request can be sent.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Whether the connection was closed.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
 }
 
 /// Sets socket options that detect dead connections and reset connections on close. Options that
--- a/crates/lift_gateway/src/backend_pool.rs
+++ b/crates/lift_gateway/src/backend_pool.rs
@@ -25,7 +25,7 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: backend_connection::Sender,
+    connection: backend_connection::BackendConnection,
     idle_since: time::Instant,
     expires_at: time::Instant,
 }
@@ -44,17 +44,17 @@
         now: time::Instant,
         address: net::SocketAddr,
         max_idle: time::Duration,
-    ) -> Option<backend_connection::Sender> {
+    ) -> Option<backend_connection::BackendConnection> {
         self.shards.with(&address, |pool| {
             let idle = pool.get_mut(&address)?;
-            while let Some(connection) = idle.pop() {
-                let is_recent = now.saturating_duration_since(connection.idle_since) < max_idle;
-                if now < connection.expires_at && connection.sender.is_ready() {
+            while let Some(candidate) = idle.pop() {
+                let is_recent = now.saturating_duration_since(candidate.idle_since) < max_idle;
+                if now < candidate.expires_at && candidate.connection.is_ready() {
                     if is_recent {
-                        return Some(connection.sender);
+                        return Some(candidate.connection);
                     }
                     // All other connections have been idle for longer.
-                    idle.push(connection);
+                    idle.push(candidate);
                     return None;
                 }
             }
@@ -69,7 +69,7 @@
         &self,
         now: time::Instant,
         address: net::SocketAddr,
-        sender: backend_connection::Sender,
+        connection: backend_connection::BackendConnection,
         keep_alive: Option<time::Duration>,
     ) {
         let keep_time = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE + KEEP_ALIVE_MARGIN);
@@ -78,7 +78,7 @@
             let idle = pool.entry(address).or_default();
             if idle.len() < MAX_IDLE_CONNECTIONS {
                 idle.push(IdleConnection {
-                    sender,
+                    connection,
                     idle_since: now,
                     expires_at,
                 });
@@ -90,7 +90,7 @@
     pub(crate) fn remove_expired(&self, now: time::Instant) {
         self.shards.for_each(|pool| {
             for idle in pool.values_mut() {
-                idle.retain(|c| now < c.expires_at && !c.sender.is_closed());
+                idle.retain(|c| now < c.expires_at && !c.connection.is_closed());
             }
             pool.retain(|_, idle| !idle.is_empty());
         });
--- a/crates/lift_gateway/src/event_buffer.rs
+++ b/crates/lift_gateway/src/event_buffer.rs
@@ -46,16 +46,20 @@
     /// # Errors
     ///
     /// Returns an error if an event has no valid number, is out of order or is too long. Comments
-    /// need no number. Events that the same call has completed before the error are not returned,
-    /// but [`Self::last_event`] counts them.
+    /// need no number. Events that the same call has completed before the error are lost, and
+    /// [`Self::last_event`] does not count them, so that a resumed stream repeats them.
     pub fn push(&mut self, bytes: &[u8]) -> Result<bytes::Bytes, event_error::EventError> {
         // The end of an event may start in the last three bytes that were buffered before.
         let mut searched = self.buf.len().saturating_sub(3);
         self.buf.extend_from_slice(bytes);
         let mut complete = 0;
+        let last_returned = self.last_event;
         while let Some(end) = find_event_end(&self.buf[searched..]) {
             let end = searched + end;
-            self.check_event(complete, end)?;
+            if let Err(error) = self.check_event(complete, end) {
+                self.last_event = last_returned;
+                return Err(error);
+            }
             complete = end;
             searched = end;
         }
--- a/crates/lift_gateway/src/event_stream.rs
+++ b/crates/lift_gateway/src/event_stream.rs
@@ -1,18 +1,13 @@
 //! Forwarding of an event stream to the caller.
 
-use std::{sync, time};
+use std::sync;
 
 use futures_util::stream;
 use http_body_util::BodyExt as _;
 
-use crate::{attempt_error, body_error, event_buffer, exchange, request_run, response};
-
-/// Stall timeout of a stream that can resume elsewhere, in multiples of the target gap between
-/// events. Callers disconnect after eight.
-const STALL_GAPS: u32 = 5;
-
-/// Shortest stall timeout. Engines pause while they read long prompts.
-const MIN_STALL_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
+use crate::{
+    attempt_error, body_error, event_buffer, exchange, request_run, response, stall_timer,
+};
 
 /// Forwards complete events. If a backend server fails in the middle, resumes the stream at
 /// another one where the route allows it.
@@ -22,6 +17,7 @@
     exchange: Option<exchange::Exchange>,
     buf: event_buffer::EventBuffer,
     is_first_event_pending: bool,
+    stall_timer: stall_timer::StallTimer,
 }
 
 impl EventStream {
@@ -35,11 +31,13 @@
         let shared = sync::Arc::clone(&run.shared);
         let parts = exchange.parts.clone();
         let buf = event_buffer::EventBuffer::new(run.head.last_event);
+        let stall_timer = stall_timer::StallTimer::start(lift_clock::now(), run.route.target_gap);
         let events = Self {
             run,
             exchange: Some(exchange),
             buf,
             is_first_event_pending: true,
+            stall_timer,
         };
         let frames = stream::unfold(Some(events), |events| async {
             let mut events = events?;
@@ -78,14 +76,14 @@
     async fn read_events(&mut self) -> Result<Option<bytes::Bytes>, lift_dispatch::AttemptFailure> {
         let now = lift_clock::now();
         let left = self.run.deadline.saturating_duration_since(now);
-        let limit = match self.run.route.kind.is_repeatable() {
-            true => left.min(self.stall_timeout()),
+        let limit = match self.run.can_reach_another_server() {
+            true => left.min(self.stall_timer.time_left(now)),
             false => left,
         };
         let Some(exchange) = &mut self.exchange else {
             return Err(lift_dispatch::AttemptFailure::Broken);
         };
-        let read = tokio::time::timeout(limit, exchange.body.frame()).await;
+        let read = tokio::time::timeout(limit, exchange.next_frame()).await;
         let frame = read.map_err(|_| lift_dispatch::AttemptFailure::Silent)?;
         let Some(frame) = frame else {
             return match self.buf.has_partial_event() {
@@ -97,50 +95,85 @@
         let Some(data) = frame.data_ref() else {
             return Ok(Some(bytes::Bytes::new()));
         };
+        let last_event = self.buf.last_event();
         let events = self.buf.push(data);
         let events = events.map_err(|_| lift_dispatch::AttemptFailure::Damaged)?;
+        if self.buf.last_event() != last_event {
+            self.stall_timer.restart(lift_clock::now());
+        }
         Ok(Some(events))
     }
 
-    fn stall_timeout(&self) -> time::Duration {
-        (self.run.route.target_gap * STALL_GAPS).max(MIN_STALL_TIMEOUT)
-    }
-
-    /// Resumes the stream at another backend server after the last complete event.
+    /// Resumes the stream at another backend server after the last complete event. A stream that
+    /// has stalled goes on at its own backend server if no other one takes over, since it may only
+    /// be slow.
     async fn resume(
         &mut self,
-        mut failure: lift_dispatch::AttemptFailure,
+        failure: lift_dispatch::AttemptFailure,
     ) -> Result<(), body_error::BodyError> {
-        if let Some(exchange) = self.exchange.take() {
+        let failed = self.exchange.take();
+        if let Some(exchange) = &failed {
             self.run
                 .record_failure(exchange.in_flight.backend(), failure);
         }
+        let stalled = failed.filter(|_| failure == lift_dispatch::AttemptFailure::Silent);
+        let found = self.find_successor(failure).await;
+        let now = lift_clock::now();
+        self.stall_timer.restart(now);
+        match (found, stalled) {
+            (Ok(exchange), _) => {
+                self.buf.discard_partial_event();
+                self.exchange = Some(exchange);
+                Ok(())
+            }
+            (Err(_), Some(stalled)) if now < self.run.deadline => {
+                self.exchange = Some(stalled);
+                Ok(())
+            }
+            (Err(error), _) => Err(self.fail(error)),
+        }
+    }
+
+    /// Attempts the request at other backend servers until one continues the stream.
+    async fn find_successor(
+        &mut self,
+        mut failure: lift_dispatch::AttemptFailure,
+    ) -> Result<exchange::Exchange, body_error::BodyError> {
         loop {
             if lift_clock::now() >= self.run.deadline {
-                return Err(self.fail(body_error::BodyError::Late));
+                return Err(body_error::BodyError::Late);
             }
             if self.run.decide_retry(failure) == lift_dispatch::RetryDecision::GiveUp {
-                return Err(self.fail(body_error::BodyError::Broken));
+                return Err(body_error::BodyError::Broken);
             }
-            self.buf.discard_partial_event();
-            match self.run.attempt(self.buf.last_event()).await {
-                Ok(exchange) if exchange.parts.status.is_success() => {
+            failure = match self.run.attempt(self.buf.last_event()).await {
+                Ok(exchange) if self.is_continued_by(&exchange) => {
                     self.run
                         .shared
                         .counters
                         .increment("gateway.streams_resumed");
-                    self.exchange = Some(exchange);
-                    return Ok(());
+                    return Ok(exchange);
+                }
+                Ok(exchange) => {
+                    let failure = lift_dispatch::AttemptFailure::Failed;
+                    self.run
+                        .record_failure(exchange.in_flight.backend(), failure);
+                    failure
                 }
-                Ok(_) => failure = lift_dispatch::AttemptFailure::Failed,
-                Err(attempt_error::AttemptError::Failed(next)) => failure = next,
+                Err(attempt_error::AttemptError::Failed(failure)) => failure,
                 Err(attempt_error::AttemptError::Rejected(_)) => {
-                    return Err(self.fail(body_error::BodyError::Broken));
+                    return Err(body_error::BodyError::Broken);
                 }
-            }
+            };
         }
     }
 
+    /// Whether the events of `exchange` continue this stream: it is a success on the same weights.
+    fn is_continued_by(&self, exchange: &exchange::Exchange) -> bool {
+        let weights = self.run.weights_requirement.exact_version;
+        exchange.parts.status.is_success() && exchange.head.weights == weights
+    }
+
     fn fail(&self, error: body_error::BodyError) -> body_error::BodyError {
         let backend = self.run.tried.last().cloned().unwrap_or_default();
         self.run.record_broken_stream(error, &backend);
--- a/crates/lift_gateway/src/exchange.rs
+++ b/crates/lift_gateway/src/exchange.rs
@@ -2,6 +2,8 @@
 
 use std::{sync, time};
 
+use http_body_util::BodyExt as _;
+
 use crate::{answer_head, backend_connection, in_flight_request, shared};
 
 /// Idle time below which a connection may be used for a request that must not run twice. The
@@ -19,9 +21,9 @@
 pub(crate) struct Exchange {
     pub(crate) parts: http::response::Parts,
     pub(crate) head: answer_head::AnswerHead,
-    pub(crate) body: hyper::body::Incoming,
+    body: hyper::body::Incoming,
     pub(crate) in_flight: in_flight_request::InFlightRequest,
-    sender: backend_connection::Sender,
+    connection: backend_connection::BackendConnection,
 }
 
 impl Exchange {
@@ -31,7 +33,7 @@
     /// # Errors
     ///
     /// Returns an error if the request can't be sent, if the connection breaks or no head arrives
-    /// in time, or if the head carries the identifier of another request.
+    /// in time, or if the head carries the identifier of another request or lacks one.
     pub(crate) async fn start(
         shared: &shared::Shared,
         in_flight: in_flight_request::InFlightRequest,
@@ -40,14 +42,12 @@
         is_repeatable: bool,
         deadline: time::Instant,
     ) -> Result<Self, lift_dispatch::AttemptFailure> {
-        let sending = send(shared, &in_flight, req, is_repeatable);
-        let limit = deadline.saturating_duration_since(lift_clock::now());
-        let sent = tokio::time::timeout(limit, sending).await;
-        let (response, sender) = sent.map_err(|_| lift_dispatch::AttemptFailure::Silent)??;
+        let sent = send(shared, &in_flight, req, is_repeatable, deadline).await;
+        let (response, mut connection) = sent?;
         in_flight.receive_head();
         let (parts, body) = response.into_parts();
         let head = shared.dialect.read_answer(&parts);
-        if head.id.as_deref().is_some_and(|echoed| echoed != id) {
+        if !connection.check_echo(head.id.as_deref(), id) {
             return Err(lift_dispatch::AttemptFailure::Damaged);
         }
         Ok(Self {
@@ -55,10 +55,23 @@
             head,
             body,
             in_flight,
-            sender,
+            connection,
         })
     }
 
+    /// Reads the next frame of the body. `None` at its end.
+    pub(crate) async fn next_frame(
+        &mut self,
+    ) -> Option<Result<hyper::body::Frame<bytes::Bytes>, hyper::Error>> {
+        let frame = self.body.frame().await;
+        let data = frame.as_ref().and_then(|read| read.as_ref().ok());
+        let data = data.and_then(|frame| frame.data_ref());
+        if data.is_some_and(|data| !data.is_empty()) {
+            self.connection.record_content();
+        }
+        frame
+    }
+
     /// Returns the connection to the pool after the answer was read to its end, unless the backend
     /// server closes it.
     pub(crate) fn finish(self, shared: &sync::Arc<shared::Shared>) {
@@ -74,22 +87,24 @@
         let now = lift_clock::now();
         shared
             .pool
-            .put(now, address, self.sender, self.head.keep_alive);
+            .put(now, address, self.connection, self.head.keep_alive);
     }
 }
 
+type Sent = (
+    http::Response<hyper::body::Incoming>,
+    backend_connection::BackendConnection,
+);
+
+/// Sends `req` on an idle connection or a new one, and waits until `deadline` for the head of its
+/// answer. If the deadline passes before a connection is open, the request was not sent.
 async fn send(
     shared: &shared::Shared,
     in_flight: &in_flight_request::InFlightRequest,
     req: Request,
     is_repeatable: bool,
-) -> Result<
-    (
-        http::Response<hyper::body::Incoming>,
-        backend_connection::Sender,
-    ),
-    lift_dispatch::AttemptFailure,
-> {
+    deadline: time::Instant,
+) -> Result<Sent, lift_dispatch::AttemptFailure> {
     let address = in_flight.backend().address;
     let max_idle = if is_repeatable {
         MAX_IDLE_REPEATABLE
@@ -97,23 +112,47 @@
         MAX_IDLE_NON_REPEATABLE
     };
     let mut req = req;
-    if let Some(mut sender) = shared.pool.take(lift_clock::now(), address, max_idle) {
-        match sender.try_send_request(req).await {
-            Ok(response) => return Ok((response, sender)),
-            // If the idle connection was closed before anything was sent, the request is returned
-            // and then sent on a new connection.
-            Err(mut error) => match error.take_message() {
-                Some(unsent) => req = unsent,
-                None => return Err(lift_dispatch::AttemptFailure::Broken),
-            },
+    if let Some(connection) = shared.pool.take(lift_clock::now(), address, max_idle) {
+        match send_on(connection, req, deadline).await? {
+            Outcome::Sent(sent) => return Ok(sent),
+            // The idle connection was closed before anything was sent.
+            Outcome::Unsent(unsent) => req = unsent,
         }
     }
-    let opened = backend_connection::open(address).await;
-    let mut sender = opened.ok_or(lift_dispatch::AttemptFailure::NotSent)?;
+    let opening = backend_connection::BackendConnection::open(address);
+    let opened = tokio::time::timeout(time_until(deadline), opening).await;
+    let connection = opened.ok().flatten();
+    let connection = connection.ok_or(lift_dispatch::AttemptFailure::NotSent)?;
     shared.counters.increment("gateway.connections_opened");
-    match sender.try_send_request(req).await {
-        Ok(response) => Ok((response, sender)),
-        Err(error) if error.message().is_some() => Err(lift_dispatch::AttemptFailure::NotSent),
-        Err(_) => Err(lift_dispatch::AttemptFailure::Broken),
+    match send_on(connection, req, deadline).await? {
+        Outcome::Sent(sent) => Ok(sent),
+        Outcome::Unsent(_) => Err(lift_dispatch::AttemptFailure::NotSent),
     }
 }
+
+/// Result of sending a request on one connection.
+enum Outcome {
+    Sent(Sent),
+    /// The connection was closed before anything was sent.
+    Unsent(Request),
+}
+
+async fn send_on(
+    mut connection: backend_connection::BackendConnection,
+    req: Request,
+    deadline: time::Instant,
+) -> Result<Outcome, lift_dispatch::AttemptFailure> {
+    let sending = connection.send(req);
+    let sent = tokio::time::timeout(time_until(deadline), sending).await;
+    match sent.map_err(|_| lift_dispatch::AttemptFailure::Silent)? {
+        Ok(response) => Ok(Outcome::Sent((response, connection))),
+        Err(mut error) => match error.take_message() {
+            Some(unsent) => Ok(Outcome::Unsent(unsent)),
+            None => Err(lift_dispatch::AttemptFailure::Broken),
+        },
+    }
+}
+
+fn time_until(deadline: time::Instant) -> time::Duration {
+    deadline.saturating_duration_since(lift_clock::now())
+}
--- a/crates/lift_gateway/src/http_server.rs
+++ b/crates/lift_gateway/src/http_server.rs
@@ -1,26 +1,19 @@
 //! HTTP server for callers.
 
-use std::{convert, sync, time};
+use std::{sync, time};
 
+use futures_util::FutureExt as _;
 use http_body_util::BodyExt as _;
-use hyper_util::{rt, server};
 use rand::RngExt as _;
 
-use crate::{caller_head, end_to_end, request_run, response, shared};
+use crate::{caller_connection, caller_head, end_to_end, request_run, response, shared};
 
 /// Pause after a failure to accept a connection, such as a lack of file descriptors.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
-/// TCP user timeout: how long bytes sent to a caller may stay unacknowledged before the connection
-/// is closed.
-const UNACKNOWLEDGED_TIMEOUT: time::Duration = time::Duration::from_secs(4);
-
 /// Timeout of a request whose caller specifies none. The timeout of the route limits it further.
 const DEFAULT_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 
-/// Smallest buffer for the head of a request that the HTTP library allows, in bytes.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
-
 type Shared = sync::Arc<shared::Shared>;
 type Response = http::Response<response::Body>;
 
@@ -31,7 +24,7 @@
     listener: tokio::net::TcpListener,
     draining: tokio_util::sync::CancellationToken,
 ) {
-    let graceful = server::graceful::GracefulShutdown::new();
+    let connections = tokio_util::task::TaskTracker::new();
     let permits = sync::Arc::new(tokio::sync::Semaphore::new(shared.limits.max_connections));
     loop {
         let accept = async {
@@ -45,40 +38,26 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let connection = graceful.watch(serve_connection(&shared, stream));
-        tokio::spawn(async move {
+        let shared = sync::Arc::clone(&shared);
+        let serving = caller_connection::serve(shared, stream, draining.clone());
+        connections.spawn(async move {
             let _permit = permit;
-            // The error concerns only this connection, which is closed.
-            let _ = connection.await;
+            serving.await;
         });
     }
-    drop(listener);
-    graceful.shutdown().await;
-}
-
-fn serve_connection(
-    shared: &Shared,
-    stream: tokio::net::TcpStream,
-) -> impl server::graceful::GracefulConnection<Error = hyper::Error> + Send + 'static {
-    let _ = stream.set_nodelay(true);
-    let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
-    let table = shared.fleet.table();
-    let limits = table.map(|t| *t.limits()).unwrap_or_default();
-    let shared = sync::Arc::clone(shared);
-    let service = hyper::service::service_fn(move |req| {
+    // The system has accepted further connections on behalf of the gateway. Closing the listener
+    // would reset them, with the requests that they may carry.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
         let shared = sync::Arc::clone(&shared);
-        async move { Ok::<_, convert::Infallible>(handle(shared, req).await) }
-    });
-    // The library measures the time to read a head from the end of the previous request, so the
-    // timeout also limits how long a connection may be idle.
-    hyper::server::conn::http1::Builder::new()
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(rt::TokioIo::new(stream), service)
+        connections.spawn(caller_connection::serve(shared, stream, draining.clone()));
+    }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
 }
 
-async fn handle(shared: Shared, req: http::Request<hyper::body::Incoming>) -> Response {
+/// Answers one request.
+pub(crate) async fn handle(shared: Shared, req: http::Request<hyper::body::Incoming>) -> Response {
     let started = lift_clock::now();
     shared.counters.increment("gateway.requests");
     let (parts, body) = req.into_parts();
@@ -141,6 +120,7 @@
         service,
         workspace,
         method: parts.method,
+        can_see_breaks: parts.version >= http::Version::HTTP_11,
         uri: parts.uri,
         headers: end_to_end::copy_headers(&parts.headers),
         body,
--- a/crates/lift_gateway/src/request_run.rs
+++ b/crates/lift_gateway/src/request_run.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     answer_body, attempt_error, caller_head, event_stream, exchange, failed_attempt, response,
-    shared,
+    shared, whole_stream,
 };
 
 type Response = http::Response<response::Body>;
@@ -17,6 +17,9 @@
     pub(crate) route: sync::Arc<lift_fleet::Route>,
     pub(crate) service: lift_types::ServiceId,
     pub(crate) workspace: Option<lift_types::WorkspaceId>,
+    /// Whether the caller can tell an answer that broke off from a complete one. HTTP/1.0 marks
+    /// the end of a body of unknown length by closing the connection.
+    pub(crate) can_see_breaks: bool,
     pub(crate) method: http::Method,
     pub(crate) uri: http::Uri,
     /// The caller's end-to-end headers.
@@ -76,10 +79,11 @@
     ) -> Result<Response, Box<failed_attempt::FailedAttempt>> {
         let status = exchange.parts.status;
         if self.route.kind.is_stream() && status.is_success() {
-            return Ok(event_stream::EventStream::respond(self, exchange));
+            return Ok(self.forward_stream(exchange).await);
         }
         let limit = self.deadline.saturating_duration_since(lift_clock::now());
-        let collecting = answer_body::collect(&mut exchange);
+        let held = self.shared.answer_bytes.answer();
+        let collecting = answer_body::collect(&mut exchange, held);
         let collected = tokio::time::timeout(limit, collecting).await;
         let collected = collected.unwrap_or(Err(lift_dispatch::AttemptFailure::Silent));
         let (failure, error_body) = match collected {
@@ -98,6 +102,18 @@
         }))
     }
 
+    /// Forwards a stream while it arrives, or at once when it is complete if the caller couldn't
+    /// see that it broke off.
+    async fn forward_stream(self, exchange: exchange::Exchange) -> Response {
+        let (shared, id) = (sync::Arc::clone(&self.shared), self.head.id.clone());
+        let can_see_breaks = self.can_see_breaks;
+        let response = event_stream::EventStream::respond(self, exchange);
+        match can_see_breaks {
+            true => response,
+            false => whole_stream::collect(&shared, response, id).await,
+        }
+    }
+
     /// Forwards an answer that was read to its end, and returns its connection to the pool.
     fn forward_complete(&self, exchange: exchange::Exchange, body: bytes::Bytes) -> Response {
         let status = exchange.parts.status;
@@ -119,6 +135,11 @@
         response
     }
 
+    /// Whether the request may run once more, at a backend server that it has not reached yet.
+    pub(crate) fn can_reach_another_server(&self) -> bool {
+        self.route.kind.is_repeatable() && self.servers_reached < self.route.max_attempts
+    }
+
     /// Decides whether to retry after an attempt that failed with `failure`, and counts the
     /// retry.
     pub(crate) fn decide_retry(
--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -5,7 +5,8 @@
 use sync::atomic;
 
 use crate::{
-    backend_loads, backend_pool, dialect, fleet_state, gateway_limits, request_log, service_latency,
+    backend_loads, backend_pool, byte_budget, dialect, fleet_state, gateway_limits, request_log,
+    service_latency,
 };
 
 /// Number of shards of the state of services.
@@ -20,6 +21,8 @@
     pub(crate) fleet: fleet_state::FleetState,
     pub(crate) loads: backend_loads::BackendLoads,
     pub(crate) pool: backend_pool::BackendPool,
+    /// Memory of the answers that are held until they are complete.
+    pub(crate) answer_bytes: sync::Arc<byte_budget::ByteBudget>,
     pub(crate) log: request_log::RequestLog,
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
     pub(crate) latencies: sync::Arc<lift_obs::Histograms>,
@@ -51,6 +54,7 @@
             fleet: fleet_state::FleetState::new(limits.weights_grace, regions),
             loads: backend_loads::BackendLoads::new(),
             pool: backend_pool::BackendPool::new(),
+            answer_bytes: byte_budget::ByteBudget::new(limits.max_answer_bytes),
             log: request_log::RequestLog::new(logger, sync::Arc::clone(&counters)),
             counters,
             latencies,
--- /dev/null
+++ b/crates/lift_gateway/tests/planned_stop.rs
@@ -0,0 +1,68 @@
+//! Requests that arrive while a gateway stops. Each one whose connection was accepted must be
+//! answered.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod support;
+
+use std::time;
+
+use support::{Backend, Fleet, Reply};
+
+/// Callers that connect again and again while the gateway stops.
+const CALLERS: usize = 24;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_on_accepted_connections_are_answered_during_a_stop() {
+    // Guards against a listener that is closed with connections in its backlog, and against a
+    // connection that is closed before its first request was read.
+    let backend = Backend::start(&[]).await;
+    let fleet = Fleet::start(98, &[&backend]).await;
+    let stopping = async {
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+        fleet.gateway.stop(time::Duration::from_secs(5)).await
+    };
+    let calls = (0..CALLERS).map(|caller| {
+        let fleet = &fleet;
+        async move {
+            let mut answered = 0;
+            loop {
+                let id = format!("c{caller}-{answered}");
+                match fleet.try_call("non_idempotent", &id).await {
+                    Ok((status, _)) => assert!(matches!(status, 200 | 503), "{id}: {status}"),
+                    // The listener is closed: the connection was never accepted.
+                    Err(error) if error.contains("refused") => return answered,
+                    Err(error) => panic!("{id}: {error}"),
+                }
+                answered += 1;
+            }
+        }
+    });
+    let (all_finished, answered) = tokio::join!(stopping, futures_util::future::join_all(calls));
+    assert!(all_finished);
+    assert!(answered.iter().all(|count| *count > 0), "{answered:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_in_the_backlog_is_answered_during_a_stop() {
+    // Guards against a reset of connections that the system has accepted but the gateway has not,
+    // here because it has as many as it may have.
+    let backend = Backend::start(&[Reply::ok("slow").delayed(1_500)]).await;
+    let limits = lift_gateway::GatewayLimits {
+        max_connections: 1,
+        ..support::limits()
+    };
+    let fleet = Fleet::start_with(99, &[&backend], limits).await;
+    let first = fleet.try_call("non_idempotent", "r1");
+    let second = async {
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+        fleet.try_call("non_idempotent", "r2").await
+    };
+    let stopping = async {
+        tokio::time::sleep(time::Duration::from_millis(200)).await;
+        fleet.gateway.stop(time::Duration::from_secs(5)).await
+    };
+    let (first, second, all_finished) = tokio::join!(first, second, stopping);
+    assert_eq!(first, Ok((200, String::from("slow"))));
+    assert!(matches!(second, Ok((200 | 503, _))), "{second:?}");
+    assert!(all_finished);
+}
--- a/crates/lift_gateway/tests/support/backend.rs
+++ b/crates/lift_gateway/tests/support/backend.rs
@@ -13,6 +13,31 @@
     Hang,
     /// Sends an answer.
     Answer(Answer),
+    /// Sends the steps as they are. `{id}` stands for the identifier of the request.
+    Script(Vec<Step>),
+}
+
+/// A step of a scripted reply. After the last one the connection serves its next request.
+#[derive(Clone, Debug)]
+pub(crate) enum Step {
+    /// Sends a text.
+    Send(String),
+    /// Waits for some milliseconds.
+    Pause(u64),
+    /// Sends a text again and again, with a pause in milliseconds, until the connection breaks.
+    Repeat(String, u64),
+    /// Closes the connection.
+    Close,
+}
+
+impl Step {
+    pub(crate) fn send(text: &str) -> Self {
+        Self::Send(String::from(text))
+    }
+
+    pub(crate) fn repeat(text: &str, pause_ms: u64) -> Self {
+        Self::Repeat(String::from(text), pause_ms)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -165,6 +190,10 @@
                 return;
             }
             Reply::Answer(answer) => answer,
+            Reply::Script(steps) => match play(&mut stream, &steps, &id).await {
+                Some(()) => continue,
+                None => return,
+            },
         };
         tokio::time::sleep(answer.delay).await;
         let is_truncated = answer.is_truncated;
@@ -179,6 +208,29 @@
     }
 }
 
+/// Plays a script. `None` if the connection is closed or broken.
+async fn play(stream: &mut tokio::net::TcpStream, steps: &[Step], id: &str) -> Option<()> {
+    for step in steps {
+        match step {
+            Step::Send(text) => send(stream, text, id).await?,
+            Step::Pause(ms) => tokio::time::sleep(time::Duration::from_millis(*ms)).await,
+            Step::Repeat(text, pause_ms) => loop {
+                send(stream, text, id).await?;
+                if *pause_ms > 0 {
+                    tokio::time::sleep(time::Duration::from_millis(*pause_ms)).await;
+                }
+            },
+            Step::Close => return None,
+        }
+    }
+    Some(())
+}
+
+async fn send(stream: &mut tokio::net::TcpStream, text: &str, id: &str) -> Option<()> {
+    let text = text.replace("{id}", id);
+    stream.write_all(text.as_bytes()).await.ok()
+}
+
 async fn read_head(stream: &mut tokio::net::TcpStream, buf: &mut Vec<u8>) -> Option<String> {
     loop {
         if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -95,6 +95,18 @@
     }
 }
 
+/// Limits of the gateways in these tests.
+pub(crate) fn limits() -> lift_gateway::GatewayLimits {
+    lift_gateway::GatewayLimits {
+        confirmation: lift_dispatch::ConfirmationLimits {
+            serving: time::Duration::from_millis(1_500),
+            denial: time::Duration::from_millis(700),
+        },
+        shutdown_delay: time::Duration::from_millis(500),
+        ..lift_gateway::GatewayLimits::default()
+    }
+}
+
 /// A gateway and its control member, on loopback addresses of one subnet.
 pub(crate) struct Fleet {
     pub(crate) gateway: lift_gateway::Gateway,
@@ -107,6 +119,14 @@
 
 impl Fleet {
     pub(crate) async fn start(subnet: u8, backends: &[&backend::Backend]) -> Self {
+        Self::start_with(subnet, backends, limits()).await
+    }
+
+    pub(crate) async fn start_with(
+        subnet: u8,
+        backends: &[&backend::Backend],
+        limits: lift_gateway::GatewayLimits,
+    ) -> Self {
         let ports = lift_feed::FeedPorts::new(17_600..=17_603).unwrap();
         let member = net::IpAddr::from([127, 0, subnet, 1]);
         let host = net::Ipv4Addr::new(127, 0, subnet, 2);
@@ -124,14 +144,6 @@
         tokio::spawn(sync::Arc::clone(&feed).run(listener, stop));
         let callers = net::SocketAddr::from((host, 17_604));
         let readiness = net::SocketAddr::from((host, 17_605));
-        let limits = lift_gateway::GatewayLimits {
-            confirmation: lift_dispatch::ConfirmationLimits {
-                serving: time::Duration::from_millis(1_500),
-                denial: time::Duration::from_millis(700),
-            },
-            shutdown_delay: time::Duration::from_millis(500),
-            ..lift_gateway::GatewayLimits::default()
-        };
         let card = lift_feed::NodeCard {
             kind: lift_feed::NodeKind::Gateway,
             location: lift_types::Location {
@@ -263,6 +275,11 @@
         tokio::join!(calling, adding).0
     }
 
+    /// Address for callers.
+    pub(crate) fn callers(&self) -> net::SocketAddr {
+        self.callers
+    }
+
     /// Status of the readiness check, 0 if there is no response.
     pub(crate) async fn ready(&self) -> u16 {
         let got = get(self.readiness, http::Request::new(String::new())).await;
--- a/crates/lift_gateway/tests/support/mod.rs
+++ b/crates/lift_gateway/tests/support/mod.rs
@@ -1,8 +1,13 @@
 //! Backend servers and a control member for the tests of a gateway.
 
+// Each test file uses a part of the support.
+#![allow(dead_code, unused_imports)]
+
 mod backend;
 mod dialect;
 mod fleet;
+mod old_caller;
 
-pub(crate) use backend::{Backend, Reply};
-pub(crate) use fleet::Fleet;
+pub(crate) use backend::{Backend, Reply, Step};
+pub(crate) use fleet::{Fleet, limits};
+pub(crate) use old_caller::call_as_old_caller;
