Ask control members that can't confirm rarely

Cause: every node asked every member whether its state is current, 2.5 times a second each. Only the leader can confirm.

Change: AskSchedule decides for each connection. The member that confirms is asked each 400 ms, the others each 1.6 s, and all of them each 400 ms once the last answer of a leader is 900 ms old. Silence is measured from the oldest question without an answer.

--- a/crates/lift_feed/src/feed_link.rs
+++ b/crates/lift_feed/src/feed_link.rs
@@ -5,14 +5,11 @@
 use error_stack::ResultExt as _;
 
 use crate::{
-    feed_error, feed_shared, fleet_head, link_socket, member_message, node_message, pack,
-    server_connection,
+    ask_schedule, feed_error, feed_shared, fleet_head, link_socket, member_message, node_message,
+    pack, server_connection,
 };
 
-/// Time between two questions whether the state is current.
-const ASK_INTERVAL: time::Duration = time::Duration::from_millis(400);
-
-/// Silence after which a connection is replaced: two lost answers and some slack for a slow
+/// Time without an answer after which a connection is replaced. It leaves some slack for a slow
 /// member.
 const SILENCE: time::Duration = time::Duration::from_millis(1_300);
 
@@ -42,6 +39,7 @@
             address,
             asked: Vec::new(),
             nonce: 0,
+            schedule: ask_schedule::AskSchedule::default(),
         };
         match link.connect().await {
             Ok((reader, writer)) => {
@@ -67,6 +65,7 @@
     /// Questions on their way, with the time at which they were asked.
     asked: Vec<(u64, time::Instant)>,
     nonce: u64,
+    schedule: ask_schedule::AskSchedule,
 }
 
 impl Link {
@@ -89,7 +88,7 @@
     }
 
     async fn exchange(&mut self, mut reader: Reader, mut writer: Writer) -> Result<()> {
-        let mut ask = tokio::time::interval(ASK_INTERVAL);
+        let mut ask = tokio::time::interval(ask_schedule::ASK_INTERVAL);
         let mut heard = lift_clock::now();
         loop {
             tokio::select! {
@@ -102,9 +101,14 @@
                 }
                 _ = ask.tick() => {
                     let now = lift_clock::now();
-                    if now.saturating_duration_since(heard) > SILENCE {
+                    if self.is_silent(now, heard) {
                         return Err(error_stack::Report::new(feed_error::FeedError::Silent));
                     }
+                    self.measure_unanswered(now);
+                    let leader_asked_at = self.shared.state.lock().leader_asked_at();
+                    if !self.schedule.is_due(now, leader_asked_at) {
+                        continue;
+                    }
                     push(&mut writer, &self.question(now))?;
                 }
             }
@@ -112,12 +116,23 @@
         }
     }
 
-    fn question(&mut self, now: time::Instant) -> node_message::NodeMessage {
-        // On a jammed link no answer arrives that could be measured.
+    /// Whether nothing has been heard for too long since the oldest question without an answer.
+    fn is_silent(&self, now: time::Instant, heard: time::Instant) -> bool {
+        let oldest = self.asked.first().map(|(_, at)| heard.max(*at));
+        oldest.is_some_and(|since| now.saturating_duration_since(since) > SILENCE)
+    }
+
+    /// Reports how long the oldest question has waited. On a congested link no answer arrives
+    /// that could be measured.
+    fn measure_unanswered(&self, now: time::Instant) {
         if let Some((_, at)) = self.asked.first() {
             let waited = now.saturating_duration_since(*at);
             self.shared.observer.on_round_trip(waited);
         }
+    }
+
+    fn question(&mut self, now: time::Instant) -> node_message::NodeMessage {
+        self.schedule.record_question(now);
         self.nonce += 1;
         self.asked.push((self.nonce, now));
         node_message::NodeMessage::Ask { nonce: self.nonce }
@@ -153,6 +168,7 @@
                 self.change_nodes(|state, link| state.node_down(link, host));
             }
             Message::Heard { nonce } => {
+                self.schedule.record_answer(false);
                 self.asked_at(nonce);
             }
             Message::Confirmed { nonce, document } => {
@@ -214,10 +230,12 @@
     }
 
     fn take_confirmation(&mut self, nonce: u64, version: lift_fleet::DocumentVersion) -> Next {
+        self.schedule.record_answer(true);
         let Some(asked_at) = self.asked_at(nonce) else {
             return Next::Read;
         };
         let mut state = self.shared.state.lock();
+        state.record_leader(asked_at);
         if state.confirm(asked_at, version) {
             self.shared.observer.on_confirmed(asked_at);
             return Next::Read;
--- a/crates/lift_feed/src/feed_state.rs
+++ b/crates/lift_feed/src/feed_state.rs
@@ -17,6 +17,8 @@
     /// A document that could not be decoded here. It is not fetched again.
     unreadable: lift_fleet::DocumentVersion,
     confirmed_at: Option<time::Instant>,
+    /// When the last question was asked that the leader has answered, whatever is held here.
+    leader_asked_at: Option<time::Instant>,
     weights: indexmap::IndexMap<lift_fleet::ModelName, Named>,
     nodes: indexmap::IndexMap<net::SocketAddr, Nodes>,
 }
@@ -105,6 +107,16 @@
         is_held && is_later
     }
 
+    /// Records that the leader has answered a question that was asked at `asked_at`.
+    pub(crate) fn record_leader(&mut self, asked_at: time::Instant) {
+        self.leader_asked_at = self.leader_asked_at.max(Some(asked_at));
+    }
+
+    /// When the last question was asked that the leader has answered.
+    pub(crate) fn leader_asked_at(&self) -> Option<time::Instant> {
+        self.leader_asked_at
+    }
+
     /// Replaces the nodes that the member at `link` knows.
     pub(crate) fn set_nodes(&mut self, link: net::SocketAddr, nodes: Vec<node_card::NodeCard>) {
         let nodes = nodes.into_iter().map(|card| (card.location.host, card));
--- a/crates/lift_feed/src/lib.rs
+++ b/crates/lift_feed/src/lib.rs
@@ -4,7 +4,8 @@
 //! keeps a connection to each control member that it knows of: it starts from a few seeds and
 //! learns the others. The client passes the routing table, backend servers, target versions and
 //! other nodes to a [`FleetObserver`]. It also passes the last time at which the configuration
-//! was confirmed to be in force. Only the leader confirms that, under its lease.
+//! was confirmed to be in force. Only the leader confirms that, under its lease; an
+//! [`AskSchedule`] for each connection keeps the questions to the others few.
 //!
 //! A [`NodeSetup`] holds the settings that the roles of all nodes share.
 //!
@@ -12,6 +13,7 @@
 //! over all connections and merged, so that the loss of any one connection delays nothing.
 //! See `docs/platform.md`.
 
+mod ask_schedule;
 mod feed_client;
 mod feed_error;
 mod feed_link;
@@ -41,6 +43,7 @@
 mod subscriber;
 mod subscribers;
 
+pub use ask_schedule::AskSchedule;
 pub use feed_client::FeedClient;
 pub use feed_error::FeedError;
 pub use feed_ports::FeedPorts;
