Divide the free places of a load report between gateways

Cause: all gateways get the same report, and each of them used the free places that it shows. While load is high a server was overrun at each report: requests waited in the queues of the engines, their first events came late, and slow answers kept the places taken.

Change: a report carries a random number, and GatewayShares derives from it which gateways may use its free places: 0.8 of them those of the server's region, the rest the others. The places of all gateways add up to the free ones. What is left unused is in the next report.

--- a/crates/lift_dispatch/src/backend_load.rs
+++ b/crates/lift_dispatch/src/backend_load.rs
@@ -119,6 +119,20 @@
             .max(self.own_requests)
     }
 
+    /// Requests that this gateway may still send on the last sample. `share` tells how many free
+    /// places it may use, from the server's `places`. `None` without a fresh sample.
+    pub fn own_places(
+        &self,
+        now: time::Instant,
+        places: f64,
+        share: &dyn Fn(f64, f64) -> u32,
+    ) -> Option<u32> {
+        let sample = self.fresh_sample(now)?;
+        let free = (places - f64::from(sample.requests)).max(0.0);
+        let own = share(free, sample.lot);
+        Some(own.saturating_sub(self.added_since_sample(1)))
+    }
+
     /// Estimates the requests whose prompts the engine reads before the prompt of a request
     /// that is sent at `now`.
     pub fn prompts_ahead(&self, now: time::Instant) -> u32 {
--- a/crates/lift_dispatch/src/backend_selector.rs
+++ b/crates/lift_dispatch/src/backend_selector.rs
@@ -2,7 +2,9 @@
 
 use std::{sync, time};
 
-use crate::{backend, backend_load, backend_score, selection_error, weights_requirement};
+use crate::{
+    backend, backend_load, backend_score, gateway_shares, selection_error, weights_requirement,
+};
 
 /// Cost of a backend server in another region, as a share of its slots: it is selected only if
 /// it is less loaded by at least this much. Links between regions are narrow and cost money,
@@ -62,7 +64,7 @@
     /// Region of the gateway.
     pub region: &'a str,
     /// Gateways that share the backend servers, this one included.
-    pub gateways: u32,
+    pub gateways: &'a gateway_shares::GatewayShares,
     /// Weights that the request needs.
     pub weights: &'a weights_requirement::WeightsRequirement,
     /// Requests that a backend server may have in addition to those in its slots, as a share
@@ -156,8 +158,8 @@
         if !self.can_serve(backend, load, is_congested) {
             return Err(selection_error::SelectionError::NoWeights);
         }
-        let requests = load.estimate_requests(self.now, self.gateways);
-        if !self.has_capacity(backend, requests) || !self.can_prefill_in_time(load) {
+        let requests = load.estimate_requests(self.now, self.gateways.total());
+        if !self.has_capacity(backend, load, requests) || !self.can_prefill_in_time(load) {
             return Err(selection_error::SelectionError::Full);
         }
         let is_avoided = load.health.is_avoided(self.now) || self.is_stalled(load);
@@ -182,10 +184,25 @@
         }
     }
 
-    /// Whether one more request fits into the slots and the allowed queue.
-    fn has_capacity(&self, backend: &backend::Backend, requests: u32) -> bool {
-        let slots = f64::from(backend.slots) * (1.0 + self.queue_share);
-        f64::from(requests) + 1.0 <= slots.max(1.0)
+    /// Whether one more request fits into the slots and the allowed queue, as far as this gateway
+    /// may use them.
+    fn has_capacity(
+        &self,
+        backend: &backend::Backend,
+        load: &backend_load::BackendLoad,
+        requests: u32,
+    ) -> bool {
+        let places = (f64::from(backend.slots) * (1.0 + self.queue_share))
+            .floor()
+            .max(1.0);
+        let share = |free: f64, lot: f64| {
+            let region = backend.region.as_deref();
+            self.gateways.places(region, free, lot)
+        };
+        match load.own_places(self.now, places, &share) {
+            Some(own_places) => own_places > 0,
+            None => f64::from(requests) + 1.0 <= places,
+        }
     }
 
     /// Whether the engine will have read the prompt early enough to meet the target latency, or
--- /dev/null
+++ b/crates/lift_dispatch/src/gateway_shares.rs
@@ -0,0 +1,89 @@
+//! Division of free places between gateways.
+
+/// Share of a backend server's free places for the gateways of its own region, if there are
+/// gateways elsewhere. The rest lets a region whose servers are full or lost use those of others.
+const OWN_REGION_SHARE: f64 = 0.8;
+
+/// The part of each server's free places that one gateway may use.
+///
+/// All gateways get the same load report. If each of them used a free place that it shows, the
+/// server would be overrun at each report while load is high. The gateways of a region therefore
+/// take turns: each report carries a random number, and from it and their positions all of them
+/// know whose turn it is. A place that is left unused is in the next report, for the next ones.
+/// See `docs/platform.md`.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GatewayShares {
+    own_region: lift_types::RegionId,
+    regions: indexmap::IndexMap<lift_types::RegionId, RegionGateways>,
+}
+
+/// Gateways of one region.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct RegionGateways {
+    count: u32,
+    /// Number of them that come before this gateway in the order of hosts.
+    before: u32,
+}
+
+impl GatewayShares {
+    /// Divides between the `gateways`, of which `own` is this one. It is added if it is missing.
+    pub fn new(own: &lift_types::Location, gateways: &[lift_types::Location]) -> Self {
+        let mut regions = indexmap::IndexMap::<_, RegionGateways>::new();
+        let others = gateways.iter().filter(|other| other.host != own.host);
+        for other in others.chain(std::iter::once(own)) {
+            let region = regions.entry(other.region.clone()).or_default();
+            region.count += 1;
+            region.before += u32::from(other.host < own.host);
+        }
+        Self {
+            own_region: own.region.clone(),
+            regions,
+        }
+    }
+
+    /// Number of all gateways, at least 1.
+    pub fn total(&self) -> u32 {
+        self.all().count.max(1)
+    }
+
+    /// Requests that this gateway may send to a server with `free` places in `server_region` on
+    /// one load report. `lot` is the random number of the report, from 0 up to 1. All gateways
+    /// share a server in an unknown region alike.
+    pub fn places(&self, server_region: Option<&str>, free: f64, lot: f64) -> u32 {
+        let all = self.all();
+        let near = server_region.and_then(|region| self.regions.get(region));
+        let near = near.copied().unwrap_or_default();
+        let far = RegionGateways {
+            count: all.count.saturating_sub(near.count),
+            before: all.before.saturating_sub(near.before),
+        };
+        let near_share = match (near.count, far.count) {
+            (0, _) => 0.0,
+            (_, 0) => 1.0,
+            _ => OWN_REGION_SHARE,
+        };
+        let is_near = server_region == Some(self.own_region.as_str());
+        let (group, start, share) = match is_near {
+            true => (near, 0.0, near_share),
+            false => (far, near_share, 1.0 - near_share),
+        };
+        let width = share / f64::from(group.count.max(1));
+        let start = start + width * f64::from(group.before);
+        turns(free, lot, start + width) - turns(free, lot, start)
+    }
+
+    fn all(&self) -> RegionGateways {
+        let add = |sum: RegionGateways, region: &RegionGateways| RegionGateways {
+            count: sum.count + region.count,
+            before: sum.before + region.before,
+        };
+        self.regions.values().fold(RegionGateways::default(), add)
+    }
+}
+
+/// Number of places before `end`, if `free` places lie evenly between 0 and 1, the first of them
+/// `lot` of their distance after 0. Each gateway has a section of its own, so that the places of
+/// all gateways add up to the free ones.
+fn turns(free: f64, lot: f64, end: f64) -> u32 {
+    (free * end - lot).ceil().max(0.0) as u32
+}
--- a/crates/lift_dispatch/src/lib.rs
+++ b/crates/lift_dispatch/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Gateways, which call backend servers directly, use these decisions. [`ServiceBackends`] holds
 //! the backend servers of each service. [`BackendLoad`] estimates the requests at one of them
-//! from its delayed load reports and from what this gateway has sent since. [`BackendSelector`]
+//! from its delayed load reports and from what this gateway has sent since. [`GatewayShares`]
+//! divides the free places of a report between the gateways that all get it. [`BackendSelector`]
 //! selects the one with the lowest cost that can accept the request. [`RetryContext`] decides
 //! whether to retry after an attempt has failed ([`AttemptFailure`]). [`TargetVersions`]
 //! determines on which versions of the weights a request may start. [`ConfirmationLimits`] tells
@@ -20,6 +21,7 @@
 mod backend_score;
 mod backend_selector;
 mod confirmation_limits;
+mod gateway_shares;
 mod load_sample;
 mod prefill_queue;
 mod rejection_reason;
@@ -37,6 +39,7 @@
 pub use backend_score::BackendScore;
 pub use backend_selector::{BackendSelector, ScoreFn};
 pub use confirmation_limits::ConfirmationLimits;
+pub use gateway_shares::GatewayShares;
 pub use load_sample::LoadSample;
 pub use prefill_queue::PrefillQueue;
 pub use rejection_reason::RejectionReason;
--- a/crates/lift_dispatch/src/load_sample.rs
+++ b/crates/lift_dispatch/src/load_sample.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 /// Load of a backend server as reported by the agent on its host.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct LoadSample {
     /// Requests that run or wait.
     pub requests: u32,
@@ -16,6 +16,9 @@
     pub link_percent: u32,
     /// Whether it is loading weights and starts no request.
     pub is_loading: bool,
+    /// Random number of the report, from 0 up to 1. It decides which gateways may use the free
+    /// slots if there are fewer than gateways.
+    pub lot: f64,
     /// When the gateway received the report.
     pub received_at: time::Instant,
 }
--- a/crates/lift_dispatch/tests/backend_selector.rs
+++ b/crates/lift_dispatch/tests/backend_selector.rs
@@ -6,7 +6,8 @@
 use std::{net, sync, time};
 
 use lift_dispatch::{
-    Backend, BackendLoad, BackendSelector, LoadSample, ScoreFn, SelectionError, WeightsRequirement,
+    Backend, BackendLoad, BackendSelector, GatewayShares, LoadSample, ScoreFn, SelectionError,
+    WeightsRequirement,
 };
 
 const MS: time::Duration = time::Duration::from_millis(1);
@@ -22,6 +23,14 @@
     })
 }
 
+fn gateway(host: u32) -> lift_types::Location {
+    lift_types::Location {
+        region: String::from("here"),
+        failure_domain: String::from("here-1"),
+        host,
+    }
+}
+
 fn model(version: u64) -> lift_fleet::LoadedModel {
     lift_fleet::LoadedModel {
         name: String::from("m"),
@@ -36,6 +45,7 @@
         models: vec![model(1)],
         link_percent: 100,
         is_loading: false,
+        lot: 0.25,
         received_at,
     }
 }
@@ -67,7 +77,7 @@
         let selector = BackendSelector {
             now: self.now,
             region: "here",
-            gateways: 2,
+            gateways: &GatewayShares::new(&gateway(1), &[gateway(1), gateway(2)]),
             weights: &self.weights,
             queue_share: 0.0,
             prefill_time: 40 * MS,
@@ -242,6 +252,20 @@
     assert_eq!(case.select().as_deref(), Ok("s0"), "the report counts them");
 }
 
+#[test]
+fn a_single_free_slot_is_for_one_of_the_gateways() {
+    // Guards against gateways that all use the free slot of one report.
+    let mut case = Case::new(&["here"]);
+    let draws = 100;
+    let selecting = (0..draws).filter(|draw| {
+        let mut report = sample(case.now, 3);
+        report.lot = f64::from(*draw) / f64::from(draws);
+        case.loads[0].record_sample(report);
+        case.select().is_ok()
+    });
+    assert_eq!(selecting.count(), 50, "half of the draws, for two gateways");
+}
+
 #[test]
 fn requests_missing_in_a_report_mark_the_link_as_congested() {
     // Guards against requests that queue on a narrow link while the agent's reports still
--- a/crates/lift_feed/src/load_report.rs
+++ b/crates/lift_feed/src/load_report.rs
@@ -3,7 +3,7 @@
 use std::net;
 
 /// What an agent tells gateways about the backend server beside it, in one datagram.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct LoadReport {
     /// Where the backend server takes requests.
     pub backend: net::SocketAddr,
@@ -19,4 +19,6 @@
     pub link_percent: u32,
     /// Whether it is loading weights and starts no request.
     pub is_loading: bool,
+    /// Random number from 0 up to 1, by which gateways take turns in using free slots.
+    pub lot: f64,
 }
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -11,7 +11,7 @@
     directory: parking_lot::Mutex<lift_fleet::Directory>,
     backends: parking_lot::RwLock<sync::Arc<lift_dispatch::ServiceBackends>>,
     target_versions: parking_lot::Mutex<lift_dispatch::TargetVersions>,
-    gateway_count: sync::atomic::AtomicU32,
+    gateways: parking_lot::RwLock<sync::Arc<lift_dispatch::GatewayShares>>,
     regions: indexmap::IndexMap<lift_types::FailureDomainId, lift_types::RegionId>,
 }
 
@@ -29,7 +29,7 @@
             target_versions: parking_lot::Mutex::new(lift_dispatch::TargetVersions::new(
                 weights_grace,
             )),
-            gateway_count: sync::atomic::AtomicU32::new(1),
+            gateways: parking_lot::RwLock::default(),
             regions,
         }
     }
@@ -75,9 +75,9 @@
         )
     }
 
-    /// Number of gateways that share the backend servers, this one included. At least 1.
-    pub(crate) fn gateway_count(&self) -> u32 {
-        self.gateway_count.load(sync::atomic::Ordering::Relaxed)
+    /// Gateways that share the backend servers, this one included.
+    pub(crate) fn gateways(&self) -> sync::Arc<lift_dispatch::GatewayShares> {
+        sync::Arc::clone(&self.gateways.read())
     }
 
     pub(crate) fn set_table(&self, table: sync::Arc<lift_fleet::RoutingTable>) {
@@ -88,10 +88,8 @@
         *self.confirmed_at.write() = Some(at);
     }
 
-    pub(crate) fn set_gateway_count(&self, count: u32) {
-        let count = count.max(1);
-        self.gateway_count
-            .store(count, sync::atomic::Ordering::Relaxed);
+    pub(crate) fn set_gateways(&self, gateways: lift_dispatch::GatewayShares) {
+        *self.gateways.write() = sync::Arc::new(gateways);
     }
 
     pub(crate) fn set_target_version(
--- a/crates/lift_gateway/src/gateway_observer.rs
+++ b/crates/lift_gateway/src/gateway_observer.rs
@@ -51,7 +51,10 @@
     fn on_nodes(&self, nodes: Vec<lift_feed::NodeCard>) {
         let gateways = nodes
             .iter()
-            .filter(|card| card.kind == lift_feed::NodeKind::Gateway);
-        self.shared.fleet.set_gateway_count(gateways.count() as u32);
+            .filter(|card| card.kind == lift_feed::NodeKind::Gateway)
+            .map(|card| card.location.clone());
+        let gateways: Vec<lift_types::Location> = gateways.collect();
+        let shares = lift_dispatch::GatewayShares::new(&self.shared.location, &gateways);
+        self.shared.fleet.set_gateways(shares);
     }
 }
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -147,10 +147,11 @@
         }
         let target = self.route.target_latency;
         let prefill_time = shared.fleet.prefill_time(&self.service);
+        let gateways = shared.fleet.gateways();
         let selector = lift_dispatch::BackendSelector {
             now,
             region: &shared.location.region,
-            gateways: shared.fleet.gateway_count(),
+            gateways: &gateways,
             weights: &self.weights_requirement,
             queue_share: shared
                 .with_service_latency(&self.service, |latency| latency.queue_share(target)),
--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -119,7 +119,7 @@
         service: &str,
         update: impl FnOnce(&mut lift_route::RetryBudget) -> R,
     ) -> R {
-        let gateways = f64::from(self.fleet.gateway_count());
+        let gateways = f64::from(self.fleet.gateways().total());
         self.retry_budgets.with(service, |budgets| {
             let budget = match budgets.get_mut(service) {
                 Some(budget) => budget,
--- a/crates/lift_stage/src/load_reporter.rs
+++ b/crates/lift_stage/src/load_reporter.rs
@@ -2,6 +2,8 @@
 
 use std::{net, sync, time};
 
+use rand::RngExt as _;
+
 use crate::{engine_report, shared};
 
 /// Time between two reports. A place is taken or becomes free about as often at the peak.
@@ -56,6 +58,7 @@
         models: report.models.clone(),
         link_percent: shared.pressure.lock().allowed_percent(lift_clock::now()),
         is_loading: report.is_busy,
+        lot: rand::rng().random(),
     };
     let Ok(datagram) = lift_wire::seal(&shared.keys, &report) else {
         shared.counters.increment("agent.report_unsealed");
