--- a/crates/lift_dispatch/tests/played_load/fleet.rs
+++ b/crates/lift_dispatch/tests/played_load/fleet.rs
@@ -169,7 +169,7 @@
     fn report(&mut self, now_ms: u64) {
         let received_at = self.at(now_ms + TRANSIT_MS);
         for i in 0..self.engines.len() {
-            if (now_ms + i as u64 * 7) % REPORT_INTERVAL_MS != 0 {
+            if !(now_ms + i as u64 * 7).is_multiple_of(REPORT_INTERVAL_MS) {
                 continue;
             }
             let lot = (self.draw() % 1_000_000) as f64 / 1_000_000.0;
--- a/crates/lift_feed/src/feed_link.rs
+++ b/crates/lift_feed/src/feed_link.rs
@@ -5,8 +5,8 @@
 use error_stack::ResultExt as _;
 
 use crate::{
-    ask_schedule, feed_error, feed_shared, fleet_head, link_socket, member_message, node_message,
-    pack, server_connection,
+    ask_schedule, feed_error, feed_shared, feed_state, fleet_head, link_socket, member_message,
+    node_message, pack, server_connection,
 };
 
 /// Time without an answer after which a connection is replaced. It leaves some slack for a slow
@@ -246,13 +246,13 @@
 
     fn change_nodes(
         &self,
-        change: impl FnOnce(&mut crate::feed_state::FeedState, net::SocketAddr),
+        change: impl FnOnce(&mut feed_state::FeedState, net::SocketAddr) -> bool,
     ) {
         let mut state = self.shared.state.lock();
-        change(&mut state, self.address);
-        let nodes = state.nodes();
-        // Under the lock, so that the observer sees the changes in their order.
-        self.shared.observer.on_nodes(nodes);
+        if change(&mut state, self.address) {
+            // Under the lock, so that the observer sees the changes in their order.
+            self.shared.observer.on_nodes(state.nodes());
+        }
     }
 }
 
--- a/crates/lift_feed/src/feed_state.rs
+++ b/crates/lift_feed/src/feed_state.rs
@@ -21,6 +21,9 @@
     leader_asked_at: Option<time::Instant>,
     weights: indexmap::IndexMap<lift_fleet::ModelName, Named>,
     nodes: indexmap::IndexMap<net::SocketAddr, Nodes>,
+    /// Nodes that any member knows. Each change of a node comes over all connections, and only
+    /// the first one changes this.
+    merged: Nodes,
 }
 
 /// A version and when it was named, where that is known.
@@ -117,23 +120,43 @@
         self.leader_asked_at
     }
 
-    /// Replaces the nodes that the member at `link` knows.
-    pub(crate) fn set_nodes(&mut self, link: net::SocketAddr, nodes: Vec<node_card::NodeCard>) {
+    /// Replaces the nodes that the member at `link` knows. Returns whether the nodes that any
+    /// member knows have changed.
+    pub(crate) fn set_nodes(
+        &mut self,
+        link: net::SocketAddr,
+        nodes: Vec<node_card::NodeCard>,
+    ) -> bool {
         let nodes = nodes.into_iter().map(|card| (card.location.host, card));
         self.nodes.insert(link, nodes.collect());
+        let mut merged = Nodes::new();
+        for nodes in self.nodes.values() {
+            merged.extend(nodes.iter().map(|(host, card)| (*host, card.clone())));
+        }
+        let has_changed = merged != self.merged;
+        self.merged = merged;
+        has_changed
     }
 
-    /// Adds a node that the member at `link` knows.
-    pub(crate) fn node_up(&mut self, link: net::SocketAddr, card: node_card::NodeCard) {
-        let nodes = self.nodes.entry(link).or_default();
-        nodes.insert(card.location.host, card);
+    /// Adds a node that the member at `link` knows. Returns whether it is news.
+    pub(crate) fn node_up(&mut self, link: net::SocketAddr, card: node_card::NodeCard) -> bool {
+        let host = card.location.host;
+        let is_news = self.merged.get(&host) != Some(&card);
+        if is_news {
+            self.merged.insert(host, card.clone());
+        }
+        self.nodes.entry(link).or_default().insert(host, card);
+        is_news
     }
 
-    /// Removes a node that has left the member at `link`.
-    pub(crate) fn node_down(&mut self, link: net::SocketAddr, host: lift_types::HostId) {
+    /// Removes a node that has left the member at `link`. Returns whether no other member knows
+    /// it.
+    pub(crate) fn node_down(&mut self, link: net::SocketAddr, host: lift_types::HostId) -> bool {
         if let Some(nodes) = self.nodes.get_mut(&link) {
             nodes.swap_remove(&host);
         }
+        let is_known = self.nodes.values().any(|nodes| nodes.contains_key(&host));
+        !is_known && self.merged.swap_remove(&host).is_some()
     }
 
     /// Forgets what the member at `link` knows, unless no other member is connected: nodes
@@ -146,10 +169,6 @@
 
     /// All nodes that any member knows.
     pub(crate) fn nodes(&self) -> Vec<node_card::NodeCard> {
-        let mut all = Nodes::new();
-        for nodes in self.nodes.values() {
-            all.extend(nodes.iter().map(|(host, card)| (*host, card.clone())));
-        }
-        all.into_values().collect()
+        self.merged.values().cloned().collect()
     }
 }
