Take no refusal for proof after an answer has begun

Cause: AnswerCheck::check_part passed a Refused message that follows the head of an answer on as a refusal, which proves that the attempt did not run.

Change: such a message makes the answer damaged.

Beside it, an_incomplete_answer_is_never_forwarded passed also where a truncated answer is forwarded; it now asks for 502 from two servers that both truncate, for the next request to be answered, and for a single run of a non-idempotent one.

--- a/crates/lift_entry/src/answer_check.rs
+++ b/crates/lift_entry/src/answer_check.rs
@@ -76,6 +76,8 @@
                 }
                 Err(lift_route::AttemptFailure::Damaged)
             }
+            // The answer has begun, so the request has run, whatever the agent says now.
+            lift_wire::AnswerMessage::Refused { .. } => Err(lift_route::AttemptFailure::Damaged),
             other => Err(failure_of(&other)),
         }
     }
--- a/crates/lift_entry/tests/faulty_agent.rs
+++ b/crates/lift_entry/tests/faulty_agent.rs
@@ -164,3 +164,21 @@
     .await;
     assert_eq!(reply.outcome().0, "in_doubt", "{reply:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_after_the_start_of_an_answer_does_not_prove_not_run() {
+    // Guards against a second run of a request whose answer had begun.
+    let fleet = fleet::Fleet::start(1).await;
+    start(&fleet, |id, attempt| {
+        let refused = AnswerMessage::Refused {
+            id,
+            reason: lift_types::RefusalReason::Switching,
+            attempt,
+        };
+        vec![head(id), data(id, 0, "four "), refused]
+    })
+    .await;
+    let headers = [("idempotency-key", "k"), ("x-lift-deadline-ms", "700")];
+    let reply = fleet.call(0, "/v1/ledger/release", &headers).await;
+    assert_eq!(reply.outcome().0, "in_doubt", "{reply:?}");
+}
--- a/crates/lift_gateway/tests/gateway.rs
+++ b/crates/lift_gateway/tests/gateway.rs
@@ -71,13 +71,19 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_incomplete_answer_is_never_forwarded() {
-    let backend = Backend::start(&[Reply::ok("whole").truncated(), Reply::ok("whole")]).await;
-    let other = Backend::start(&[Reply::ok("whole").truncated(), Reply::ok("whole")]).await;
+    // Each server gets the request at most once, so both answers are incomplete.
+    let backend = Backend::start(&[Reply::ok("whole").truncated()]).await;
+    let other = Backend::start(&[Reply::ok("whole").truncated()]).await;
     let fleet = Fleet::start(65, &[&backend, &other]).await;
-    let (status, body) = fleet.call("idempotent", "r1").await;
-    // Each server gets the request at most once, so both answers may be incomplete.
-    assert!(status == 502 || body == "whole", "{status} {body}");
-    assert!(body != "who");
+    assert_eq!(fleet.call("idempotent", "r1").await.0, 502);
+    assert_eq!(backend.received().len() + other.received().len(), 2);
+    // The next one gets a complete answer.
+    let (status, body) = fleet.call("idempotent", "r2").await;
+    assert_eq!((status, body.as_str()), (200, "done"));
+    let truncated = Backend::start(&[Reply::ok("whole").truncated()]).await;
+    let fleet = Fleet::start(101, &[&truncated]).await;
+    assert_eq!(fleet.call("non_idempotent", "r3").await.0, 502);
+    assert_eq!(truncated.received().len(), 1, "it may have run");
 }
 
 #[tokio::test(flavor = "multi_thread")]
