Let requests wait at a server only as long as their first events leave time

Load: above what the engines bear, where every server has all slots in use.

Cause: the allowed queue was 45% of the target latency divided by the mean duration of a request. That takes no account of the time that a first event needs without any queue. On engines that write six tokens in one go it is half of the target, so requests in the queue were late, and took the slots of others that would have been in time.

Change: ServiceLatency, now in lift_dispatch, allows the time that the target leaves beside 1.3 times the mean time to the first event. First events that come late close the queue.

The capacity of the played engines is measured by a saturated engine now, since a formula without the passes put it too high.

--- a/crates/lift_dispatch/src/lib.rs
+++ b/crates/lift_dispatch/src/lib.rs
@@ -7,7 +7,8 @@
 //! selects the one with the lowest cost that can accept the request. [`RetryContext`] decides
 //! whether to retry after an attempt has failed ([`AttemptFailure`]). [`TargetVersions`]
 //! determines on which versions of the weights a request may start. [`ConfirmationLimits`] tells
-//! how long a gateway may rely on its configuration.
+//! how long a gateway may rely on its configuration, [`ServiceLatency`] how many requests may
+//! wait at a server.
 //!
 //! Agents use [`PrefillQueue`] to report how many prompts an engine has not read yet, and
 //! [`TargetVersions`] to find the version to load.
@@ -29,6 +30,7 @@
 mod retry_decision;
 mod selection_error;
 mod service_backends;
+mod service_latency;
 mod target_versions;
 mod weights_requirement;
 
@@ -47,5 +49,6 @@
 pub use retry_decision::RetryDecision;
 pub use selection_error::SelectionError;
 pub use service_backends::ServiceBackends;
+pub use service_latency::ServiceLatency;
 pub use target_versions::TargetVersions;
 pub use weights_requirement::WeightsRequirement;
--- a/crates/lift_dispatch/tests/played_load/engine.rs
+++ b/crates/lift_dispatch/tests/played_load/engine.rs
@@ -5,7 +5,7 @@
 /// Requests that run at once.
 pub(crate) const SLOTS: u32 = 8;
 
-/// Time of a token step, in milliseconds.
+/// Time of a token, in milliseconds.
 const STEP_MS: f64 = 10.1;
 
 /// Prompt tokens that are read in a millisecond.
@@ -17,15 +17,21 @@
 /// Tokens of an answer.
 pub(crate) const ANSWER_TOKENS: u32 = 90;
 
-/// Prompt tokens that are read between two token steps.
+/// Prompt tokens that are read between two passes.
 const READ_CHUNK: u32 = 2_048;
 
+/// Tokens that a pass writes for each request whose prompt is read.
+const STRIDE: u32 = 6;
+
 /// Tokens of the first event.
 const FIRST_EVENT_TOKENS: u32 = 7;
 
 /// Requests that may wait for a slot.
 const QUEUE: usize = 16;
 
+/// Time for which a saturated engine is played to find its capacity, in milliseconds.
+const SATURATED_MS: u64 = 20_000;
+
 /// A request at an engine.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Run {
@@ -35,7 +41,7 @@
     written: u32,
 }
 
-/// What a step of an engine brought about.
+/// What a pass of an engine brought about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Progress {
     /// The first event of the request.
@@ -53,11 +59,20 @@
 }
 
 impl Engine {
-    /// Requests per second that an engine bears with all slots in use.
+    /// Requests per second that an engine completes if its queue is never empty.
     pub(crate) fn capacity_per_s() -> f64 {
-        let read_ms = f64::from(PROMPT_TOKENS) / READ_TOKENS_PER_MS;
-        let write_ms = f64::from(ANSWER_TOKENS) * STEP_MS / f64::from(SLOTS);
-        1_000.0 / (read_ms + write_ms)
+        let mut engine = Self::default();
+        let mut completed = 0;
+        let mut progress = Vec::new();
+        for ms in 0..SATURATED_MS {
+            while engine.waiting.is_empty() {
+                engine.accept(0);
+            }
+            engine.work(ms as f64, &mut progress);
+            let made = progress.drain(..);
+            completed += made.filter(|made| *made == Progress::Finished(0)).count();
+        }
+        completed as f64 * 1_000.0 / SATURATED_MS as f64
     }
 
     /// Accepts a request. Returns `false` if the queue is full.
@@ -96,13 +111,13 @@
                 self.busy_until_ms = now_ms + 1.0;
                 return;
             }
-            let took_ms = self.step(report);
+            let took_ms = self.pass(report);
             self.busy_until_ms += took_ms;
         }
     }
 
-    /// One step: reads a part of the prompts, and writes a token of each request that is read.
-    fn step(&mut self, report: &mut Vec<Progress>) -> f64 {
+    /// One pass: reads a part of the prompts, and writes some tokens of each request that is read.
+    fn pass(&mut self, report: &mut Vec<Progress>) -> f64 {
         let mut budget = READ_CHUNK;
         let mut has_writers = false;
         for run in &mut self.running {
@@ -113,17 +128,22 @@
                 continue;
             }
             has_writers = true;
-            run.written += 1;
-            if run.written == FIRST_EVENT_TOKENS {
+            let before = run.written;
+            run.written += STRIDE;
+            if before < FIRST_EVENT_TOKENS && run.written >= FIRST_EVENT_TOKENS {
                 report.push(Progress::FirstEvent(run.request));
             }
-            if run.written == ANSWER_TOKENS {
+            if run.written >= ANSWER_TOKENS {
                 report.push(Progress::Finished(run.request));
             }
         }
         self.running.retain(|run| run.written < ANSWER_TOKENS);
         let read_ms = f64::from(READ_CHUNK - budget) / READ_TOKENS_PER_MS;
-        let write_ms = if has_writers { STEP_MS } else { 0.0 };
+        let write_ms = if has_writers {
+            STEP_MS * f64::from(STRIDE)
+        } else {
+            0.0
+        };
         read_ms + write_ms
     }
 }
--- a/crates/lift_dispatch/tests/played_load/fleet.rs
+++ b/crates/lift_dispatch/tests/played_load/fleet.rs
@@ -3,7 +3,8 @@
 use std::{net, sync, time};
 
 use lift_dispatch::{
-    Backend, BackendLoad, BackendSelector, GatewayShares, LoadSample, ScoreFn, Ticket,
+    Backend, BackendLoad, BackendSelector, GatewayShares, LoadSample, ScoreFn, ServiceLatency,
+    Ticket,
 };
 
 use super::{engine, load, outcome};
@@ -17,9 +18,6 @@
 /// Latency that callers should see, in milliseconds.
 const TARGET_MS: u64 = 500;
 
-/// Requests that may wait at an engine, as a share of its slots.
-const QUEUE_SHARE: f64 = 0.15;
-
 /// Time for which a request waits at its gateway for a free place, in milliseconds.
 const MAX_WAIT_MS: u64 = TARGET_MS / 8;
 
@@ -49,6 +47,8 @@
     engines: Vec<engine::Engine>,
     /// Loads as each gateway knows them.
     loads: Vec<Vec<BackendLoad>>,
+    /// Latencies that each gateway has seen.
+    latencies: Vec<ServiceLatency>,
     waiting: Vec<Waiting>,
     admitted: Vec<Admitted>,
     random: u64,
@@ -76,6 +76,7 @@
                 .collect(),
             engines: vec![engine::Engine::default(); backends.len()],
             loads: vec![vec![BackendLoad::default(); backends.len()]; gateways.len()],
+            latencies: vec![ServiceLatency::default(); gateways.len()],
             gateways,
             backends,
             waiting: Vec::new(),
@@ -152,6 +153,8 @@
                     let run = self.admitted[request];
                     self.loads[run.gateway][run.engine].receive_head(run.ticket);
                     let took_ms = now_ms + TRANSIT_MS - run.sent_ms;
+                    let took = time::Duration::from_millis(took_ms);
+                    self.latencies[run.gateway].record_first_event(took);
                     if run.sent_ms >= from_ms {
                         outcome.in_time += usize::from(took_ms <= TARGET_MS);
                         outcome.late += usize::from(took_ms > TARGET_MS);
@@ -160,6 +163,8 @@
                 engine::Progress::Finished(request) => {
                     let run = self.admitted[request];
                     self.loads[run.gateway][run.engine].finish_request(run.ticket);
+                    let took = time::Duration::from_millis(now_ms + TRANSIT_MS - run.sent_ms);
+                    self.latencies[run.gateway].record_duration(took);
                 }
             }
         }
@@ -194,14 +199,15 @@
         let draw = self.draw();
         let now = self.at(now_ms);
         let read_ms = f64::from(engine::PROMPT_TOKENS) / engine::READ_TOKENS_PER_MS;
+        let target = time::Duration::from_millis(TARGET_MS);
         let selector = BackendSelector {
             now,
             region: &self.gateways[gateway].region,
             gateways: &self.shares[gateway],
             weights: &lift_dispatch::WeightsRequirement::default(),
-            queue_share: QUEUE_SHARE,
+            queue_share: self.latencies[gateway].queue_share(target),
             prefill_time: time::Duration::from_secs_f64(read_ms / 1_000.0),
-            target_latency: time::Duration::from_millis(TARGET_MS),
+            target_latency: target,
             tried: &[],
         };
         let loads = &self.loads[gateway];
--- a/crates/lift_dispatch/tests/played_load/load.rs
+++ b/crates/lift_dispatch/tests/played_load/load.rs
@@ -8,6 +8,7 @@
 /// Rate of requests, as a share of what the engines bear.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Load {
+    capacity_per_s: f64,
     base: f64,
     burst: f64,
     burst_ms: (u64, u64),
@@ -17,6 +18,7 @@
     /// A steady load.
     pub(crate) fn share_of_capacity(base: f64) -> Self {
         Self {
+            capacity_per_s: engine::Engine::capacity_per_s(),
             base,
             burst: base,
             burst_ms: (0, 0),
@@ -37,6 +39,6 @@
             true => self.burst,
             false => self.base,
         };
-        share * engine::Engine::capacity_per_s() * engines as f64 / 1_000.0
+        share * self.capacity_per_s * engines as f64 / 1_000.0
     }
 }
--- a/crates/lift_gateway/src/event_stream.rs
+++ b/crates/lift_gateway/src/event_stream.rs
@@ -184,10 +184,11 @@
         if std::mem::take(&mut self.is_first_event_pending) {
             let took = lift_clock::now().saturating_duration_since(self.run.started);
             let kind = <&str>::from(self.run.route.kind);
-            self.run
-                .shared
-                .latencies
-                .record("gateway.first_event", kind, took);
+            let shared = &self.run.shared;
+            shared.with_service_latency(&self.run.service, |latency| {
+                latency.record_first_event(took);
+            });
+            shared.latencies.record("gateway.first_event", kind, took);
         }
     }
 
--- a/crates/lift_gateway/src/lib.rs
+++ b/crates/lift_gateway/src/lib.rs
@@ -47,7 +47,6 @@
 mod request_records;
 mod request_run;
 mod response;
-mod service_latency;
 mod shared;
 mod stall_timer;
 mod whole_stream;
--- a/crates/lift_gateway/src/request_records.rs
+++ b/crates/lift_gateway/src/request_records.rs
@@ -80,7 +80,9 @@
         shared
             .loads
             .update(backend.address, |load| load.health.record_success());
-        shared.with_service_latency(&self.service, |latency| latency.record(took));
+        shared.with_service_latency(&self.service, |latency| {
+            latency.record_duration(took);
+        });
         shared
             .latencies
             .record("gateway.request", <&str>::from(self.route.kind), took);
--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -6,7 +6,6 @@
 
 use crate::{
     backend_loads, backend_pool, byte_budget, dialect, fleet_state, gateway_limits, request_log,
-    service_latency,
 };
 
 /// Number of shards of the state of services.
@@ -33,7 +32,7 @@
     retry_budgets:
         lift_shard::Shards<indexmap::IndexMap<lift_types::ServiceId, lift_route::RetryBudget>>,
     service_latencies: lift_shard::Shards<
-        indexmap::IndexMap<lift_types::ServiceId, service_latency::ServiceLatency>,
+        indexmap::IndexMap<lift_types::ServiceId, lift_dispatch::ServiceLatency>,
     >,
 }
 
@@ -134,7 +133,7 @@
     pub(crate) fn with_service_latency<R>(
         &self,
         service: &str,
-        update: impl FnOnce(&mut service_latency::ServiceLatency) -> R,
+        update: impl FnOnce(&mut lift_dispatch::ServiceLatency) -> R,
     ) -> R {
         self.service_latencies.with(service, |service_latencies| {
             match service_latencies.get_mut(service) {
