Count the prompts that are read first in the selection of a server

Load: below what the engines bear, where all servers have free slots.

Cause: the cost of a server was its share of taken slots. A first event waits for all prompts that the engine reads before, 30 to 50 ms each, and hardly for requests that are past theirs.

Change: the time of the prompts ahead, as a share of the target latency, counts threefold.

--- a/crates/lift_dispatch/src/backend_selector.rs
+++ b/crates/lift_dispatch/src/backend_selector.rs
@@ -37,6 +37,11 @@
 /// trip and the tokens that the engine generates for other requests between parts of a prompt.
 const PREFILL_SHARE: f64 = 0.75;
 
+/// Cost of the prompts that are read first, as a multiple of the share of the target latency that
+/// they take. A prompt ahead delays the first event by its whole time, a request that is past its
+/// prompt by a few percent of a token.
+const PROMPTS_AHEAD_WEIGHT: f64 = 3.0;
+
 /// A link that can carry less traffic than this, in percent of the usual traffic, counts as
 /// congested. Requests wait on it for seconds, and so do the resets of cancelled ones.
 const CONGESTED_LINK_PERCENT: u32 = 25;
@@ -240,7 +245,20 @@
             .fresh_sample(self.now)
             .map_or(0, |s| 100 - s.link_percent.min(100));
         let congestion = f64::from(congestion) / 100.0;
-        used + remote + silent + stale + failures + congestion + self.head_penalty(load)
+        used + self.prompts_cost(load)
+            + remote
+            + silent
+            + stale
+            + failures
+            + congestion
+            + self.head_penalty(load)
+    }
+
+    /// Cost of the prompts that the engine reads before that of this request.
+    fn prompts_cost(&self, load: &backend_load::BackendLoad) -> f64 {
+        let wait = self.prefill_time * load.prompts_ahead(self.now);
+        let target_s = self.target_latency.as_secs_f64().max(f64::MIN_POSITIVE);
+        PROMPTS_AHEAD_WEIGHT * wait.as_secs_f64() / target_s
     }
 
     /// Whether answers of the backend server are so late that its engine or link has probably
--- a/crates/lift_dispatch/tests/backend_selector.rs
+++ b/crates/lift_dispatch/tests/backend_selector.rs
@@ -283,3 +283,17 @@
     case.loads[0].record_sample(sample(case.now, 0));
     assert_ne!(case.select().as_deref(), Ok("s0"));
 }
+
+#[test]
+fn prompts_that_are_read_first_weigh_more_than_requests_that_are_past_theirs() {
+    // Guards against first events that are late on a server with free slots, while another one
+    // with more requests would read the prompt at once.
+    let mut case = Case::new(&["here", "here"]);
+    let mut reading = sample(case.now, 1);
+    reading.queued_prompts = 1;
+    case.loads[0].record_sample(reading);
+    case.loads[1].record_sample(sample(case.now, 2));
+    assert_eq!(case.select().as_deref(), Ok("s1"));
+    case.loads[1].record_sample(sample(case.now, 3));
+    assert_eq!(case.select().as_deref(), Ok("s0"), "free slots count too");
+}
