Cancel requests that have not started when their weights' time is over

Links of two side hosts were squeezed until 26.1 s, and requests that were sent before 24.8 s, while version 1 was allowed, waited there and began when the links opened.

Change: a request of a repeatable route at a server with an older version is cancelled 10% of the grace period after that period, that is, before the bound; the reset follows the request on the same link. It may be repeated at a server with the new version.

Result: a_request_on_an_older_version_must_start_before_its_time_is_over.

--- a/crates/lift_dispatch/src/target_versions.rs
+++ b/crates/lift_dispatch/src/target_versions.rs
@@ -6,6 +6,10 @@
 /// hold the target version, in percent.
 const SLOW_GRACE_PERCENT: u32 = 60;
 
+/// Part of the grace period, as a divisor, that a request may take to start after the period has
+/// expired. Requests wait that long on a congested link or in the queue of a server.
+const START_SLACK_DIVISOR: u32 = 10;
+
 /// Target versions of each model's weights, and when each was set.
 ///
 /// A request may start on an older version until the grace period of a newer target version has
@@ -96,9 +100,31 @@
         model: &str,
         version: lift_fleet::WeightsVersion,
     ) -> Option<time::Duration> {
+        let expires_at = self.expires_at(model, version)?;
+        Some(expires_at.saturating_duration_since(now))
+    }
+
+    /// Time until which a request at a backend server that holds `version` must have started.
+    /// Then it is to be cancelled, since the version may no longer answer when it starts. `None`
+    /// if no newer target version was set.
+    pub fn start_deadline(
+        &self,
+        model: &str,
+        version: lift_fleet::WeightsVersion,
+    ) -> Option<time::Instant> {
+        let expires_at = self.expires_at(model, version)?;
+        Some(expires_at + self.grace / START_SLACK_DIVISOR)
+    }
+
+    /// When the grace period ends in which `version` may still be used.
+    fn expires_at(
+        &self,
+        model: &str,
+        version: lift_fleet::WeightsVersion,
+    ) -> Option<time::Instant> {
         let targets = self.targets.get(model)?;
         let (_, at) = targets.iter().find(|(newer, _)| *newer > version)?;
-        Some((*at + self.grace).saturating_duration_since(now))
+        Some(*at + self.grace)
     }
 }
 
--- a/crates/lift_dispatch/src/weights_requirement.rs
+++ b/crates/lift_dispatch/src/weights_requirement.rs
@@ -32,6 +32,17 @@
         })
     }
 
+    /// Version of the model that a backend server with `models` holds. `None` if it holds none, or
+    /// if the request needs no model.
+    pub fn version_held(
+        &self,
+        models: &[lift_fleet::LoadedModel],
+    ) -> Option<lift_fleet::WeightsVersion> {
+        let name = self.model.as_deref()?;
+        let held = models.iter().find(|model| model.name == name);
+        held.map(|model| model.version)
+    }
+
     /// Version to request from a backend server with `models`, or `None` if any version will
     /// do. Without [`Self::exact_version`] this is the version that the server holds, because a
     /// server rejects requests for any other version, even for an older one.
@@ -42,9 +53,8 @@
         if self.exact_version.is_some() || self.min_version == 0 {
             return self.exact_version;
         }
-        let name = self.model.as_deref()?;
-        let held = models.iter().find(|model| model.name == name);
-        let held = held.map_or(self.min_version, |model| model.version);
+        self.model.as_ref()?;
+        let held = self.version_held(models).unwrap_or(self.min_version);
         Some(held.max(self.min_version))
     }
 }
--- a/crates/lift_dispatch/tests/target_versions.rs
+++ b/crates/lift_dispatch/tests/target_versions.rs
@@ -84,3 +84,27 @@
     };
     assert_eq!(requirement.version_to_request(&[model(4)]), None);
 }
+
+#[test]
+fn a_request_on_an_older_version_must_start_before_its_time_is_over() {
+    // Guards against a request that is sent in time, waits on a narrow link, and starts on a
+    // version whose time is over (VERSION broken on paraguas-xela scale-2, once in 4 plays).
+    let (mut targets, now, m) = no_targets();
+    assert_eq!(
+        targets.start_deadline(&m, 1),
+        None,
+        "no newer version is known"
+    );
+    targets.set_target(now, &m, 2, Some(now));
+    let bound = now + targets.time_left(now, &m, 1).unwrap().mul_f64(1.0 / 0.85);
+    let start_deadline = targets.start_deadline(&m, 1).unwrap();
+    assert!(
+        start_deadline < bound,
+        "the grace period is 85% of the bound"
+    );
+    assert!(start_deadline > now + targets.time_left(now, &m, 1).unwrap());
+    assert_eq!(targets.start_deadline(&m, 2), None);
+    targets.set_target(now + S, &m, 3, Some(now + S));
+    assert_eq!(targets.start_deadline(&m, 1), Some(start_deadline));
+    assert_eq!(targets.start_deadline(&m, 2), Some(start_deadline + S));
+}
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -75,6 +75,16 @@
         )
     }
 
+    /// Time until which a request on `version` of a model must have started. `None` if no newer
+    /// target version was set.
+    pub(crate) fn start_deadline(
+        &self,
+        model: &str,
+        version: lift_fleet::WeightsVersion,
+    ) -> Option<time::Instant> {
+        self.target_versions.lock().start_deadline(model, version)
+    }
+
     /// Gateways that share the backend servers, this one included.
     pub(crate) fn gateways(&self) -> sync::Arc<lift_dispatch::GatewayShares> {
         sync::Arc::clone(&self.gateways.read())
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -48,10 +48,13 @@
             };
             return Err(attempt_error::AttemptError::Rejected(reason));
         }
-        let weights = self.shared.loads.read(backend.address, |load| {
+        let (weights, version_held) = self.shared.loads.read(backend.address, |load| {
             let sample = load.fresh_sample(now);
             let models = sample.map_or(&backend.models, |sample| &sample.models);
-            self.weights_requirement.version_to_request(models)
+            (
+                self.weights_requirement.version_to_request(models),
+                self.weights_requirement.version_held(models),
+            )
         });
         let call = backend_call::BackendCall {
             time_left: self.deadline.saturating_duration_since(now),
@@ -64,7 +67,7 @@
         self.tried.push(backend.id.clone());
         let in_flight =
             in_flight_request::InFlightRequest::start(&self.shared, sync::Arc::clone(&backend));
-        let deadline = self.attempt_deadline(now);
+        let deadline = self.attempt_deadline(now, version_held);
         let is_repeatable = self.route.kind.is_repeatable();
         let id = &self.head.id;
         let started =
@@ -181,8 +184,23 @@
     }
 
     /// Time until which an attempt that starts at `now` waits for the head of the answer. The last
-    /// attempt, and one that can't be repeated, may use all the time until the deadline.
-    fn attempt_deadline(&self, now: time::Instant) -> time::Instant {
+    /// attempt, and one that can't be repeated, may use all the time until the deadline. A stream
+    /// on a version whose time runs out must start before that.
+    fn attempt_deadline(
+        &self,
+        now: time::Instant,
+        version_held: Option<lift_fleet::WeightsVersion>,
+    ) -> time::Instant {
+        let deadline = self.head_deadline(now);
+        let model = self.weights_requirement.model.as_deref();
+        let must_start_at = model
+            .zip(version_held)
+            .filter(|_| self.route.kind.is_repeatable())
+            .and_then(|(model, version)| self.shared.fleet.start_deadline(model, version));
+        must_start_at.map_or(deadline, |at| deadline.min(at))
+    }
+
+    fn head_deadline(&self, now: time::Instant) -> time::Instant {
         let is_last = self.servers_reached + 1 >= self.route.max_attempts;
         if is_last || !self.route.kind.is_repeatable() {
             return self.deadline;
