--- a/crates/lift_dispatch/src/backend_load.rs
+++ b/crates/lift_dispatch/src/backend_load.rs
@@ -119,17 +119,18 @@
             .max(self.own_requests)
     }
 
-    /// Requests that this gateway may still send on the last sample. `share` tells how many free
-    /// places it may use, from the server's `places`. `None` without a fresh sample.
+    /// Requests that this gateway may still send on the last sample, to a server with `places`
+    /// in all. `own_share` tells how many of the free ones are this gateway's, from their number
+    /// and the random number of the sample. `None` without a fresh sample.
     pub fn own_places(
         &self,
         now: time::Instant,
         places: f64,
-        share: &dyn Fn(f64, f64) -> u32,
+        own_share: &dyn Fn(f64, f64) -> u32,
     ) -> Option<u32> {
         let sample = self.fresh_sample(now)?;
         let free = (places - f64::from(sample.requests)).max(0.0);
-        let own = share(free, sample.lot);
+        let own = own_share(free, sample.random);
         Some(own.saturating_sub(self.added_since_sample(1)))
     }
 
--- a/crates/lift_dispatch/src/backend_selector.rs
+++ b/crates/lift_dispatch/src/backend_selector.rs
@@ -3,7 +3,8 @@
 use std::{sync, time};
 
 use crate::{
-    backend, backend_load, backend_score, gateway_shares, selection_error, weights_requirement,
+    backend, backend_load, backend_score, gateway_shares, lowest_cost, selection_error,
+    weights_requirement,
 };
 
 /// Cost of a backend server in another region, as a share of its slots: it is selected only if
@@ -38,8 +39,8 @@
 const PREFILL_SHARE: f64 = 0.75;
 
 /// Cost of the prompts that are read first, as a multiple of the share of the target latency that
-/// they take. A prompt ahead delays the first event by its whole time, a request that is past its
-/// prompt by a few percent of a token.
+/// they take. A prompt ahead delays the first event by the whole time in which the engine reads it,
+/// a request whose prompt was read hardly delays it.
 const PROMPTS_AHEAD_WEIGHT: f64 = 3.0;
 
 /// A link that can carry less traffic than this, in percent of the usual traffic, counts as
@@ -105,8 +106,8 @@
         if backends.is_empty() {
             return Err(selection_error::SelectionError::NoBackend);
         }
-        let mut uncongested = LowestCost::default();
-        let mut congested = LowestCost::default();
+        let mut uncongested = lowest_cost::LowestCost::default();
+        let mut congested = lowest_cost::LowestCost::default();
         let mut congested_count = 0;
         let mut error = selection_error::SelectionError::Tried;
         let start = draw % backends.len();
@@ -122,15 +123,15 @@
                 Err(latest) => error = prefer_full(error, latest),
             }
         }
-        if uncongested.0.is_none()
-            && congested.0.is_some()
+        let (uncongested, congested) = (uncongested.backend(), congested.backend());
+        if uncongested.is_none()
+            && congested.is_some()
             && congested_count * CONGESTED_BACKENDS_DIVISOR <= backends.len()
         {
             return Err(selection_error::SelectionError::Full);
         }
-        let best = uncongested.0.or(congested.0);
-        best.map(|(_, backend)| sync::Arc::clone(backend))
-            .ok_or(error)
+        let best = uncongested.or(congested);
+        best.map(sync::Arc::clone).ok_or(error)
     }
 
     /// Whether the link is congested: the agent reports that it can carry little traffic, or
@@ -200,11 +201,11 @@
         let places = (f64::from(backend.slots) * (1.0 + self.queue_share))
             .floor()
             .max(1.0);
-        let share = |free: f64, lot: f64| {
+        let own_share = |free: f64, random: f64| {
             let region = backend.region.as_deref();
-            self.gateways.places(region, free, lot)
+            self.gateways.places(region, free, random)
         };
-        match load.own_places(self.now, places, &share) {
+        match load.own_places(self.now, places, &own_share) {
             Some(own_places) => own_places > 0,
             None => f64::from(requests) + 1.0 <= places,
         }
@@ -279,18 +280,6 @@
     }
 }
 
-/// The backend server with the lowest cost so far.
-#[derive(Default)]
-struct LowestCost<'a>(Option<(Cost, &'a sync::Arc<backend::Backend>)>);
-
-impl<'a> LowestCost<'a> {
-    fn update(&mut self, cost: Cost, backend: &'a sync::Arc<backend::Backend>) {
-        if self.0.is_none_or(|(lowest, _)| cost < lowest) {
-            self.0 = Some((cost, backend));
-        }
-    }
-}
-
 /// Combines the errors of two backend servers. `Full` takes precedence, since a slot may soon
 /// be free.
 fn prefer_full(
--- a/crates/lift_dispatch/src/gateway_shares.rs
+++ b/crates/lift_dispatch/src/gateway_shares.rs
@@ -47,9 +47,9 @@
     }
 
     /// Requests that this gateway may send to a server with `free` places in `server_region` on
-    /// one load report. `lot` is the random number of the report, from 0 up to 1. All gateways
+    /// one load report. `random` is the random number of the report, from 0 up to 1. All gateways
     /// share a server in an unknown region alike.
-    pub fn places(&self, server_region: Option<&str>, free: f64, lot: f64) -> u32 {
+    pub fn places(&self, server_region: Option<&str>, free: f64, random: f64) -> u32 {
         let all = self.all();
         let near = server_region.and_then(|region| self.regions.get(region));
         let near = near.copied().unwrap_or_default();
@@ -69,7 +69,7 @@
         };
         let width = share / f64::from(group.count.max(1));
         let start = start + width * f64::from(group.before);
-        turns(free, lot, start + width) - turns(free, lot, start)
+        places_before(start + width, free, random) - places_before(start, free, random)
     }
 
     fn all(&self) -> RegionGateways {
@@ -82,8 +82,8 @@
 }
 
 /// Number of places before `end`, if `free` places lie evenly between 0 and 1, the first of them
-/// `lot` of their distance after 0. Each gateway has a section of its own, so that the places of
-/// all gateways add up to the free ones.
-fn turns(free: f64, lot: f64, end: f64) -> u32 {
-    (free * end - lot).ceil().max(0.0) as u32
+/// `random` times their distance after 0. Each gateway has a section of its own, so that the
+/// places of all gateways add up to the free ones.
+fn places_before(end: f64, free: f64, random: f64) -> u32 {
+    (free * end - random).ceil().max(0.0) as u32
 }
--- a/crates/lift_dispatch/src/lib.rs
+++ b/crates/lift_dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 mod confirmation_limits;
 mod gateway_shares;
 mod load_sample;
+mod lowest_cost;
 mod prefill_queue;
 mod rejection_reason;
 mod retry_context;
--- a/crates/lift_dispatch/src/load_sample.rs
+++ b/crates/lift_dispatch/src/load_sample.rs
@@ -18,7 +18,7 @@
     pub is_loading: bool,
     /// Random number of the report, from 0 up to 1. It decides which gateways may use the free
     /// slots if there are fewer than gateways.
-    pub lot: f64,
+    pub random: f64,
     /// When the gateway received the report.
     pub received_at: time::Instant,
 }
--- a/crates/lift_dispatch/tests/backend_selector.rs
+++ b/crates/lift_dispatch/tests/backend_selector.rs
@@ -3,95 +3,10 @@
 //! on which they were broken.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use std::{net, sync, time};
+mod selection_case;
 
-use lift_dispatch::{
-    Backend, BackendLoad, BackendSelector, GatewayShares, LoadSample, ScoreFn, SelectionError,
-    WeightsRequirement,
-};
-
-const MS: time::Duration = time::Duration::from_millis(1);
-
-fn backend(id: u8, region: &str) -> sync::Arc<Backend> {
-    sync::Arc::new(Backend {
-        id: format!("s{id}"),
-        address: net::SocketAddr::from(([10, 0, 0, id], 8000)),
-        region: Some(String::from(region)),
-        slots: 4,
-        models: vec![model(1)],
-        is_silent: false,
-    })
-}
-
-fn gateway(host: u32) -> lift_types::Location {
-    lift_types::Location {
-        region: String::from("here"),
-        failure_domain: String::from("here-1"),
-        host,
-    }
-}
-
-fn model(version: u64) -> lift_fleet::LoadedModel {
-    lift_fleet::LoadedModel {
-        name: String::from("m"),
-        version,
-    }
-}
-
-fn sample(received_at: time::Instant, requests: u32) -> LoadSample {
-    LoadSample {
-        requests,
-        queued_prompts: 0,
-        models: vec![model(1)],
-        link_percent: 100,
-        is_loading: false,
-        lot: 0.25,
-        received_at,
-    }
-}
-
-struct Case {
-    now: time::Instant,
-    backends: Vec<sync::Arc<Backend>>,
-    loads: Vec<BackendLoad>,
-    weights: WeightsRequirement,
-    tried: Vec<String>,
-}
-
-impl Case {
-    fn new(regions: &[&str]) -> Self {
-        let backends: Vec<_> = (0..).zip(regions).map(|(i, r)| backend(i, r)).collect();
-        Self {
-            now: time::Instant::now() + 10_000 * MS,
-            loads: vec![BackendLoad::default(); backends.len()],
-            backends,
-            weights: WeightsRequirement {
-                model: Some(String::from("m")),
-                ..WeightsRequirement::default()
-            },
-            tried: Vec::new(),
-        }
-    }
-
-    fn select(&self) -> Result<String, SelectionError> {
-        let selector = BackendSelector {
-            now: self.now,
-            region: "here",
-            gateways: &GatewayShares::new(&gateway(1), &[gateway(1), gateway(2)]),
-            weights: &self.weights,
-            queue_share: 0.0,
-            prefill_time: 40 * MS,
-            target_latency: 400 * MS,
-            tried: &self.tried,
-        };
-        let with_load = |b: &Backend, score: ScoreFn<'_>| {
-            let position = self.backends.iter().position(|c| c.id == b.id).unwrap();
-            score(&self.loads[position])
-        };
-        let selected = selector.select(&self.backends, &with_load, 1);
-        selected.map(|b| b.id.clone())
-    }
-}
+use lift_dispatch::SelectionError;
+use selection_case::{Case, MS, sample};
 
 #[test]
 fn the_least_loaded_local_server_is_selected_until_it_has_a_quarter_more_load() {
@@ -259,7 +174,7 @@
     let draws = 100;
     let selecting = (0..draws).filter(|draw| {
         let mut report = sample(case.now, 3);
-        report.lot = f64::from(*draw) / f64::from(draws);
+        report.random = f64::from(*draw) / f64::from(draws);
         case.loads[0].record_sample(report);
         case.select().is_ok()
     });
--- a/crates/lift_dispatch/tests/played_load/fleet.rs
+++ b/crates/lift_dispatch/tests/played_load/fleet.rs
@@ -177,13 +177,13 @@
             if !(now_ms + i as u64 * 7).is_multiple_of(REPORT_INTERVAL_MS) {
                 continue;
             }
-            let lot = (self.draw() % 1_000_000) as f64 / 1_000_000.0;
+            let random = (self.draw() % 1_000_000) as f64 / 1_000_000.0;
             let engine = &self.engines[i];
             for loads in &mut self.loads {
                 loads[i].record_sample(LoadSample {
                     requests: engine.requests(),
                     queued_prompts: engine.queued_prompts(),
-                    lot,
+                    random,
                     models: Vec::new(),
                     link_percent: 100,
                     is_loading: false,
--- a/crates/lift_dispatch/tests/target_versions.rs
+++ b/crates/lift_dispatch/tests/target_versions.rs
@@ -88,7 +88,7 @@
 #[test]
 fn a_request_on_an_older_version_must_start_before_its_time_is_over() {
     // Guards against a request that is sent in time, waits on a narrow link, and starts on a
-    // version whose time is over (VERSION broken on paraguas-xela scale-2, once in 4 plays).
+    // version whose time is over.
     let (mut targets, now, m) = no_targets();
     assert_eq!(
         targets.start_deadline(&m, 1),
--- a/crates/lift_feed/src/load_report.rs
+++ b/crates/lift_feed/src/load_report.rs
@@ -20,5 +20,5 @@
     /// Whether it is loading weights and starts no request.
     pub is_loading: bool,
     /// Random number from 0 up to 1, by which gateways take turns in using free slots.
-    pub lot: f64,
+    pub random: f64,
 }
--- a/crates/lift_gateway/src/answer_body.rs
+++ b/crates/lift_gateway/src/answer_body.rs
@@ -1,6 +1,6 @@
 //! Body of an answer that is read completely before it is forwarded.
 
-use crate::{byte_budget, exchange};
+use crate::{exchange, held_bytes};
 
 /// Reads the body of an answer to its end. `held` counts its bytes.
 ///
@@ -10,7 +10,7 @@
 /// [`lift_dispatch::AttemptFailure::Damaged`] if the answers in progress become too large.
 pub(crate) async fn collect(
     exchange: &mut exchange::Exchange,
-    mut held: byte_budget::HeldBytes,
+    mut held: held_bytes::HeldBytes,
 ) -> Result<bytes::Bytes, lift_dispatch::AttemptFailure> {
     let mut collected = bytes::BytesMut::new();
     while let Some(frame) = exchange.next_frame().await {
--- a/crates/lift_gateway/src/lib.rs
+++ b/crates/lift_gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod gateway_error;
 mod gateway_limits;
 mod gateway_observer;
+mod held_bytes;
 mod http_server;
 mod in_flight_request;
 mod limited_stream;
--- a/crates/lift_gateway/src/load_receiver.rs
+++ b/crates/lift_gateway/src/load_receiver.rs
@@ -30,7 +30,7 @@
             models: report.models,
             link_percent: report.link_percent.min(100),
             is_loading: report.is_loading,
-            lot: report.lot,
+            random: report.random,
             received_at: lift_clock::now(),
         };
         shared
--- a/crates/lift_gateway/tests/planned_stop.rs
+++ b/crates/lift_gateway/tests/planned_stop.rs
@@ -66,3 +66,17 @@
     assert!(matches!(second, Ok((200 | 503, _))), "{second:?}");
     assert!(all_finished);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_without_a_request_may_send_its_first_one_during_a_stop() {
+    // Guards against closing a connection whose first request is on its way when the gateway
+    // begins to close connections, 500 ms after the start of the stop.
+    let backend = Backend::start(&[]).await;
+    let fleet = Fleet::start(100, &[&backend]).await;
+    let pause = time::Duration::from_millis(600);
+    let call = support::call_as_old_caller_after(pause, fleet.callers(), "non_idempotent", "r1");
+    let stopping = fleet.gateway.stop(time::Duration::from_secs(5));
+    let (answer, all_finished) = tokio::join!(call, stopping);
+    assert!(answer.starts_with("HTTP/1.0 200"), "{answer}");
+    assert!(all_finished);
+}
--- a/crates/lift_gateway/tests/server_in_trouble.rs
+++ b/crates/lift_gateway/tests/server_in_trouble.rs
@@ -82,39 +82,22 @@
 async fn endless_bytes_without_content_end_at_a_bound() {
     // Guards against a server that costs a host its processor time until the deadline. The calls
     // take 4 s if nothing limits the bytes.
+    let in_chunk_size = format!("{STREAM_HEAD}4");
+    let header = "x-more: 0123456789012345678901234567890123456789\r\n";
+    let informational_head = "HTTP/1.1 103 X\r\nx-more: 1\r\n\r\n";
     let endless = [
-        (
-            "head",
-            "",
-            "x-more: 0123456789012345678901234567890123456789\r\n",
-        ),
-        (
-            "informational heads",
-            "",
-            "HTTP/1.1 103 X\r\nx-more: 1\r\n\r\n",
-        ),
-        (
-            "chunk size",
-            STREAM_HEAD,
-            "0000000000000000000000000000000000000000",
-        ),
+        ("head", "HTTP/1.1 200 X\r\n", header),
+        ("informational heads", "", informational_head),
+        ("chunk size", &in_chunk_size, "0000000000000000000000000000"),
         (
             "chunk extension",
-            STREAM_HEAD,
-            ";more=0123456789012345678901234567",
+            &in_chunk_size,
+            ";more=0123456789012345678901",
         ),
     ];
     for (i, (name, start, repeated)) in endless.into_iter().enumerate() {
-        let first = match start {
-            "" => Step::send(""),
-            head => Step::Send(format!("{head}4")),
-        };
-        let first = match name {
-            "head" => Step::send("HTTP/1.1 200 X\r\n"),
-            _ => first,
-        };
-        let backend =
-            Backend::start(&[script(&[first, Step::repeat(&repeated.repeat(50), 0)])]).await;
+        let steps = [Step::send(start), Step::repeat(&repeated.repeat(50), 0)];
+        let backend = Backend::start(&[script(&steps)]).await;
         let fleet = Fleet::start(87 + i as u8, &[&backend]).await;
         let (took, result) = timed_call(&fleet, "non_idempotent", "r1").await;
         assert_eq!(result.map(|(status, _)| status), Ok(502), "{name}");
--- /dev/null
+++ b/crates/lift_gateway/tests/support/codec.rs
@@ -0,0 +1,51 @@
+//! Routing table of these tests.
+
+use std::time;
+
+/// The only API key.
+pub(crate) const KEY: &str = "k1";
+
+/// Returns the same routing table for every document, whatever its content.
+#[derive(Debug)]
+pub(crate) struct Codec;
+
+impl lift_fleet::DocumentCodec for Codec {
+    fn decode(&self, _: &[u8]) -> Result<lift_fleet::RoutingTable, lift_fleet::DocumentError> {
+        let kinds = [
+            ("idempotent", lift_fleet::RouteKind::Idempotent),
+            ("non_idempotent", lift_fleet::RouteKind::NonIdempotent),
+            ("stream", lift_fleet::RouteKind::ResumableStream),
+        ];
+        let service = lift_fleet::Service {
+            name: String::from("s"),
+            max_connections: 0,
+            engine: None,
+            origin: None,
+        };
+        let mut builder = lift_fleet::RoutingTable::builder(1).service(service);
+        for (name, kind) in kinds {
+            builder = builder.route(route(name, kind));
+        }
+        let builder = builder.key(String::from(KEY), String::from("depots"))?;
+        Ok(builder.build()?)
+    }
+}
+
+fn route(name: &str, kind: lift_fleet::RouteKind) -> lift_fleet::Route {
+    lift_fleet::Route {
+        name: String::from(name),
+        host: String::from("h"),
+        prefix: format!("/{name}/"),
+        kind,
+        timeout: time::Duration::from_secs(4),
+        target_latency: time::Duration::from_millis(400),
+        target_gap: time::Duration::from_millis(300),
+        priority: 1,
+        splits: vec![lift_fleet::Split {
+            service: String::from("s"),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        is_auth_exempt: false,
+    }
+}
--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -3,97 +3,8 @@
 use std::{net, sync, time};
 
 use http_body_util::BodyExt as _;
-use lift_feed::FeedSource;
 
-use super::{backend, dialect};
-
-const KEY: &str = "k1";
-
-/// Returns the same routing table for every document, whatever its content.
-#[derive(Debug)]
-struct Codec;
-
-impl lift_fleet::DocumentCodec for Codec {
-    fn decode(&self, _: &[u8]) -> Result<lift_fleet::RoutingTable, lift_fleet::DocumentError> {
-        let kinds = [
-            ("idempotent", lift_fleet::RouteKind::Idempotent),
-            ("non_idempotent", lift_fleet::RouteKind::NonIdempotent),
-            ("stream", lift_fleet::RouteKind::ResumableStream),
-        ];
-        let service = lift_fleet::Service {
-            name: String::from("s"),
-            max_connections: 0,
-            engine: None,
-            origin: None,
-        };
-        let mut builder = lift_fleet::RoutingTable::builder(1).service(service);
-        for (name, kind) in kinds {
-            builder = builder.route(route(name, kind));
-        }
-        let builder = builder.key(String::from(KEY), String::from("depots"))?;
-        Ok(builder.build()?)
-    }
-}
-
-fn route(name: &str, kind: lift_fleet::RouteKind) -> lift_fleet::Route {
-    lift_fleet::Route {
-        name: String::from(name),
-        host: String::from("h"),
-        prefix: format!("/{name}/"),
-        kind,
-        timeout: time::Duration::from_secs(4),
-        target_latency: time::Duration::from_millis(400),
-        target_gap: time::Duration::from_millis(300),
-        priority: 1,
-        splits: vec![lift_fleet::Split {
-            service: String::from("s"),
-            weight: 1,
-        }],
-        max_attempts: 2,
-        is_auth_exempt: false,
-    }
-}
-
-#[derive(Debug, Default)]
-struct Source {
-    backends: parking_lot::Mutex<Vec<lift_fleet::BackendRecord>>,
-    is_leader: sync::atomic::AtomicBool,
-}
-
-#[async_trait::async_trait]
-impl FeedSource for Source {
-    fn members(&self) -> (Vec<lift_feed::MemberCard>, u64) {
-        (Vec::new(), 0)
-    }
-
-    fn head(&self) -> lift_feed::FleetHead {
-        lift_feed::FleetHead {
-            document: 1,
-            weights: indexmap::IndexMap::new(),
-        }
-    }
-
-    fn document(&self) -> Option<sync::Arc<lift_fleet::Document>> {
-        let compressed = lift_feed::pack(b"1").unwrap();
-        Some(sync::Arc::new(lift_fleet::Document {
-            version: 1,
-            compressed,
-        }))
-    }
-
-    fn backends(&self) -> Vec<lift_fleet::BackendRecord> {
-        self.backends.lock().clone()
-    }
-
-    fn confirm(&self) -> Option<u64> {
-        let is_leader = self.is_leader.load(sync::atomic::Ordering::SeqCst);
-        is_leader.then_some(1)
-    }
-
-    async fn join(&self, _: lift_feed::Newcomer) -> lift_feed::JoinAnswer {
-        lift_feed::JoinAnswer::Later
-    }
-}
+use super::{backend, codec, dialect, source};
 
 /// Limits of the gateways in these tests.
 pub(crate) fn limits() -> lift_gateway::GatewayLimits {
@@ -111,7 +22,7 @@
 pub(crate) struct Fleet {
     pub(crate) gateway: lift_gateway::Gateway,
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
-    source: sync::Arc<Source>,
+    source: sync::Arc<source::Source>,
     feed: sync::Arc<lift_feed::FeedServer>,
     callers: net::SocketAddr,
     readiness: net::SocketAddr,
@@ -131,7 +42,7 @@
         let member = net::IpAddr::from([127, 0, subnet, 1]);
         let host = net::Ipv4Addr::new(127, 0, subnet, 2);
         let keys = lift_wire::LinkKeys::new(lift_wire::LinkKey::new(1, [7; 32]));
-        let source = sync::Arc::new(Source::default());
+        let source = sync::Arc::new(source::Source::default());
         source.is_leader.store(true, sync::atomic::Ordering::SeqCst);
         let log = lift_obs::LogConfig::discard();
         let feed =
@@ -162,7 +73,7 @@
             .ports(ports)
             .seeds(vec![net::SocketAddr::new(member, 1)])
             .keys(keys)
-            .codec(sync::Arc::new(Codec))
+            .codec(sync::Arc::new(codec::Codec))
             .counters(counters.clone())
             .build();
         let gateway = lift_gateway::Gateway::builder()
@@ -243,7 +154,7 @@
     }
 
     pub(crate) async fn call(&self, route: &str, id: &str) -> (u16, String) {
-        self.call_with_key(route, id, KEY).await
+        self.call_with_key(route, id, codec::KEY).await
     }
 
     pub(crate) async fn call_with_key(&self, route: &str, id: &str, key: &str) -> (u16, String) {
@@ -251,7 +162,7 @@
     }
 
     pub(crate) async fn try_call(&self, route: &str, id: &str) -> Result<(u16, String), String> {
-        self.send(route, id, KEY).await
+        self.send(route, id, codec::KEY).await
     }
 
     /// Calls while `second` is draining, so that `first` gets the request, and then announces
--- a/crates/lift_gateway/tests/support/mod.rs
+++ b/crates/lift_gateway/tests/support/mod.rs
@@ -4,10 +4,12 @@
 #![allow(dead_code, unused_imports)]
 
 mod backend;
+mod codec;
 mod dialect;
 mod fleet;
 mod old_caller;
+mod source;
 
 pub(crate) use backend::{Backend, Reply, Step};
 pub(crate) use fleet::{Fleet, limits};
-pub(crate) use old_caller::call_as_old_caller;
+pub(crate) use old_caller::{call_as_old_caller, call_as_old_caller_after};
--- /dev/null
+++ b/crates/lift_gateway/tests/support/source.rs
@@ -0,0 +1,45 @@
+//! State that the control member of these tests pushes.
+
+use std::sync;
+
+/// A document and the backend servers that were announced.
+#[derive(Debug, Default)]
+pub(crate) struct Source {
+    pub(crate) backends: parking_lot::Mutex<Vec<lift_fleet::BackendRecord>>,
+    pub(crate) is_leader: sync::atomic::AtomicBool,
+}
+
+#[async_trait::async_trait]
+impl lift_feed::FeedSource for Source {
+    fn members(&self) -> (Vec<lift_feed::MemberCard>, u64) {
+        (Vec::new(), 0)
+    }
+
+    fn head(&self) -> lift_feed::FleetHead {
+        lift_feed::FleetHead {
+            document: 1,
+            weights: indexmap::IndexMap::new(),
+        }
+    }
+
+    fn document(&self) -> Option<sync::Arc<lift_fleet::Document>> {
+        let compressed = lift_feed::pack(b"1").unwrap();
+        Some(sync::Arc::new(lift_fleet::Document {
+            version: 1,
+            compressed,
+        }))
+    }
+
+    fn backends(&self) -> Vec<lift_fleet::BackendRecord> {
+        self.backends.lock().clone()
+    }
+
+    fn confirm(&self) -> Option<u64> {
+        let is_leader = self.is_leader.load(sync::atomic::Ordering::SeqCst);
+        is_leader.then_some(1)
+    }
+
+    async fn join(&self, _: lift_feed::Newcomer) -> lift_feed::JoinAnswer {
+        lift_feed::JoinAnswer::Later
+    }
+}
--- a/crates/lift_stage/src/load_reporter.rs
+++ b/crates/lift_stage/src/load_reporter.rs
@@ -91,7 +91,7 @@
             models: report.models.clone(),
             link_percent: self.shared.pressure.lock().allowed_percent(now),
             is_loading: report.is_busy,
-            lot: rand::rng().random(),
+            random: rand::rng().random(),
         }
     }
 }
--- a/crates/lift_stage/src/report_audience.rs
+++ b/crates/lift_stage/src/report_audience.rs
@@ -5,8 +5,8 @@
 /// Gateways of other regions that get the same report. The others get one of the next reports.
 const FAR_PER_REPORT: usize = 4;
 
-/// Largest number of reports between two that the same gateway of another region gets. Together
-/// with a lost datagram they must stay within the age at which gateways ignore a report.
+/// Gateways of other regions get at least one in this many reports. Even if that one is lost, the
+/// next must arrive before they ignore the last one for its age.
 const MAX_STRIDE: usize = 3;
 
 /// Chooses the gateways that get each load report.
