Close listeners without resetting a connection, in one place for both front ends

Cause: the gateway accepted until its runtime knew of no further connection and then closed the listener. The runtime learns of a connection only at its next poll, and the kernel completes connections up to the close, so callers of that moment were reset. The entry closed its listener with whatever was in the backlog, and its connections before their first request.

Change: lift_listen::serve is the accept loop of both. HttpConnection takes over the wait for the first request, now 1 s; 300 ms could run out on a loaded host.

Not mended: the TLS front, which is not drained.

--- a/crates/lift_entry/src/http_server.rs
+++ b/crates/lift_entry/src/http_server.rs
@@ -1,59 +1,54 @@
 //! HTTP server for callers.
 
-use std::{sync, time};
+use std::{pin, sync};
 
-use hyper_util::{rt, server, service};
+use hyper_util::service;
+use tokio_util::sync as cancellation;
 
 use crate::shared;
 
-/// Pause after a failure to accept a connection, such as a lack of file descriptors.
-const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
-
 /// Accepts connections until `closing` is cancelled. Then closes idle connections, waits until the
 /// others have finished their requests, and cancels the `stopped` token of the entry.
 pub(crate) async fn serve(
     shared: sync::Arc<shared::Shared>,
     listener: tokio::net::TcpListener,
     router: axum::Router,
-    closing: tokio_util::sync::CancellationToken,
+    closing: cancellation::CancellationToken,
 ) {
-    let graceful = server::graceful::GracefulShutdown::new();
-    let connection_slots =
-        sync::Arc::new(tokio::sync::Semaphore::new(shared.limits.max_connections));
-    loop {
-        let slot = sync::Arc::clone(&connection_slots).acquire_owned();
-        let accept = async {
-            let slot = slot.await;
-            (slot, listener.accept().await)
-        };
-        let (slot, accepted) = tokio::select! {
-            accepted = accept => accepted,
-            () = closing.cancelled() => break,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
+    let max_connections = shared.limits.max_connections;
+    let handler = sync::Arc::new(CallerConnections {
+        shared: sync::Arc::clone(&shared),
+        router,
+    });
+    lift_listen::serve(listener, max_connections, handler, closing).await;
+    shared.stopped.cancel();
+}
+
+/// Serves connections until the entry has stopped.
+#[derive(Debug)]
+struct CallerConnections {
+    shared: sync::Arc<shared::Shared>,
+    router: axum::Router,
+}
+
+impl lift_listen::ConnectionHandler for CallerConnections {
+    fn serve(
+        &self,
+        stream: tokio::net::TcpStream,
+        draining: cancellation::CancellationToken,
+    ) -> pin::Pin<Box<dyn Future<Output = ()> + Send>> {
+        let limits = &self.shared.limits;
+        let connection = lift_listen::HttpConnection {
+            head_timeout: limits.read_timeout,
+            max_head_bytes: limits.max_head_bytes,
+            max_headers: Some(limits.max_headers),
+            unacknowledged_timeout: limits.write_timeout,
         };
-        let _ = stream.set_nodelay(true);
-        let timeout = Some(shared.limits.write_timeout);
-        let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(timeout);
-        let service = service::TowerToHyperService::new(router.clone());
-        let connection = hyper::server::conn::http1::Builder::new()
-            .timer(rt::TokioTimer::new())
-            .header_read_timeout(shared.limits.read_timeout)
-            .max_headers(shared.limits.max_headers)
-            .max_buf_size(shared.limits.max_head_bytes)
-            .serve_connection(rt::TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
-        let stopped = shared.stopped.clone();
-        tokio::spawn(async move {
-            let _slot = slot;
-            tokio::select! {
-                _ = connection => {}
-                () = stopped.cancelled() => {}
-            }
-        });
+        let service = service::TowerToHyperService::new(self.router.clone());
+        let stopped = self.shared.stopped.clone();
+        Box::pin(async move {
+            let serving = connection.serve(stream, service, draining);
+            stopped.run_until_cancelled(serving).await;
+        })
     }
-    graceful.shutdown().await;
-    shared.stopped.cancel();
 }
--- a/crates/lift_entry/tests/stops_and_limits.rs
+++ b/crates/lift_entry/tests/stops_and_limits.rs
@@ -12,6 +12,9 @@
 
 const CHAT: &str = "/v1/assistant/chat?tokens=50";
 
+/// Threads that connect again and again while an entry stops.
+const CALLERS: usize = 12;
+
 fn text(tokens: usize) -> Option<String> {
     let text = lift_standin::AnswerText::new(b"draft a spread plan", tokens);
     Some(text.whole("v1"))
@@ -202,3 +205,41 @@
     let unknown = fleet.entries[0].drain(99).await;
     assert_eq!(unknown, Err(lift_entry::DrainError::UnknownHost(99)));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_on_accepted_connections_are_answered_while_an_entry_stops() {
+    // Guards against a listener that is closed with connections in its backlog, and against a
+    // connection that is closed before its first request was read.
+    let fleet = fleet::Fleet::start(1).await;
+    let _replica = fleet.replica(1, "v1", time::Duration::ZERO).await;
+    fleet.wait_for_agents(1).await;
+    let addr = fleet.entries[0].http_addr();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| tokio::task::spawn_blocking(move || call_until_refused(addr)))
+        .collect();
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    fleet.entries[0].stop(time::Duration::from_secs(5)).await;
+    for caller in futures_util::future::join_all(callers).await {
+        let answers = caller.unwrap();
+        assert!(matches!(answers, Ok(count) if count > 0), "{answers:?}");
+    }
+}
+
+/// Calls on new connections until one is refused. Returns the number of answers.
+fn call_until_refused(addr: std::net::SocketAddr) -> std::io::Result<usize> {
+    use std::io::{Read as _, Write as _};
+    let request = "POST /v1/assistant/chat?tokens=1 HTTP/1.1\r\nhost: a\r\nx-lift-workspace: depot\r\n\
+                   connection: close\r\ncontent-length: 0\r\n\r\n";
+    let mut answers = 0;
+    loop {
+        let mut stream = match std::net::TcpStream::connect(addr) {
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => return Ok(answers),
+            connected => connected?,
+        };
+        stream.write_all(request.as_bytes())?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer)?;
+        assert!(answer.starts_with("HTTP/1.1 "), "{answer}");
+        answers += 1;
+    }
+}
--- a/crates/lift_gateway/src/http_server.rs
+++ b/crates/lift_gateway/src/http_server.rs
@@ -2,15 +2,11 @@
 
 use std::{sync, time};
 
-use futures_util::FutureExt as _;
 use http_body_util::BodyExt as _;
 use rand::RngExt as _;
 
 use crate::{caller_connection, caller_head, end_to_end, request_run, response, shared};
 
-/// Pause after a failure to accept a connection, such as a lack of file descriptors.
-const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
-
 /// Timeout of a request whose caller specifies none. The timeout of the route limits it further.
 const DEFAULT_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 
@@ -24,36 +20,9 @@
     listener: tokio::net::TcpListener,
     draining: tokio_util::sync::CancellationToken,
 ) {
-    let connections = tokio_util::task::TaskTracker::new();
-    let permits = sync::Arc::new(tokio::sync::Semaphore::new(shared.limits.max_connections));
-    loop {
-        let accept = async {
-            let permit = sync::Arc::clone(&permits).acquire_owned().await;
-            (permit, listener.accept().await)
-        };
-        let Some((permit, accepted)) = draining.run_until_cancelled(accept).await else {
-            break;
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let shared = sync::Arc::clone(&shared);
-        let serving = caller_connection::serve(shared, stream, draining.clone());
-        connections.spawn(async move {
-            let _permit = permit;
-            serving.await;
-        });
-    }
-    // The system has accepted further connections on behalf of the gateway. Closing the listener
-    // would reset them, with the requests that they may carry.
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        let shared = sync::Arc::clone(&shared);
-        connections.spawn(caller_connection::serve(shared, stream, draining.clone()));
-    }
-    drop(listener);
-    connections.close();
-    connections.wait().await;
+    let max_connections = shared.limits.max_connections;
+    let handler = sync::Arc::new(caller_connection::CallerConnections { shared });
+    lift_listen::serve(listener, max_connections, handler, draining).await;
 }
 
 /// Answers one request.
--- /dev/null
+++ b/crates/lift_listen/src/http_connection.rs
@@ -0,0 +1,88 @@
+//! An HTTP connection of a caller.
+
+use std::{pin, sync, time};
+
+use hyper::{body, server::conn::http1, service};
+use hyper_util::rt;
+
+use crate::first_request;
+
+/// Time for which a connection that was accepted waits for its first request although the process
+/// is closing connections. The request may have arrived together with the connection.
+const FIRST_REQUEST_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// Smallest buffer for the head of a request that the HTTP library allows, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+
+type Error = Box<dyn std::error::Error + Send + Sync>;
+
+/// Limits of an HTTP connection of a caller. [`HttpConnection::serve`] serves one.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpConnection {
+    /// Timeout of a request's head, measured from the end of the previous request. It therefore
+    /// also limits how long a connection may be idle.
+    pub head_timeout: time::Duration,
+    /// Maximum size of a request's head in bytes, at least 8 KiB.
+    pub max_head_bytes: usize,
+    /// Maximum number of headers of a request. `None` leaves it to the HTTP library.
+    pub max_headers: Option<usize>,
+    /// TCP user timeout: how long bytes sent to the caller may stay unacknowledged before the
+    /// connection is closed.
+    pub unacknowledged_timeout: time::Duration,
+}
+
+impl HttpConnection {
+    /// Serves `stream` until the caller closes it. Once `draining` is cancelled, it is closed after
+    /// the request in progress, or at once if it is idle between two requests. A connection without
+    /// any request yet may still send its first one: the HTTP library would close it even if that
+    /// request has already arrived.
+    pub async fn serve<S, B>(
+        self,
+        stream: tokio::net::TcpStream,
+        service: S,
+        draining: tokio_util::sync::CancellationToken,
+    ) where
+        S: service::Service<http::Request<body::Incoming>, Response = http::Response<B>>,
+        S::Error: Into<Error>,
+        B: body::Body + 'static,
+        B::Error: Into<Error>,
+    {
+        let _ = stream.set_nodelay(true);
+        let timeout = Some(self.unacknowledged_timeout);
+        let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(timeout);
+        let first_request = sync::Arc::new(first_request::FirstRequest::default());
+        let seen = sync::Arc::clone(&first_request);
+        let service = service::service_fn(move |req| {
+            seen.record();
+            service.call(req)
+        });
+        let connection = self
+            .builder()
+            .serve_connection(rt::TokioIo::new(stream), service);
+        let mut connection = pin::pin!(connection);
+        let closing = async {
+            draining.cancelled().await;
+            let _ = tokio::time::timeout(FIRST_REQUEST_TIMEOUT, first_request.wait()).await;
+        };
+        // An error concerns only this connection, which is closed.
+        tokio::select! {
+            _ = connection.as_mut() => {}
+            () = closing => {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
+        }
+    }
+
+    fn builder(&self) -> http1::Builder {
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(rt::TokioTimer::new())
+            .header_read_timeout(self.head_timeout)
+            .max_buf_size(self.max_head_bytes.max(MIN_BUFFER_BYTES));
+        if let Some(max_headers) = self.max_headers {
+            builder.max_headers(max_headers);
+        }
+        builder
+    }
+}
