Prove nothing about a late call while the claim table is full

Cause: ClaimTable::query records an attempt that has not arrived as refused, so that it does not run if its call arrives later. In a full shard nothing was recorded, and the answer was still "will not run"; the call could run once old claims had expired, after "not run" had been told.

Change: the state is unknown then, and the caller is told that the request may have run.

Result: a_full_table_proves_nothing_about_a_call_that_may_still_arrive fails on the old code (left: WillNotRun, right: Unknown) and passes.

--- a/crates/lift_serve/src/claim_table.rs
+++ b/crates/lift_serve/src/claim_table.rs
@@ -45,7 +45,8 @@
         key: &lift_state::ClaimKey,
         attempt: lift_types::Attempt,
     ) -> claim_decision::ClaimDecision {
-        self.insert_or_update(now, key, attempt, attempt_state::AttemptState::Running)
+        self.record(now, key, attempt, attempt_state::AttemptState::Running)
+            .unwrap_or(claim_decision::ClaimDecision::WillNotRun)
     }
 
     /// Records an attempt as refused, unless one was started under the same key.
@@ -56,23 +57,31 @@
         key: &lift_state::ClaimKey,
         attempt: lift_types::Attempt,
     ) -> claim_decision::ClaimDecision {
-        match self.insert_or_update(now, key, attempt, attempt_state::AttemptState::WillNotRun) {
-            claim_decision::ClaimDecision::Run => claim_decision::ClaimDecision::WillNotRun,
-            other => other,
+        match self.record(now, key, attempt, attempt_state::AttemptState::WillNotRun) {
+            Some(claim_decision::ClaimDecision::Run) | None => {
+                claim_decision::ClaimDecision::WillNotRun
+            }
+            Some(other) => other,
         }
     }
 
     /// Returns the state of an attempt, or of another one that was started under the same key. An
     /// attempt that has not been received yet is recorded as refused, so that it does not run if
-    /// its call arrives after the query.
+    /// its call arrives after the query. While the table is full that can't be recorded, and the state
+    /// is [`attempt_state::AttemptState::Unknown`]: the call may run once there is space.
     pub fn query(
         &self,
         now: time::Instant,
         key: &lift_state::ClaimKey,
         attempt: lift_types::Attempt,
     ) -> attempt_state::AttemptState {
-        if self.refuse(now, key, attempt) == claim_decision::ClaimDecision::WillNotRun {
-            return attempt_state::AttemptState::WillNotRun;
+        use claim_decision::ClaimDecision as Decision;
+        match self.record(now, key, attempt, attempt_state::AttemptState::WillNotRun) {
+            Some(Decision::Run | Decision::WillNotRun) => {
+                return attempt_state::AttemptState::WillNotRun;
+            }
+            Some(Decision::AlreadyStarted) => {}
+            None => return attempt_state::AttemptState::Unknown,
         }
         let state = self.shards.with(key, |claims| {
             claims.get(key).map(|claim| claim.state.clone())
@@ -95,16 +104,17 @@
         });
     }
 
-    fn insert_or_update(
+    /// Records an attempt, unless one was started under the same key. `None` if the table is full.
+    fn record(
         &self,
         now: time::Instant,
         key: &lift_state::ClaimKey,
         attempt: lift_types::Attempt,
         state: attempt_state::AttemptState,
-    ) -> claim_decision::ClaimDecision {
+    ) -> Option<claim_decision::ClaimDecision> {
         self.shards.with(key, |claims| {
             if let Some(claim) = claims.get_mut(key) {
-                return claim.update(now, attempt, state);
+                return Some(claim.update(now, attempt, state));
             }
             let is_expired = |claim: &TrackedClaim| {
                 now.saturating_duration_since(claim.recorded_at) >= RETENTION
@@ -118,7 +128,7 @@
                 claims.retain(|_, claim| !is_expired(claim));
             }
             if claims.len() >= MAX_CLAIMS_PER_SHARD {
-                return claim_decision::ClaimDecision::WillNotRun;
+                return None;
             }
             let claim = TrackedClaim {
                 attempt,
@@ -126,7 +136,7 @@
                 state,
             };
             claims.insert(key.clone(), claim);
-            claim_decision::ClaimDecision::Run
+            Some(claim_decision::ClaimDecision::Run)
         })
     }
 }
--- a/crates/lift_serve/tests/claim_table.rs
+++ b/crates/lift_serve/tests/claim_table.rs
@@ -64,3 +64,23 @@
     let later = now + time::Duration::from_secs(26 * 3600);
     assert_eq!(claims.start(later, &key("late"), 1), ClaimDecision::Run);
 }
+
+#[test]
+fn a_full_table_proves_nothing_about_a_call_that_may_still_arrive() {
+    // Guards against "not run" for a call that is late and runs once old claims have expired.
+    let (claims, now) = (ClaimTable::new(), time::Instant::now());
+    for i in 0..300_000 {
+        claims.start(now, &key(&i.to_string()), 1);
+    }
+    assert_eq!(claims.query(now, &key("late"), 1), AttemptState::Unknown);
+    let later = now + time::Duration::from_secs(26 * 3600);
+    assert_eq!(claims.start(later, &key("late"), 1), ClaimDecision::Run);
+    assert_eq!(
+        claims.query(later, &key("other"), 1),
+        AttemptState::WillNotRun
+    );
+    assert_eq!(
+        claims.start(later, &key("other"), 1),
+        ClaimDecision::WillNotRun
+    );
+}
