Let a deregistration win over heartbeats that the member missed

Cause: a member that is told that a server leaves marks it as gone under the sequence after the last heartbeat that it knows. A member or gateway that has received later heartbeats of the same start took that record for stale and kept the server as ready until it was silent, so it got requests after its deregistration was acknowledged.

Change: gone is final for one start of a server, whatever the sequence. A later start still wins.

Result: a_deregistration_wins_over_heartbeats_that_another_member_has_received fails on the old code (Stale instead of Changed) and passes.

--- a/crates/lift_fleet/src/directory.rs
+++ b/crates/lift_fleet/src/directory.rs
@@ -59,14 +59,18 @@
             return update_outcome::UpdateOutcome::Changed;
         };
         let known = &entry.record;
-        if !record.announcement.is_newer_than(&known.announcement) {
-            return update_outcome::UpdateOutcome::Stale;
-        }
         let is_same_start = record.announcement.started_at == known.announcement.started_at;
         let was_gone = known.announcement.state == backend_state::BackendState::Gone;
         if is_same_start && was_gone {
             return update_outcome::UpdateOutcome::Stale;
         }
+        // Gone is final. The member that was told may not have received the last heartbeats, which
+        // have the same sequence as its record then, or a higher one.
+        let is_gone = record.announcement.state == backend_state::BackendState::Gone;
+        let is_final = is_same_start && is_gone;
+        if !is_final && !record.announcement.is_newer_than(&known.announcement) {
+            return update_outcome::UpdateOutcome::Stale;
+        }
         let is_refresh =
             !known.is_silent && record.announcement.has_same_content(&known.announcement);
         *entry = Entry {
