--- a/crates/lift_log/src/node.rs
+++ b/crates/lift_log/src/node.rs
@@ -104,7 +104,7 @@
             changed
         });
         if has_changed {
-            slog::info!(self.log, "leadership changed"; "member" => self.id, "now" => %new,
+            slog::info!(self.log, "leadership changed"; "now" => %new,
                 "term" => replica.term(), "voters" => replica.members().voters().count());
         }
         if !replica.is_leading() {
