--- a/crates/lift_dispatch/src/backend_selector.rs
+++ b/crates/lift_dispatch/src/backend_selector.rs
@@ -137,11 +137,17 @@
     /// Whether the link is congested: the agent reports that it can carry little traffic, or
     /// requests of this gateway are missing in the report.
     fn is_congested(&self, load: &backend_load::BackendLoad) -> bool {
-        let sample = load.fresh_sample(self.now);
-        let is_narrow = sample.is_some_and(|sample| sample.link_percent < CONGESTED_LINK_PERCENT);
+        let percent = self.link_percent(load);
+        let is_narrow = percent.is_some_and(|percent| percent < CONGESTED_LINK_PERCENT);
         is_narrow || load.missing_requests(self.now) > MAX_MISSING_REQUESTS
     }
 
+    /// Traffic that the link can carry, in percent of the usual traffic. `None` if that is not
+    /// known.
+    fn link_percent(&self, load: &backend_load::BackendLoad) -> Option<u32> {
+        load.fresh_sample(self.now)?.link_percent
+    }
+
     fn score(
         &self,
         backend: &backend::Backend,
@@ -182,8 +188,9 @@
     ) -> bool {
         match load.fresh_sample(self.now) {
             Some(sample) => {
-                let is_slow =
-                    self.head_penalty(load) > 0.0 || sample.link_percent < 100 || is_congested;
+                // A link that could not be measured may be congested.
+                let is_link_free = self.link_percent(load) == Some(100);
+                let is_slow = self.head_penalty(load) > 0.0 || !is_link_free || is_congested;
                 !sample.is_loading && self.weights.is_met_by(&sample.models, is_slow)
             }
             None => self.weights.is_met_by(&backend.models, true),
@@ -242,9 +249,7 @@
             0.0
         };
         let failures = load.health.failure_rate() * FAILURE_PENALTY;
-        let congestion = load
-            .fresh_sample(self.now)
-            .map_or(0, |s| 100 - s.link_percent.min(100));
+        let congestion = self.link_percent(load).map_or(0, |p| 100 - p.min(100));
         let congestion = f64::from(congestion) / 100.0;
         used + self.prompts_cost(load)
             + remote
--- a/crates/lift_dispatch/src/load_sample.rs
+++ b/crates/lift_dispatch/src/load_sample.rs
@@ -12,8 +12,8 @@
     /// Models that the backend server has loaded completely.
     pub models: Vec<lift_fleet::LoadedModel>,
     /// Traffic that the link of its host can carry, in percent of the usual traffic. The agent
-    /// estimates it from round trips to control members.
-    pub link_percent: u32,
+    /// estimates it from round trips to control members; `None` if it could not.
+    pub link_percent: Option<u32>,
     /// Whether it is loading weights and starts no request.
     pub is_loading: bool,
     /// Random number of the report, from 0 up to 1. It decides which gateways may use the free
--- a/crates/lift_dispatch/tests/backend_selector.rs
+++ b/crates/lift_dispatch/tests/backend_selector.rs
@@ -94,7 +94,7 @@
     let mut case = Case::new(&["here"]);
     case.weights.min_version_if_slow = 2;
     let mut slow = sample(case.now, 0);
-    slow.link_percent = 50;
+    slow.link_percent = Some(50);
     case.loads[0].record_sample(slow);
     assert_eq!(case.select(), Err(SelectionError::NoWeights));
     case.loads[0].record_sample(sample(case.now, 0));
@@ -107,6 +107,20 @@
     );
 }
 
+#[test]
+fn a_link_that_could_not_be_measured_requires_the_target_version_earlier() {
+    // Guards against requests that wait on a link of which nobody knows that it is congested. The
+    // server is used as before otherwise: its agent may have lost control only.
+    let mut case = Case::new(&["here"]);
+    case.weights.min_version_if_slow = 2;
+    let mut unmeasured = sample(case.now, 0);
+    unmeasured.link_percent = None;
+    case.loads[0].record_sample(unmeasured);
+    assert_eq!(case.select(), Err(SelectionError::NoWeights));
+    case.weights.min_version_if_slow = 0;
+    assert_eq!(case.select().as_deref(), Ok("s0"));
+}
+
 #[test]
 fn without_reports_other_gateways_are_assumed_to_send_as_much() {
     let mut case = Case::new(&["here"]);
@@ -127,7 +141,7 @@
     // named-twice-behind-narrow-links).
     let mut case = Case::new(&["here", "here", "here"]);
     let mut congested = sample(case.now, 0);
-    congested.link_percent = 12;
+    congested.link_percent = Some(12);
     case.loads[0].record_sample(congested.clone());
     case.loads[1].record_sample(sample(case.now, 4));
     case.loads[2].record_sample(sample(case.now, 4));
--- a/crates/lift_dispatch/tests/played_load/fleet.rs
+++ b/crates/lift_dispatch/tests/played_load/fleet.rs
@@ -185,7 +185,7 @@
                     queued_prompts: engine.queued_prompts(),
                     random,
                     models: Vec::new(),
-                    link_percent: 100,
+                    link_percent: Some(100),
                     is_loading: false,
                     received_at,
                 });
--- a/crates/lift_dispatch/tests/selection_case/mod.rs
+++ b/crates/lift_dispatch/tests/selection_case/mod.rs
@@ -42,7 +42,7 @@
         requests,
         queued_prompts: 0,
         models: vec![model(1)],
-        link_percent: 100,
+        link_percent: Some(100),
         is_loading: false,
         random: 0.25,
         received_at,
--- a/crates/lift_feed/src/feed_link.rs
+++ b/crates/lift_feed/src/feed_link.rs
@@ -17,6 +17,13 @@
 /// one would be sent only after a second, when the host may long be back.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 
+/// Time to open a connection over a congested link, on which the opening packets wait for longer
+/// than [`CONNECT_TIMEOUT`].
+const PATIENT_CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+
+/// Of this many attempts to connect in a row, the last one is patient.
+const PATIENT_ATTEMPT: u32 = 4;
+
 /// Time for the handshake on a slow member.
 const HANDSHAKE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 
@@ -33,6 +40,7 @@
 /// Keeps a connection to `address` for as long as a control member is expected there.
 pub(crate) async fn run(shared: sync::Arc<feed_shared::Shared>, address: net::SocketAddr) {
     let mut pause = FIRST_PAUSE;
+    let mut failures = 0;
     while shared.keep(address) {
         let mut link = Link {
             shared: sync::Arc::clone(&shared),
@@ -41,18 +49,25 @@
             nonce: 0,
             schedule: ask_schedule::AskSchedule::default(),
         };
-        match link.connect().await {
+        let timeout = match failures % PATIENT_ATTEMPT + 1 {
+            PATIENT_ATTEMPT => PATIENT_CONNECT_TIMEOUT,
+            _ => CONNECT_TIMEOUT,
+        };
+        match link.connect(timeout).await {
             Ok((reader, writer)) => {
                 let log = &shared.node.log;
                 slog::info!(log, "control member connected"; "member" => address);
-                pause = FIRST_PAUSE;
+                (pause, failures) = (FIRST_PAUSE, 0);
                 let ended = link.exchange(reader, writer).await;
                 let error = ended.err().map(|e| e.to_string()).unwrap_or_default();
                 slog::warn!(log, "control member lost"; "member" => address, "error" => error);
                 shared.node.counters.increment("feed.link_lost");
                 shared.state.lock().link_down(address);
             }
-            Err(_) => shared.node.counters.increment("feed.connect_failed"),
+            Err(_) => {
+                failures += 1;
+                shared.node.counters.increment("feed.connect_failed");
+            }
         }
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(LONGEST_PAUSE);
@@ -69,10 +84,10 @@
 }
 
 impl Link {
-    async fn connect(&self) -> Result<(Reader, Writer)> {
+    async fn connect(&self, timeout: time::Duration) -> Result<(Reader, Writer)> {
         let node = &self.shared.node;
         let connecting = tokio::net::TcpStream::connect(self.address);
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        let connected = tokio::time::timeout(timeout, connecting).await;
         let connected = connected.change_context(feed_error::FeedError::Connect)?;
         let stream = connected.change_context(feed_error::FeedError::Connect)?;
         link_socket::prepare_link(&stream, SILENCE);
@@ -127,7 +142,7 @@
     fn measure_unanswered(&self, now: time::Instant) {
         if let Some((_, at)) = self.asked.first() {
             let waited = now.saturating_duration_since(*at);
-            self.shared.observer.on_round_trip(waited);
+            self.shared.observer.on_unanswered(self.address, waited);
         }
     }
 
@@ -143,7 +158,7 @@
         let position = self.asked.iter().position(|(n, _)| *n == nonce)?;
         let (_, at) = self.asked.drain(..=position).next_back()?;
         let round_trip = lift_clock::now().saturating_duration_since(at);
-        self.shared.observer.on_round_trip(round_trip);
+        self.shared.observer.on_round_trip(self.address, round_trip);
         Some(at)
     }
 
@@ -191,8 +206,9 @@
 
     fn fetch(&self, version: lift_fleet::DocumentVersion) -> Next {
         let is_wanted = self.shared.follows_documents();
+        let interval = self.shared.node.card.kind.fetch_interval();
         let mut state = self.shared.state.lock();
-        match is_wanted && state.start_fetch(lift_clock::now(), version) {
+        match is_wanted && state.start_fetch(lift_clock::now(), version, interval) {
             true => Next::Fetch,
             false => Next::Read,
         }
@@ -222,7 +238,7 @@
         // connections the newer one stays in force.
         let mut state = self.shared.state.lock();
         if state.is_newer(table.version()) {
-            state.hold(&table);
+            state.hold(lift_clock::now(), &table);
             slog::info!(node.log, "configuration in force"; "document" => table.version(),
                 "routes" => table.route_count(), "member" => self.address);
             self.shared.observer.on_table(table);
--- a/crates/lift_feed/src/feed_server.rs
+++ b/crates/lift_feed/src/feed_server.rs
@@ -53,10 +53,12 @@
         }
     }
 
-    /// Tells all nodes about backend servers that are new or have changed.
+    /// Tells gateways and the other control members about backend servers that are new or have
+    /// changed.
     pub fn push_backends(&self, records: Vec<lift_fleet::BackendRecord>) {
         let message = member_message::MemberMessage::Backends(records);
-        self.subscribers.publish(message, |_| true);
+        self.subscribers
+            .publish(message, |card| card.kind.follows_backends());
     }
 
     /// Tells the other control members about heartbeats that changed nothing.
--- a/crates/lift_feed/src/feed_state.rs
+++ b/crates/lift_feed/src/feed_state.rs
@@ -13,6 +13,8 @@
 pub(crate) struct FeedState {
     pub(crate) members: known_members::KnownMembers,
     held: lift_fleet::DocumentVersion,
+    /// When the document that is held was put in force.
+    held_since: Option<time::Instant>,
     fetching: Option<(lift_fleet::DocumentVersion, time::Instant)>,
     /// A document that could not be decoded here. It is not fetched again.
     unreadable: lift_fleet::DocumentVersion,
@@ -60,15 +62,21 @@
         news
     }
 
-    /// Whether the document `version` is to be fetched now over the connection that asks.
+    /// Whether the document `version` is to be fetched now over the connection that asks, no
+    /// sooner than `interval` after the last one. The next confirmation asks again.
     pub(crate) fn start_fetch(
         &mut self,
         now: time::Instant,
         version: lift_fleet::DocumentVersion,
+        interval: time::Duration,
     ) -> bool {
         if version <= self.held.max(self.unreadable) {
             return false;
         }
+        let is_early = |since| now.saturating_duration_since(since) < interval;
+        if self.held_since.is_some_and(is_early) {
+            return false;
+        }
         let is_under_way = self.fetching.is_some_and(|(fetched, since)| {
             fetched >= version && now.saturating_duration_since(since) < FETCH_TIMEOUT
         });
@@ -84,8 +92,9 @@
     }
 
     /// Puts a decoded document in force.
-    pub(crate) fn hold(&mut self, table: &sync::Arc<lift_fleet::RoutingTable>) {
+    pub(crate) fn hold(&mut self, now: time::Instant, table: &sync::Arc<lift_fleet::RoutingTable>) {
         self.held = self.held.max(table.version());
+        self.held_since = Some(now);
         self.fetching = None;
     }
 
--- a/crates/lift_feed/src/fleet_observer.rs
+++ b/crates/lift_feed/src/fleet_observer.rs
@@ -1,6 +1,6 @@
 //! Who is told about the fleet.
 
-use std::{fmt, sync, time};
+use std::{fmt, net, sync, time};
 
 use crate::{member_card, node_card};
 
@@ -39,10 +39,16 @@
         let _ = nodes;
     }
 
-    /// How long a small message to a control member and its answer took, or has taken so far.
-    /// Its processing is part of it.
-    fn on_round_trip(&self, round_trip: time::Duration) {
-        let _ = round_trip;
+    /// How long a small message to the control member at `member` and its answer took. Its
+    /// processing is part of it.
+    fn on_round_trip(&self, member: net::SocketAddr, round_trip: time::Duration) {
+        let _ = (member, round_trip);
+    }
+
+    /// For how long a small message has waited that the control member at `member` has not
+    /// answered.
+    fn on_unanswered(&self, member: net::SocketAddr, waited: time::Duration) {
+        let _ = (member, waited);
     }
 
     /// The control members as one of them knows them, and the highest identifier in use.
--- a/crates/lift_feed/src/load_report.rs
+++ b/crates/lift_feed/src/load_report.rs
@@ -15,8 +15,9 @@
     pub unread: u32,
     /// Models that it holds whole.
     pub models: Vec<lift_fleet::LoadedModel>,
-    /// Share of the usual traffic that the link of its host bears, in percent.
-    pub link_percent: u32,
+    /// Share of the usual traffic that the link of its host can carry, in percent. `None` if the
+    /// agent could not measure it lately.
+    pub link_percent: Option<u32>,
     /// Whether it is loading weights and starts no request.
     pub is_loading: bool,
     /// Random number from 0 up to 1, by which gateways take turns in using free slots.
--- a/crates/lift_feed/src/node_kind.rs
+++ b/crates/lift_feed/src/node_kind.rs
@@ -1,5 +1,7 @@
 //! Kind of a node.
 
+use std::time;
+
 /// What a node does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub enum NodeKind {
@@ -10,3 +12,20 @@
     /// Stands beside a backend server.
     Agent,
 }
+
+impl NodeKind {
+    /// Whether nodes of this kind are told about backend servers. Agents only need that beside
+    /// them, and a change of each server would cross the link of every agent.
+    pub(crate) fn follows_backends(self) -> bool {
+        self != Self::Agent
+    }
+
+    /// Shortest time between two documents that a node of this kind fetches. Agents take little
+    /// from a document, and their links also carry requests.
+    pub(crate) fn fetch_interval(self) -> time::Duration {
+        match self {
+            Self::Agent => time::Duration::from_secs(1),
+            Self::Control | Self::Gateway => time::Duration::ZERO,
+        }
+    }
+}
--- a/crates/lift_feed/src/server_connection.rs
+++ b/crates/lift_feed/src/server_connection.rs
@@ -76,7 +76,7 @@
     slog::info!(server.log, "node connected"; "host" => card.location.host,
         "kind" => ?card.kind);
     let served = async {
-        push_state(server, &mut writer)?;
+        push_state(server, card.kind, &mut writer)?;
         within(SILENCE, writer.flush()).await?;
         exchange(server, queue, reader, writer).await
     };
@@ -98,19 +98,19 @@
     card.kind != node_kind::NodeKind::Control
 }
 
-fn push_state(server: &feed_server::FeedServer, writer: &mut Writer) -> Result<()> {
+fn push_state(
+    server: &feed_server::FeedServer,
+    kind: node_kind::NodeKind,
+    writer: &mut Writer,
+) -> Result<()> {
+    use member_message::MemberMessage as Message;
     let (members, highest) = server.source.members();
-    let state = [
-        member_message::MemberMessage::Members { members, highest },
-        member_message::MemberMessage::Head(server.source.head()),
-        member_message::MemberMessage::Backends(server.source.backends()),
-        member_message::MemberMessage::Nodes(server.subscribers.nodes()),
-    ];
-    for message in &state {
-        let pushed = writer.push(message);
-        pushed.change_context(feed_error::FeedError::Link)?;
+    push(writer, &Message::Members { members, highest })?;
+    push(writer, &Message::Head(server.source.head()))?;
+    if kind.follows_backends() {
+        push(writer, &Message::Backends(server.source.backends()))?;
     }
-    Ok(())
+    push(writer, &Message::Nodes(server.subscribers.nodes()))
 }
 
 async fn exchange(
--- a/crates/lift_feed/tests/feed.rs
+++ b/crates/lift_feed/tests/feed.rs
@@ -64,7 +64,7 @@
     }
 
     fn backends(&self) -> Vec<lift_fleet::BackendRecord> {
-        Vec::new()
+        vec![record("known")]
     }
 
     fn confirm(&self) -> Option<u64> {
@@ -84,17 +84,22 @@
     weights: parking_lot::Mutex<Vec<(u64, Option<time::Instant>)>>,
     nodes: parking_lot::Mutex<Vec<NodeCard>>,
     round_trips: parking_lot::Mutex<Vec<time::Duration>>,
+    backends: parking_lot::Mutex<Vec<lift_fleet::BackendRecord>>,
 }
 
 impl FleetObserver for Observer {
-    fn on_round_trip(&self, round_trip: time::Duration) {
-        self.round_trips.lock().push(round_trip);
+    fn on_unanswered(&self, _: net::SocketAddr, waited: time::Duration) {
+        self.round_trips.lock().push(waited);
     }
 
     fn on_table(&self, table: sync::Arc<lift_fleet::RoutingTable>) {
         self.tables.lock().push(table.version());
     }
 
+    fn on_backends(&self, records: Vec<lift_fleet::BackendRecord>) {
+        self.backends.lock().extend(records);
+    }
+
     fn on_confirmed(&self, at: time::Instant) {
         *self.confirmed.lock() = Some(at);
     }
@@ -108,6 +113,25 @@
     }
 }
 
+fn record(id: &str) -> lift_fleet::BackendRecord {
+    let announcement = lift_fleet::Announcement {
+        id: String::from(id),
+        started_at: time::SystemTime::UNIX_EPOCH,
+        sequence: 1,
+        service: String::from("s"),
+        address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
+        failure_domain: String::from("d"),
+        slots: 8,
+        state: lift_fleet::BackendState::Ready,
+        warmup_left: time::Duration::ZERO,
+        models: Vec::new(),
+    };
+    lift_fleet::BackendRecord {
+        announcement,
+        is_silent: false,
+    }
+}
+
 fn keys() -> lift_wire::LinkKeys {
     lift_wire::LinkKeys::new(lift_wire::LinkKey::new(1, [7; 32]))
 }
@@ -165,9 +189,19 @@
 }
 
 fn client(observer: &sync::Arc<Observer>, host: [u8; 4], seeds: &[[u8; 4]]) -> FeedClient {
+    client_of(NodeKind::Gateway, observer, host, seeds)
+}
+
+fn client_of(
+    kind: NodeKind,
+    observer: &sync::Arc<Observer>,
+    host: [u8; 4],
+    seeds: &[[u8; 4]],
+) -> FeedClient {
     let seeds = seeds.iter().map(|ip| net::SocketAddr::from((*ip, 1)));
+    let card = card(net::Ipv4Addr::from(host));
     let node = NodeSetup::builder()
-        .card(card(net::Ipv4Addr::from(host)))
+        .card(NodeCard { kind, ..card })
         .ports(ports())
         .seeds(seeds.collect())
         .keys(keys())
@@ -303,6 +337,46 @@
     assert!(lift_feed::join(address, &wrong, newcomer).await.is_err());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_takes_little_of_a_storm_of_changes() {
+    // Guards against changes that an agent does not need and that fill the link of its host, which
+    // also carries requests.
+    let host = [127, 0, 36, 1];
+    let member = Member::start(host).await;
+    member.put(1);
+    member.source.lead(true);
+    let gateway = sync::Arc::new(Observer::default());
+    let agent = sync::Arc::new(Observer::default());
+    let _clients = [
+        client_of(NodeKind::Gateway, &gateway, [127, 0, 36, 8], &[host]),
+        client_of(NodeKind::Agent, &agent, [127, 0, 36, 9], &[host]),
+    ];
+    let all_follow = || {
+        [&gateway, &agent]
+            .iter()
+            .all(|o| !o.tables.lock().is_empty())
+    };
+    until("both follow", all_follow).await;
+    let last = 30;
+    for version in 2..=last {
+        member.put(version);
+        member.server.push_backends(vec![record("changed")]);
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    let is_held = |o: &Observer| o.tables.lock().last() == Some(&last);
+    until("the last document is in force", || {
+        is_held(&gateway) && is_held(&agent)
+    })
+    .await;
+    assert!(agent.tables.lock().len() <= 4, "{:?}", agent.tables);
+    assert_eq!(*agent.backends.lock(), []);
+    assert_eq!(
+        gateway.backends.lock().len(),
+        last as usize,
+        "one was known"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_question_without_an_answer_counts_as_a_long_round_trip() {
     // Guards against a link that jams and looks free, since no answer arrives to be measured
--- a/crates/lift_gateway/src/load_receiver.rs
+++ b/crates/lift_gateway/src/load_receiver.rs
@@ -28,7 +28,7 @@
             requests: report.running + report.waiting,
             queued_prompts: report.unread,
             models: report.models,
-            link_percent: report.link_percent.min(100),
+            link_percent: report.link_percent.map(|percent| percent.min(100)),
             is_loading: report.is_loading,
             random: report.random,
             received_at: lift_clock::now(),
--- a/crates/lift_gateway/src/request_records.rs
+++ b/crates/lift_gateway/src/request_records.rs
@@ -36,7 +36,7 @@
                 "own" => own, "sample_age_ms" => sample_age.map(|a| a.as_millis() as u64),
                 "requests" => sample.as_ref().map(|s| s.requests),
                 "unread" => sample.as_ref().map(|s| s.queued_prompts),
-                "link_percent" => sample.as_ref().map(|s| s.link_percent));
+                "link_percent" => sample.as_ref().and_then(|s| s.link_percent));
         });
     }
 
--- a/crates/lift_stage/src/agent_observer.rs
+++ b/crates/lift_stage/src/agent_observer.rs
@@ -1,6 +1,6 @@
 //! Takes in the state of the fleet.
 
-use std::{sync, time};
+use std::{net, sync, time};
 
 use crate::shared;
 
@@ -27,9 +27,16 @@
         });
     }
 
-    fn on_round_trip(&self, round_trip: time::Duration) {
+    fn on_round_trip(&self, member: net::SocketAddr, round_trip: time::Duration) {
         let now = lift_clock::now();
-        self.shared.pressure.lock().record(now, round_trip);
+        let mut pressure = self.shared.pressure.lock();
+        pressure.record(now, member, round_trip);
+    }
+
+    fn on_unanswered(&self, member: net::SocketAddr, waited: time::Duration) {
+        let now = lift_clock::now();
+        let mut pressure = self.shared.pressure.lock();
+        pressure.record_unanswered(now, member, waited);
     }
 
     fn on_nodes(&self, nodes: Vec<lift_feed::NodeCard>) {
--- a/crates/lift_stage/src/lib.rs
+++ b/crates/lift_stage/src/lib.rs
@@ -16,6 +16,7 @@
 mod fetch_links;
 mod fetch_log;
 mod fetch_progress;
+mod link_patience;
 mod load_reporter;
 mod manifest_source;
 mod order_answer;
@@ -36,6 +37,7 @@
 mod weights_keeper;
 
 pub use engine_report::EngineReport;
+pub use link_patience::LinkPatience;
 pub use order_answer::OrderAnswer;
 pub use origin_port::OriginPort;
 pub use piece_digest::PieceDigest;
--- a/crates/lift_stage/src/load_reporter.rs
+++ b/crates/lift_stage/src/load_reporter.rs
@@ -89,7 +89,7 @@
                 .prefill_queue
                 .record_sample(now, requests, prefill_time),
             models: report.models.clone(),
-            link_percent: self.shared.pressure.lock().allowed_percent(now),
+            link_percent: self.shared.pressure.lock().link_percent(now),
             is_loading: report.is_busy,
             random: rand::rng().random(),
         }
--- a/crates/lift_stage/src/piece_link.rs
+++ b/crates/lift_stage/src/piece_link.rs
@@ -4,14 +4,7 @@
 
 use tokio::sync::mpsc;
 
-use crate::{fetch, piece_connection, piece_message};
-
-/// Time to open a connection.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(600);
-
-/// Silence after which a connection is replaced and its agent is suspected. The other end sends
-/// a ping at least every 300 ms.
-const SILENCE: time::Duration = time::Duration::from_millis(1_100);
+use crate::{fetch, link_patience, piece_connection, piece_message};
 
 /// Time between two looks at the silence. Each sends a ping.
 const PING_INTERVAL: time::Duration = time::Duration::from_millis(300);
@@ -31,7 +24,9 @@
     loop {
         if ask(&fetch, &peer, &mut queue).await.is_err() {
             fetch.step(lift_transfer::DownloadEvent::PeerDown { host });
-            fetch.suspect(host, true);
+            if fetch.shared.link_patience().may_suspect {
+                fetch.suspect(host, true);
+            }
         }
         while queue.try_recv().is_ok() {}
         tokio::time::sleep(RETRY_PAUSE).await;
@@ -45,8 +40,10 @@
 ) -> Result<()> {
     let host = peer.location.host;
     let want = fetch.want();
-    let opening = piece_connection::open(fetch.keys(), peer.chunk_addr, SILENCE, &want);
-    let (mut reader, mut writer) = piece_connection::within(CONNECT_TIMEOUT, opening).await?;
+    let limit = link_patience::LinkPatience::MAX_SILENCE;
+    let opening = piece_connection::open(fetch.keys(), peer.chunk_addr, limit, &want);
+    let connect_timeout = fetch.shared.link_patience().connect;
+    let (mut reader, mut writer) = piece_connection::within(connect_timeout, opening).await?;
     let location = peer.location.clone();
     fetch.step(lift_transfer::DownloadEvent::PeerUp { location });
     fetch.suspect(host, false);
@@ -61,15 +58,15 @@
             index = queue.recv() => {
                 let Some(index) = index else { return Ok(()) };
                 let get = piece_message::PieceMessage::Get(index);
-                piece_connection::within(SILENCE, writer.send(&get)).await?;
+                piece_connection::within(limit, writer.send(&get)).await?;
             }
             _ = ping.tick() => {
                 let silence = lift_clock::now().saturating_duration_since(heard);
-                if silence > SILENCE {
+                if silence > fetch.shared.link_patience().silence {
                     return Err(error_stack::Report::new(lift_wire::WireError::Closed));
                 }
                 let ping = piece_message::PieceMessage::Ping;
-                piece_connection::within(SILENCE, writer.send(&ping)).await?;
+                piece_connection::within(limit, writer.send(&ping)).await?;
             }
         }
     }
--- a/crates/lift_stage/src/shared.rs
+++ b/crates/lift_stage/src/shared.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::watch;
 
-use crate::{engine_report, origin_port, stage_error, stage_port, staged};
+use crate::{engine_report, link_patience, origin_port, stage_error, stage_port, staged};
 
 /// Time for one request to the backend server beside the agent.
 pub(crate) const BACKEND_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -83,6 +83,12 @@
             .prefill_time()
     }
 
+    /// How long to wait for other agents, as far as the own link is known.
+    pub(crate) fn link_patience(&self) -> link_patience::LinkPatience {
+        let percent = self.pressure.lock().allowed_percent(lift_clock::now());
+        link_patience::LinkPatience::of_link(percent)
+    }
+
     /// Newest named version of `model`, 0 where none was named.
     pub(crate) fn named(&self, model: &str) -> lift_fleet::WeightsVersion {
         self.named.borrow().newest(model)
--- /dev/null
+++ b/crates/lift_stage/tests/link_patience.rs
@@ -0,0 +1,23 @@
+//! What an agent concludes from the silence of other agents, without a network.
+
+use std::time;
+
+use lift_stage::LinkPatience;
+
+#[test]
+fn an_agent_behind_a_congested_link_gives_up_no_other_agent() {
+    // Guards against an agent that takes its own congested link for the loss of all others,
+    // connects to one after the other and drops the pieces that are on their way.
+    let usual = LinkPatience::of_link(100);
+    assert!(usual.may_suspect);
+    for percent in [12, 50, 75] {
+        let congested = LinkPatience::of_link(percent);
+        assert!(!congested.may_suspect);
+        // A queue of 300 KB leaves a link of 1.2 Mbit/s in 2 s.
+        assert!(congested.silence > time::Duration::from_secs(2));
+        assert!(congested.connect > time::Duration::from_secs(2));
+        assert!(congested.silence <= LinkPatience::MAX_SILENCE);
+    }
+    // An agent that has stopped is to be replaced soon, or its pieces are missed.
+    assert!(usual.silence < time::Duration::from_secs(2));
+}
