--- a/crates/lift_gateway/src/request_records.rs
+++ b/crates/lift_gateway/src/request_records.rs
@@ -88,6 +88,28 @@
             .record("gateway.request", <&str>::from(self.route.kind), took);
     }
 
+    /// Writes the loads on which the request was refused.
+    pub(crate) fn log_loads(&self, error: lift_dispatch::SelectionError) {
+        let now = lift_clock::now();
+        self.shared.log.write_limited(|log| {
+            let backends = self.shared.fleet.backends();
+            let loads = backends.backends(&self.service).iter().map(|backend| {
+                self.shared.loads.read(backend.address, |load| {
+                    let sample = load.fresh_sample(now);
+                    lift_dispatch::ConsideredLoad {
+                        backend: backend.id.clone(),
+                        requests: load.estimate_requests(now, 1),
+                        slots: backend.slots,
+                        age: sample.map(|s| now.saturating_duration_since(s.received_at)),
+                    }
+                })
+            });
+            let loads = lift_dispatch::ConsideredLoads::new(loads.collect());
+            slog::info!(log, "no backend server selected"; "request" => &self.head.id,
+                "service" => &self.service, "reason" => %error, "loads" => %loads);
+        });
+    }
+
     /// Writes the last log line of the request.
     pub(crate) fn log_outcome(&self, outcome: &str, status: u16, backend: &str) {
         let now = lift_clock::now();
