--- a/crates/lift_stage/src/lib.rs
+++ b/crates/lift_stage/src/lib.rs
@@ -13,6 +13,7 @@
 mod agent_observer;
 mod engine_report;
 mod fetch;
+mod fetch_assignment;
 mod fetch_links;
 mod fetch_log;
 mod fetch_progress;
