--- a/crates/lift_dispatch/src/considered_loads.rs
+++ b/crates/lift_dispatch/src/considered_loads.rs
@@ -1,31 +1,20 @@
 //! Loads of the backend servers that were considered for a request.
 
-use std::{fmt, time};
+use std::fmt;
+
+use crate::considered_load;
 
 /// Backend servers that are written, those with the fewest requests first.
 const MAX_SERVERS: usize = 6;
 
-/// Load of one backend server, as this gateway knew it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ConsideredLoad {
-    /// The server.
-    pub backend: lift_fleet::BackendId,
-    /// Requests that run or wait there.
-    pub requests: u32,
-    /// Number of its slots.
-    pub slots: u32,
-    /// Age of its load report, `None` without a fresh one.
-    pub age: Option<time::Duration>,
-}
-
 /// Loads of all backend servers of a service. The text names a few of them, so that the log line
 /// stays short in a large fleet.
 #[derive(Clone, Debug, Default)]
-pub struct ConsideredLoads(Vec<ConsideredLoad>);
+pub struct ConsideredLoads(Vec<considered_load::ConsideredLoad>);
 
 impl ConsideredLoads {
     /// Takes the loads in any order.
-    pub fn new(loads: Vec<ConsideredLoad>) -> Self {
+    pub fn new(loads: Vec<considered_load::ConsideredLoad>) -> Self {
         Self(loads)
     }
 }
--- a/crates/lift_feed/src/feed_link.rs
+++ b/crates/lift_feed/src/feed_link.rs
@@ -21,7 +21,7 @@
 /// than [`CONNECT_TIMEOUT`].
 const PATIENT_CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
-/// Of this many attempts to connect in a row, the last one is patient.
+/// One attempt in this many in a row waits for [`PATIENT_CONNECT_TIMEOUT`].
 const PATIENT_ATTEMPT: u32 = 4;
 
 /// Time for the handshake on a slow member.
@@ -49,9 +49,10 @@
             nonce: 0,
             schedule: ask_schedule::AskSchedule::default(),
         };
-        let timeout = match failures % PATIENT_ATTEMPT + 1 {
-            PATIENT_ATTEMPT => PATIENT_CONNECT_TIMEOUT,
-            _ => CONNECT_TIMEOUT,
+        let attempt: u32 = failures + 1;
+        let timeout = match attempt.is_multiple_of(PATIENT_ATTEMPT) {
+            true => PATIENT_CONNECT_TIMEOUT,
+            false => CONNECT_TIMEOUT,
         };
         match link.connect(timeout).await {
             Ok((reader, writer)) => {
--- a/crates/lift_transfer/src/congestion_estimator.rs
+++ b/crates/lift_transfer/src/congestion_estimator.rs
@@ -2,6 +2,8 @@
 
 use std::{net, time};
 
+use crate::round_trip_sample;
+
 /// Round-trip time of a small message above which the link counts as congested. Hosts are a
 /// few milliseconds apart, and responses of a backend server may be delayed by about 100 ms.
 const CONGESTED_ROUND_TRIP: time::Duration = time::Duration::from_millis(60);
@@ -22,9 +24,6 @@
 /// Time after which a control member that was not measured again is forgotten.
 const MEMBER_MAX_AGE: time::Duration = time::Duration::from_secs(5);
 
-/// Age up to which a round-trip time is used.
-const SAMPLE_MAX_AGE: time::Duration = time::Duration::from_millis(700);
-
 /// Shares through which a lowered one rises again, in percent.
 const RECOVERY_STEPS: [u32; 2] = [50, 75];
 
@@ -39,7 +38,7 @@
 /// the recent ones indicates the length of the queue.
 #[derive(Clone, Debug, Default)]
 pub struct CongestionEstimator {
-    samples: Vec<Sample>,
+    samples: Vec<round_trip_sample::RoundTripSample>,
     /// When each member was measured last.
     members: indexmap::IndexMap<net::SocketAddr, time::Instant>,
     /// Lowered share in percent, and the time until which it is kept at least.
@@ -54,7 +53,7 @@
         member: net::SocketAddr,
         round_trip: time::Duration,
     ) {
-        self.add(Sample {
+        self.add(round_trip_sample::RoundTripSample {
             at: now,
             member,
             round_trip,
@@ -69,7 +68,7 @@
         member: net::SocketAddr,
         waited: time::Duration,
     ) {
-        self.add(Sample {
+        self.add(round_trip_sample::RoundTripSample {
             at: now,
             member,
             round_trip: waited,
@@ -77,7 +76,7 @@
         });
     }
 
-    fn add(&mut self, sample: Sample) {
+    fn add(&mut self, sample: round_trip_sample::RoundTripSample) {
         let now = sample.at;
         self.samples.retain(|sample| sample.is_recent(now));
         self.samples.push(sample);
@@ -135,21 +134,6 @@
     }
 }
 
-/// A round-trip time, or the time for which a message has waited so far.
-#[derive(Clone, Copy, Debug)]
-struct Sample {
-    at: time::Instant,
-    member: net::SocketAddr,
-    round_trip: time::Duration,
-    is_answered: bool,
-}
-
-impl Sample {
-    fn is_recent(&self, now: time::Instant) -> bool {
-        now.saturating_duration_since(self.at) < SAMPLE_MAX_AGE
-    }
-}
-
 /// The share that follows `share` when a link recovers.
 fn next_share(share: u32) -> u32 {
     let next = RECOVERY_STEPS.into_iter().find(|step| *step > share);
--- a/crates/lift_transfer/src/lib.rs
+++ b/crates/lift_transfer/src/lib.rs
@@ -36,6 +36,7 @@
 mod pacer;
 mod pending_requests;
 mod response_times;
+mod round_trip_sample;
 mod source;
 mod staggered_load;
 mod swarm_peer;
