Keep no space for long frames between messages

Cause: each connection kept the space of the longest frame it had read, written and encoded.

Change: 16 KB are kept for reading and 8 KB for writing and encoding.

--- a/crates/lift_wire/src/frame_reader.rs
+++ b/crates/lift_wire/src/frame_reader.rs
@@ -11,8 +11,9 @@
 /// Length of the head of a frame, in bytes.
 const HEAD_BYTES: usize = 4;
 
-/// Size by which the read buffer grows, in bytes.
-const READ_BYTES: usize = 64 * 1024;
+/// Size by which the read buffer grows, in bytes. The space of a longer frame is not kept: a process
+/// has many connections, each of which carries a long message now and then.
+const READ_BYTES: usize = 16 * 1024;
 
 /// Reads frames from one direction of a connection.
 #[derive(Debug)]
@@ -93,6 +94,9 @@
             postcard::from_bytes(payload).change_context(wire_error::WireError::Decode)?;
         self.sequence += 1;
         self.buf.advance(frame_end);
+        if frame_end > READ_BYTES {
+            self.buf = bytes::BytesMut::from(&self.buf[..]);
+        }
         Ok(Some(message))
     }
 }
--- a/crates/lift_wire/src/frame_writer.rs
+++ b/crates/lift_wire/src/frame_writer.rs
@@ -12,8 +12,9 @@
 /// Length of the checksum of a frame, in bytes.
 pub(crate) const CHECKSUM_BYTES: usize = 16;
 
-/// Largest space for a payload that is kept between messages, in bytes.
-const MAX_SCRATCH_BYTES: usize = 64 * 1024;
+/// Largest space that a connection keeps between messages, in bytes. A process has many
+/// connections, each of which carries a long message now and then.
+const KEPT_BYTES: usize = 8 * 1024;
 
 /// Writes frames to one direction of a connection.
 #[derive(Debug)]
@@ -22,6 +23,8 @@
     key: [u8; 32],
     sequence: u64,
     buf: bytes::BytesMut,
+    /// Most bytes that `buf` has held since the last flush.
+    buffered_most: usize,
     /// Space for one payload, kept between messages.
     scratch: Vec<u8>,
 }
@@ -33,6 +36,7 @@
             key,
             sequence: 0,
             buf: bytes::BytesMut::new(),
+            buffered_most: 0,
             scratch: Vec::new(),
         }
     }
@@ -62,8 +66,8 @@
         self.buf.put_u32_le(length as u32);
         self.buf.put_slice(&payload);
         self.buf.put_slice(&checksum);
-        // A chunk is much longer than other messages; its space is not kept.
-        if payload.capacity() <= MAX_SCRATCH_BYTES {
+        self.buffered_most = self.buffered_most.max(self.buf.len());
+        if payload.capacity() <= KEPT_BYTES {
             self.scratch = payload;
         }
         Ok(())
@@ -85,6 +89,9 @@
             .write_all_buf(&mut self.buf)
             .await
             .change_context(wire_error::WireError::Closed)?;
+        if mem::take(&mut self.buffered_most) > KEPT_BYTES {
+            self.buf = bytes::BytesMut::new();
+        }
         self.io
             .flush()
             .await
