Tell nodes of earlier namings, so that one that starts late knows them

A head told the newest version only, so a restarted gateway allowed version 1 until the end of the time of version 3, 29.4 s, although that of version 2 was over at 26.4 s.

Change: a member keeps the times of the last eight versions of a model and tells them; nodes take in the earlier ones first; TargetVersions takes older versions with their time in any order.

--- a/crates/lift_dispatch/src/target_versions.rs
+++ b/crates/lift_dispatch/src/target_versions.rs
@@ -37,8 +37,8 @@
     }
 
     /// Records that `version` was set at `set_at`. If that time is unknown, the grace period
-    /// counts as expired at `now`. Another call for the newest version corrects its time; calls
-    /// for older versions are ignored.
+    /// counts as expired at `now`. Another call for the newest version corrects its time. An older
+    /// version counts too, whenever it is learned, but not without its time.
     pub fn set_target(
         &mut self,
         now: time::Instant,
@@ -52,7 +52,10 @@
         let targets = self.targets.entry(model.clone()).or_default();
         match targets.last_mut() {
             Some((newest, known_at)) if *newest == version => *known_at = at,
-            Some((newest, _)) if *newest > version => return,
+            Some((newest, _)) if *newest > version => {
+                let Some(set_at) = set_at else { return };
+                insert_older(targets, version, set_at);
+            }
             _ => targets.push((version, at)),
         }
         // Only the newest of the versions whose grace period has expired still matters.
@@ -128,6 +131,19 @@
     }
 }
 
+/// Adds a version older than the newest one, or corrects its time to an earlier one.
+fn insert_older(
+    targets: &mut Vec<Target>,
+    version: lift_fleet::WeightsVersion,
+    set_at: time::Instant,
+) {
+    let position = targets.partition_point(|(known, _)| *known < version);
+    match targets.get_mut(position) {
+        Some((known, at)) if *known == version => *at = (*at).min(set_at),
+        _ => targets.insert(position, (version, set_at)),
+    }
+}
+
 fn is_expired(now: time::Instant, at: time::Instant, grace: time::Duration) -> bool {
     now.saturating_duration_since(at) > grace
 }
--- a/crates/lift_dispatch/tests/target_versions.rs
+++ b/crates/lift_dispatch/tests/target_versions.rs
@@ -108,3 +108,23 @@
     assert_eq!(targets.start_deadline(&m, 1), Some(start_deadline));
     assert_eq!(targets.start_deadline(&m, 2), Some(start_deadline + S));
 }
+
+#[test]
+fn an_older_version_that_is_learned_later_counts_from_its_own_time() {
+    // Guards against a gateway that starts after two target versions were set and takes the time of
+    // the newer one for both (VERSION on an own day of gcrsc-haul-grown, seed 602670235001).
+    let (mut targets, now, m) = no_targets();
+    targets.set_target(now, &m, 3, Some(now - 4 * S));
+    assert_eq!(targets.min_version(now, &m), 0);
+    targets.set_target(now, &m, 2, Some(now - 7 * S));
+    assert_eq!(targets.min_version(now, &m), 2);
+    assert_eq!(targets.newest(&m), 3);
+    assert_eq!(targets.time_left(now, &m, 2), Some(2 * S));
+    // The earliest time of a version counts, and none can't be added without one.
+    targets.set_target(now, &m, 2, Some(now));
+    assert_eq!(targets.min_version(now, &m), 2);
+    let (mut targets, now, m) = no_targets();
+    targets.set_target(now, &m, 3, Some(now));
+    targets.set_target(now, &m, 2, None);
+    assert_eq!(targets.min_version(now, &m), 0);
+}
--- /dev/null
+++ b/crates/lift_feed/src/earlier_version.rs
@@ -0,0 +1,12 @@
+//! A version that was named before the newest one.
+
+use std::time;
+
+/// A version of a model's weights that was named before the newest one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct EarlierVersion {
+    /// Version of the weights.
+    pub version: lift_fleet::WeightsVersion,
+    /// Time since it was named.
+    pub named_for: time::Duration,
+}
--- a/crates/lift_feed/src/feed_state.rs
+++ b/crates/lift_feed/src/feed_state.rs
@@ -2,12 +2,16 @@
 
 use std::{net, sync, time};
 
-use crate::{fleet_head, known_members, node_card};
+use crate::{earlier_version, fleet_head, known_members, node_card};
 
 /// Time after which a document is fetched over another connection. It covers the transfer of
 /// a large one on a narrow link.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 
+/// Age from which a naming before the newest one is forgotten. Older weights have been out of use
+/// for long then.
+const EARLIER_MAX_AGE: time::Duration = time::Duration::from_secs(600);
+
 /// Merged state of all connections of a node. It decides; the connections carry out.
 #[derive(Debug, Default)]
 pub(crate) struct FeedState {
@@ -22,6 +26,8 @@
     /// When the last question was asked that the leader has answered, whatever is held here.
     leader_asked_at: Option<time::Instant>,
     weights: indexmap::IndexMap<lift_fleet::ModelName, Named>,
+    /// When earlier versions were named, by model and version.
+    earlier: indexmap::IndexMap<(lift_fleet::ModelName, lift_fleet::WeightsVersion), time::Instant>,
     nodes: indexmap::IndexMap<net::SocketAddr, Nodes>,
     /// Nodes that any member knows. Each change of a node comes over all connections, and only
     /// the first one changes this.
@@ -45,6 +51,9 @@
     ) -> Vec<(lift_fleet::ModelName, Named)> {
         let mut news = Vec::new();
         for (model, named) in &head.weights {
+            for earlier in &named.earlier {
+                news.extend(self.learn_earlier(now, model, earlier));
+            }
             let named_at = named.named_for.and_then(|age| now.checked_sub(age));
             let known = self.weights.get(model).copied();
             let is_news = match known {
@@ -62,6 +71,25 @@
         news
     }
 
+    /// Takes in a version that was named before the newest one. Returns it if it is news.
+    fn learn_earlier(
+        &mut self,
+        now: time::Instant,
+        model: &lift_fleet::ModelName,
+        earlier: &earlier_version::EarlierVersion,
+    ) -> Option<(lift_fleet::ModelName, Named)> {
+        let named_at = now.checked_sub(earlier.named_for)?;
+        let key = (model.clone(), earlier.version);
+        let known_at = self.earlier.get(&key);
+        if known_at.is_some_and(|known_at| *known_at <= named_at) {
+            return None;
+        }
+        let is_recent = |at: &time::Instant| now.saturating_duration_since(*at) < EARLIER_MAX_AGE;
+        self.earlier.retain(|_, at| is_recent(at));
+        self.earlier.insert(key, named_at);
+        Some((model.clone(), (earlier.version, Some(named_at))))
+    }
+
     /// Whether the document `version` is to be fetched now over the connection that asks, no
     /// sooner than `interval` after the last one. The next confirmation asks again.
     pub(crate) fn start_fetch(
--- a/crates/lift_feed/src/lib.rs
+++ b/crates/lift_feed/src/lib.rs
@@ -14,6 +14,7 @@
 //! See `docs/platform.md`.
 
 mod ask_schedule;
+mod earlier_version;
 mod feed_client;
 mod feed_error;
 mod feed_link;
@@ -44,6 +45,7 @@
 mod subscribers;
 
 pub use ask_schedule::AskSchedule;
+pub use earlier_version::EarlierVersion;
 pub use feed_client::FeedClient;
 pub use feed_error::FeedError;
 pub use feed_ports::FeedPorts;
--- a/crates/lift_feed/src/named_weights.rs
+++ b/crates/lift_feed/src/named_weights.rs
@@ -2,12 +2,17 @@
 
 use std::time;
 
+use crate::earlier_version;
+
 /// The newest version of a model's weights that was named, as a control member knows it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct NamedWeights {
     /// Version of the weights.
     pub version: lift_fleet::WeightsVersion,
     /// Time since it was named. `None` where the member learned of it from its disk or from a
     /// snapshot, and can't tell.
     pub named_for: Option<time::Duration>,
+    /// Versions that were named shortly before, the oldest first. A node that starts now has not
+    /// heard of them, and their time counts as well.
+    pub earlier: Vec<earlier_version::EarlierVersion>,
 }
--- a/crates/lift_feed/tests/feed.rs
+++ b/crates/lift_feed/tests/feed.rs
@@ -4,8 +4,8 @@
 use std::{net, sync, time};
 
 use lift_feed::{
-    FeedClient, FeedPorts, FeedServer, FeedSource, FleetHead, FleetObserver, JoinAnswer,
-    MemberCard, NamedWeights, Newcomer, NodeCard, NodeKind, NodeSetup,
+    EarlierVersion, FeedClient, FeedPorts, FeedServer, FeedSource, FleetHead, FleetObserver,
+    JoinAnswer, MemberCard, NamedWeights, Newcomer, NodeCard, NodeKind, NodeSetup,
 };
 
 const PATIENCE: time::Duration = time::Duration::from_secs(10);
@@ -52,7 +52,11 @@
     }
 
     fn head(&self) -> FleetHead {
-        let named = self.weights.lock().map(|named| (String::from("m"), named));
+        let named = self
+            .weights
+            .lock()
+            .clone()
+            .map(|named| (String::from("m"), named));
         FleetHead {
             document: self.document().map_or(0, |d| d.version),
             weights: named.into_iter().collect(),
@@ -282,6 +286,7 @@
     *member.source.weights.lock() = Some(NamedWeights {
         version: 2,
         named_for: None,
+        earlier: Vec::new(),
     });
     let observer = sync::Arc::new(Observer::default());
     let _client = client(&observer, [127, 0, 42, 9], &[host]);
@@ -290,6 +295,7 @@
     *member.source.weights.lock() = Some(NamedWeights {
         version: 2,
         named_for: Some(time::Duration::from_secs(5)),
+        earlier: Vec::new(),
     });
     member.server.push_head(member.source.head());
     until("its time", || observer.weights.lock().len() == 2).await;
@@ -337,6 +343,30 @@
     assert!(lift_feed::join(address, &wrong, newcomer).await.is_err());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_starts_late_hears_of_earlier_namings() {
+    // Guards against a gateway that starts between two namings and the end of the first one's time,
+    // knows of the second one only, and uses weights that are too old by the first.
+    let host = [127, 0, 37, 1];
+    let member = Member::start(host).await;
+    let s = time::Duration::from_secs(1);
+    *member.source.weights.lock() = Some(NamedWeights {
+        version: 3,
+        named_for: Some(9 * s),
+        earlier: vec![EarlierVersion {
+            version: 2,
+            named_for: 12 * s,
+        }],
+    });
+    let observer = sync::Arc::new(Observer::default());
+    let _client = client(&observer, [127, 0, 37, 9], &[host]);
+    until("both namings", || observer.weights.lock().len() >= 2).await;
+    let heard = observer.weights.lock().clone();
+    assert_eq!((heard[0].0, heard[1].0), (2, 3), "the oldest first");
+    let age = |i: usize| heard[i].1.unwrap().elapsed();
+    assert!(age(0) >= 12 * s && age(1) >= 9 * s && age(1) < 11 * s);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_agent_takes_little_of_a_storm_of_changes() {
     // Guards against changes that an agent does not need and that fill the link of its host, which
--- a/crates/lift_registry/src/fleet_state_machine.rs
+++ b/crates/lift_registry/src/fleet_state_machine.rs
@@ -9,6 +9,10 @@
 /// replayed from the disk.
 const REPLAY_DURATION: time::Duration = time::Duration::from_secs(3);
 
+/// Target versions of one model whose times are kept. Each counts for as long as older weights may
+/// be in use, which is seconds.
+const MAX_TIMES: usize = 8;
+
 /// A target version and when it was applied.
 type VersionTime = (lift_fleet::WeightsVersion, time::Instant);
 
@@ -19,9 +23,10 @@
     state: parking_lot::Mutex<lift_fleet::FleetState>,
     /// Number of changes of the state so far.
     changes: watch::Sender<u64>,
-    /// When the newest target version of each model was applied, except for versions that may
-    /// have been replayed from the disk or come from a snapshot.
-    target_versions: parking_lot::Mutex<indexmap::IndexMap<lift_fleet::ModelName, VersionTime>>,
+    /// When the last target versions of each model were applied, the oldest first, except for
+    /// versions that may have been replayed from the disk or come from a snapshot.
+    target_versions:
+        parking_lot::Mutex<indexmap::IndexMap<lift_fleet::ModelName, Vec<VersionTime>>>,
     started: time::Instant,
     unreadable_commands: atomic::AtomicU64,
 }
@@ -55,12 +60,8 @@
         let state = self.state.lock();
         let applied = self.target_versions.lock();
         let weights = state.target_versions().iter().map(|(model, version)| {
-            let at = applied.get(model).filter(|(target, _)| target == version);
-            let named = lift_feed::NamedWeights {
-                version: *version,
-                named_for: at.map(|(_, at)| now.saturating_duration_since(*at)),
-            };
-            (model.clone(), named)
+            let times = applied.get(model).map(Vec::as_slice).unwrap_or_default();
+            (model.clone(), named_weights(now, *version, times))
         });
         lift_feed::FleetHead {
             document: state.document_version(),
@@ -99,9 +100,10 @@
         if let lift_fleet::FleetCommand::SetTargetVersion { model, version } = command
             && !is_replay
         {
-            self.target_versions
-                .lock()
-                .insert(model.clone(), (*version, now));
+            let mut applied = self.target_versions.lock();
+            let times = applied.entry(model.clone()).or_default();
+            times.push((*version, now));
+            times.drain(..times.len().saturating_sub(MAX_TIMES));
         }
     }
 
@@ -110,6 +112,26 @@
     }
 }
 
+/// The newest version, and those before it whose times are known.
+fn named_weights(
+    now: time::Instant,
+    newest: lift_fleet::WeightsVersion,
+    times: &[VersionTime],
+) -> lift_feed::NamedWeights {
+    let age = |at: &time::Instant| now.saturating_duration_since(*at);
+    let newest_at = times.iter().rfind(|(version, _)| *version == newest);
+    let earlier = times.iter().filter(|(version, _)| *version < newest);
+    let earlier = earlier.map(|(version, at)| lift_feed::EarlierVersion {
+        version: *version,
+        named_for: age(at),
+    });
+    lift_feed::NamedWeights {
+        version: newest,
+        named_for: newest_at.map(|(_, at)| age(at)),
+        earlier: earlier.collect(),
+    }
+}
+
 impl Default for FleetStateMachine {
     fn default() -> Self {
         Self::new()
--- /dev/null
+++ b/crates/lift_registry/tests/namings.rs
@@ -0,0 +1,41 @@
+//! What a control member tells about the versions of weights that were named.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::time;
+
+use lift_log::StateMachine as _;
+
+/// Longer than the time in which commands may be replayed from the disk.
+const REPLAYED: time::Duration = time::Duration::from_millis(3_100);
+
+fn name(machine: &lift_registry::FleetStateMachine, index: u64, version: u64) {
+    let command = lift_fleet::FleetCommand::SetTargetVersion {
+        model: String::from("m"),
+        version,
+    };
+    let command = lift_registry::FleetStateMachine::encode(&command).unwrap();
+    machine.apply(index, &command);
+}
+
+#[test]
+fn the_head_tells_when_earlier_versions_were_named() {
+    // Guards against a gateway that starts after two namings and hears of the second one only.
+    let machine = lift_registry::FleetStateMachine::new();
+    name(&machine, 1, 1);
+    std::thread::sleep(REPLAYED);
+    name(&machine, 2, 2);
+    std::thread::sleep(time::Duration::from_millis(50));
+    name(&machine, 3, 3);
+    let head = machine.head();
+    let named = &head.weights["m"];
+    assert_eq!(named.version, 3);
+    let versions: Vec<_> = named.earlier.iter().map(|e| e.version).collect();
+    assert_eq!(versions, [2], "the time of the replayed one is not known");
+    assert!(
+        named.earlier[0].named_for >= named.named_for.unwrap() + time::Duration::from_millis(50)
+    );
+    for version in 4..=30 {
+        name(&machine, version, version);
+    }
+    assert!(machine.head().weights["m"].earlier.len() <= 8);
+}
--- a/crates/lift_stage/tests/support/fleet.rs
+++ b/crates/lift_stage/tests/support/fleet.rs
@@ -53,6 +53,7 @@
             let named = lift_feed::NamedWeights {
                 version,
                 named_for: Some(time::Duration::ZERO),
+                earlier: Vec::new(),
             };
             (String::from("m"), named)
         });
