--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -42,12 +42,10 @@
     pub(crate) shared: sync::Arc<shared::Shared>,
     pub(crate) staged: sync::Arc<staged::Staged>,
     origin: net::SocketAddr,
-    pub(crate) download: parking_lot::Mutex<lift_transfer::Download>,
-    pub(crate) links: parking_lot::Mutex<fetch_links::FetchLinks>,
+    download: parking_lot::Mutex<lift_transfer::Download>,
+    links: parking_lot::Mutex<fetch_links::FetchLinks>,
     /// Agents that can't be reached or are silent. Others take over what they are to read.
-    pub(crate) suspects: parking_lot::Mutex<indexmap::IndexSet<lift_types::HostId>>,
-    /// Agents whose pieces are late. Others take over what they are to read.
-    pub(crate) late_readers: parking_lot::Mutex<lift_transfer::LateReaders>,
+    suspects: parking_lot::Mutex<indexmap::IndexSet<lift_types::HostId>>,
     done: watch::Sender<bool>,
     pub(crate) from_origin: atomic::AtomicU32,
     from_agents: atomic::AtomicU32,
@@ -74,7 +72,6 @@
             download: parking_lot::Mutex::new(download),
             links: parking_lot::Mutex::default(),
             suspects: parking_lot::Mutex::default(),
-            late_readers: parking_lot::Mutex::default(),
             done: watch::Sender::new(false),
             from_origin: atomic::AtomicU32::new(0),
             from_agents: atomic::AtomicU32::new(0),
@@ -114,9 +111,6 @@
                     if progress.is_stuck(self.staged.all().len()) {
                         self.read_missing();
                     }
-                    if progress.is_moving() {
-                        self.replace_late_readers();
-                    }
                 }
             }
         }
@@ -148,6 +142,40 @@
         Ok(())
     }
 
+    fn set_view(self: &sync::Arc<Self>) {
+        let agents = self.shared.agents();
+        let all = self.assign(&agents);
+        let suspects = self.suspects.lock().clone();
+        let sound: Vec<_> = agents
+            .into_iter()
+            .filter(|agent| !suspects.contains(&agent.location.host))
+            .collect();
+        let view = self.assign(&sound);
+        // Connections to suspects are kept up, which shows when they are back.
+        let gone = self.links.lock().set(self, &[&all, &view]);
+        for host in gone {
+            self.step(lift_transfer::DownloadEvent::PeerDown { host });
+        }
+        self.step(lift_transfer::DownloadEvent::View(view));
+    }
+
+    fn assign(&self, agents: &[lift_transfer::SwarmPeer]) -> lift_transfer::SwarmView {
+        let goal = lift_types::TransferGoal::Origin;
+        lift_transfer::compute_view(&self.shared.card.location, agents, goal)
+    }
+
+    /// Notes whether an agent can be reached, and assigns anew what it is to read.
+    pub(crate) fn suspect(self: &sync::Arc<Self>, host: lift_types::HostId, is_lost: bool) {
+        let is_new = match is_lost {
+            true => self.suspects.lock().insert(host),
+            false => self.suspects.lock().swap_remove(&host),
+        };
+        if is_new {
+            slog::info!(self.shared.log, "agent suspected"; "host" => host, "lost" => is_lost);
+            self.set_view();
+        }
+    }
+
     /// Takes in an event and carries out what follows.
     pub(crate) fn step(self: &sync::Arc<Self>, event: lift_transfer::DownloadEvent) {
         let now = lift_clock::now();
--- a/crates/lift_stage/src/fetch_progress.rs
+++ b/crates/lift_stage/src/fetch_progress.rs
@@ -6,9 +6,6 @@
 /// read them. The agent that is to read them may run while its backend server is down.
 const STUCK_AFTER: time::Duration = time::Duration::from_millis(1_200);
 
-/// Time since the last new piece for which a transfer counts as going on.
-const MOVING_FOR: time::Duration = time::Duration::from_secs(1);
-
 /// Notices that no piece comes any more.
 #[derive(Debug)]
 pub(crate) struct Progress {
@@ -25,11 +22,6 @@
         }
     }
 
-    /// Whether pieces have come lately, so that the origin and the links work.
-    pub(crate) fn is_moving(&self) -> bool {
-        self.held > 0 && lift_clock::now().saturating_duration_since(self.since) < MOVING_FOR
-    }
-
     /// Whether nothing has come for too long. The time then starts anew.
     pub(crate) fn is_stuck(&mut self, held: usize) -> bool {
         let now = lift_clock::now();
--- a/crates/lift_stage/src/lib.rs
+++ b/crates/lift_stage/src/lib.rs
@@ -13,7 +13,6 @@
 mod agent_observer;
 mod engine_report;
 mod fetch;
-mod fetch_assignment;
 mod fetch_links;
 mod fetch_log;
 mod fetch_progress;
--- a/crates/lift_transfer/src/download.rs
+++ b/crates/lift_transfer/src/download.rs
@@ -98,23 +98,6 @@
         held.map(|(i, _)| i as lift_types::ChunkIndex)
     }
 
-    /// Returns the groups of chunks that should have been read from the origin and handed on by
-    /// `now`, and that no neighbour holds. None without a schedule of the origin.
-    pub fn late_groups(&self, now: time::Instant) -> Vec<lift_types::KeyGroup> {
-        let Some(schedule) = &self.sources.origin_schedule else {
-            return Vec::new();
-        };
-        let is_missing = |chunk: &lift_types::ChunkIndex| {
-            let i = *chunk as usize;
-            !self.held[i] && self.sources.holders[i] == 0
-        };
-        let late: indexmap::IndexSet<_> = (0..self.held.len() as lift_types::ChunkIndex)
-            .filter(|chunk| is_missing(chunk) && schedule.is_late(now, *chunk))
-            .map(|chunk| self.manifest.key_group(chunk))
-            .collect();
-        late.into_iter().collect()
-    }
-
     fn apply(
         &mut self,
         now: time::Instant,
--- a/crates/lift_transfer/src/home_table.rs
+++ b/crates/lift_transfer/src/home_table.rs
@@ -68,19 +68,6 @@
         }
     }
 
-    /// The agents that bring the chunks of `group` to `region`: the home host there, and the one that
-    /// reads them from the origin.
-    pub(crate) fn readers(
-        &self,
-        region: &str,
-        group: lift_types::KeyGroup,
-    ) -> impl Iterator<Item = lift_types::HostId> {
-        let own = self.homes.get(region);
-        let first = self.homes.get_index(self.home_regions[usize::from(group)]);
-        let homes = own.into_iter().chain(first.map(|(_, homes)| homes));
-        homes.map(move |homes| self.peers[homes[usize::from(group)]].location.host)
-    }
-
     fn neighbours(&self, location: &lift_types::Location) -> Vec<swarm_peer::SwarmPeer> {
         let Some(members) = self.regions.get(&location.region) else {
             return Vec::new();
--- a/crates/lift_transfer/src/origin_schedule.rs
+++ b/crates/lift_transfer/src/origin_schedule.rs
@@ -2,13 +2,6 @@
 
 use std::time;
 
-/// Time after which a chunk that could be read is late.
-const LATE_AFTER: time::Duration = time::Duration::from_millis(1_500);
-
-/// Further time for chunks late in the schedule, in percent of their time in it. The origin link
-/// carries more than the chunks.
-const LATE_PERCENT: u32 = 50;
-
 /// Times from which on each chunk may be read from the origin.
 ///
 /// All agents start a version at about the same time, so each can compute the schedule without
@@ -52,19 +45,13 @@
         now > self.start + self.interval * last * 2
     }
 
-    /// Returns whether `chunk` should have been read and handed on by `now`.
-    pub(crate) fn is_late(&self, now: time::Instant, chunk: lift_types::ChunkIndex) -> bool {
-        let due = self.due_after(chunk);
-        now >= self.start + due + due * LATE_PERCENT / 100 + LATE_AFTER
-    }
-
     /// Returns whether `chunk` may be read at `now`.
     pub(crate) fn is_due(&self, now: time::Instant, chunk: lift_types::ChunkIndex) -> bool {
-        now >= self.start + self.due_after(chunk)
-    }
-
-    fn due_after(&self, chunk: lift_types::ChunkIndex) -> time::Duration {
-        let position = self.positions.get(chunk as usize).copied();
-        self.interval * position.unwrap_or_default()
+        let position = self
+            .positions
+            .get(chunk as usize)
+            .copied()
+            .unwrap_or_default();
+        now >= self.start + self.interval * position
     }
 }
