--- a/crates/lift_dispatch/src/lib.rs
+++ b/crates/lift_dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod attempt_failure;
 mod backend;
+mod backend_cost;
 mod backend_health;
 mod backend_load;
 mod backend_score;
--- a/crates/lift_dispatch/tests/target_versions.rs
+++ b/crates/lift_dispatch/tests/target_versions.rs
@@ -112,7 +112,7 @@
 #[test]
 fn an_older_version_that_is_learned_later_counts_from_its_own_time() {
     // Guards against a gateway that starts after two target versions were set and takes the time of
-    // the newer one for both (VERSION on an own day of gcrsc-haul-grown, seed 602670235001).
+    // the newer one for both. See docs/incidents.md.
     let (mut targets, now, m) = no_targets();
     targets.set_target(now, &m, 3, Some(now - 4 * S));
     assert_eq!(targets.min_version(now, &m), 0);
--- a/crates/lift_entry/src/http_server.rs
+++ b/crates/lift_entry/src/http_server.rs
@@ -38,12 +38,11 @@
         draining: cancellation::CancellationToken,
     ) -> pin::Pin<Box<dyn Future<Output = ()> + Send>> {
         let limits = &self.shared.limits;
-        let connection = lift_listen::HttpConnection {
-            head_timeout: limits.read_timeout,
-            max_head_bytes: limits.max_head_bytes,
-            max_headers: Some(limits.max_headers),
-            unacknowledged_timeout: limits.write_timeout,
-        };
+        let connection = lift_listen::HttpConnection::default()
+            .head_timeout(limits.read_timeout)
+            .max_head_bytes(limits.max_head_bytes)
+            .max_headers(limits.max_headers)
+            .unacknowledged_timeout(limits.write_timeout);
         let service = service::TowerToHyperService::new(self.router.clone());
         let stopped = self.shared.stopped.clone();
         Box::pin(async move {
--- a/crates/lift_feed/src/feed_state.rs
+++ b/crates/lift_feed/src/feed_state.rs
@@ -8,8 +8,8 @@
 /// a large one on a narrow link.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 
-/// Age from which a naming before the newest one is forgotten. Older weights have been out of use
-/// for long then.
+/// Age from which a naming before the newest one no longer matters, since the weights that it
+/// replaced have long been out of use.
 const EARLIER_MAX_AGE: time::Duration = time::Duration::from_secs(600);
 
 /// Merged state of all connections of a node. It decides; the connections carry out.
@@ -78,6 +78,9 @@
         model: &lift_fleet::ModelName,
         earlier: &earlier_version::EarlierVersion,
     ) -> Option<(lift_fleet::ModelName, Named)> {
+        if earlier.named_for >= EARLIER_MAX_AGE {
+            return None;
+        }
         let named_at = now.checked_sub(earlier.named_for)?;
         let key = (model.clone(), earlier.version);
         let known_at = self.earlier.get(&key);
--- a/crates/lift_feed/src/node_kind.rs
+++ b/crates/lift_feed/src/node_kind.rs
@@ -14,8 +14,8 @@
 }
 
 impl NodeKind {
-    /// Whether nodes of this kind are told about backend servers. Agents only need that beside
-    /// them, and a change of each server would cross the link of every agent.
+    /// Whether nodes of this kind receive the records of backend servers. An agent needs only the
+    /// server on its own host, and its link also carries requests.
     pub(crate) fn follows_backends(self) -> bool {
         self != Self::Agent
     }
--- a/crates/lift_feed/tests/feed.rs
+++ b/crates/lift_feed/tests/feed.rs
@@ -1,228 +1,12 @@
 //! The feed between control members and nodes, over loopback.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use std::{net, sync, time};
-
-use lift_feed::{
-    EarlierVersion, FeedClient, FeedPorts, FeedServer, FeedSource, FleetHead, FleetObserver,
-    JoinAnswer, MemberCard, NamedWeights, Newcomer, NodeCard, NodeKind, NodeSetup,
-};
-
-const PATIENCE: time::Duration = time::Duration::from_secs(10);
-
-/// Documents are numbers in this test.
-#[derive(Debug)]
-struct Codec;
-
-impl lift_fleet::DocumentCodec for Codec {
-    fn decode(&self, text: &[u8]) -> Result<lift_fleet::RoutingTable, lift_fleet::DocumentError> {
-        let text = String::from_utf8_lossy(text);
-        let unreadable = || lift_fleet::DocumentError::Unreadable(text.to_string());
-        let version = text.trim().parse().map_err(|_| unreadable())?;
-        Ok(lift_fleet::RoutingTable::builder(version).build()?)
-    }
-}
-
-#[derive(Debug, Default)]
-struct Source {
-    document: parking_lot::Mutex<Option<sync::Arc<lift_fleet::Document>>>,
-    leads: sync::atomic::AtomicBool,
-    weights: parking_lot::Mutex<Option<NamedWeights>>,
-}
-
-impl Source {
-    fn put(&self, version: u64) {
-        let compressed = lift_feed::pack(version.to_string().as_bytes()).unwrap();
-        let document = lift_fleet::Document {
-            version,
-            compressed,
-        };
-        *self.document.lock() = Some(sync::Arc::new(document));
-    }
-
-    fn lead(&self, leads: bool) {
-        self.leads.store(leads, sync::atomic::Ordering::SeqCst);
-    }
-}
-
-#[async_trait::async_trait]
-impl FeedSource for Source {
-    fn members(&self) -> (Vec<MemberCard>, u64) {
-        (Vec::new(), 0)
-    }
-
-    fn head(&self) -> FleetHead {
-        let named = self
-            .weights
-            .lock()
-            .clone()
-            .map(|named| (String::from("m"), named));
-        FleetHead {
-            document: self.document().map_or(0, |d| d.version),
-            weights: named.into_iter().collect(),
-        }
-    }
-
-    fn document(&self) -> Option<sync::Arc<lift_fleet::Document>> {
-        self.document.lock().clone()
-    }
-
-    fn backends(&self) -> Vec<lift_fleet::BackendRecord> {
-        vec![record("known")]
-    }
-
-    fn confirm(&self) -> Option<u64> {
-        let leads = self.leads.load(sync::atomic::Ordering::SeqCst);
-        leads.then(|| self.head().document)
-    }
-
-    async fn join(&self, _newcomer: Newcomer) -> JoinAnswer {
-        JoinAnswer::Joined(4)
-    }
-}
-
-#[derive(Debug, Default)]
-struct Observer {
-    tables: parking_lot::Mutex<Vec<u64>>,
-    confirmed: parking_lot::Mutex<Option<time::Instant>>,
-    weights: parking_lot::Mutex<Vec<(u64, Option<time::Instant>)>>,
-    nodes: parking_lot::Mutex<Vec<NodeCard>>,
-    round_trips: parking_lot::Mutex<Vec<time::Duration>>,
-    backends: parking_lot::Mutex<Vec<lift_fleet::BackendRecord>>,
-}
-
-impl FleetObserver for Observer {
-    fn on_unanswered(&self, _: net::SocketAddr, waited: time::Duration) {
-        self.round_trips.lock().push(waited);
-    }
-
-    fn on_table(&self, table: sync::Arc<lift_fleet::RoutingTable>) {
-        self.tables.lock().push(table.version());
-    }
-
-    fn on_backends(&self, records: Vec<lift_fleet::BackendRecord>) {
-        self.backends.lock().extend(records);
-    }
-
-    fn on_confirmed(&self, at: time::Instant) {
-        *self.confirmed.lock() = Some(at);
-    }
-
-    fn on_weights(&self, _: &String, version: u64, named_at: Option<time::Instant>) {
-        self.weights.lock().push((version, named_at));
-    }
-
-    fn on_nodes(&self, nodes: Vec<NodeCard>) {
-        *self.nodes.lock() = nodes;
-    }
-}
-
-fn record(id: &str) -> lift_fleet::BackendRecord {
-    let announcement = lift_fleet::Announcement {
-        id: String::from(id),
-        started_at: time::SystemTime::UNIX_EPOCH,
-        sequence: 1,
-        service: String::from("s"),
-        address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
-        failure_domain: String::from("d"),
-        slots: 8,
-        state: lift_fleet::BackendState::Ready,
-        warmup_left: time::Duration::ZERO,
-        models: Vec::new(),
-    };
-    lift_fleet::BackendRecord {
-        announcement,
-        is_silent: false,
-    }
-}
-
-fn keys() -> lift_wire::LinkKeys {
-    lift_wire::LinkKeys::new(lift_wire::LinkKey::new(1, [7; 32]))
-}
-
-fn card(host: net::Ipv4Addr) -> NodeCard {
-    NodeCard {
-        kind: NodeKind::Gateway,
-        location: lift_types::Location {
-            region: String::from("r"),
-            failure_domain: String::from("d"),
-            host: u32::from(host),
-        },
-        service: None,
-        incarnation: 1,
-        load_addr: None,
-        piece_addr: None,
-    }
-}
-
-/// Hosts of this test are loopback addresses, which share one range of ports.
-fn ports() -> FeedPorts {
-    FeedPorts::new(17_400..=17_403).unwrap()
-}
-
-struct Member {
-    source: sync::Arc<Source>,
-    server: sync::Arc<FeedServer>,
-    stop: tokio_util::sync::CancellationToken,
-}
-
-impl Member {
-    async fn start(host: [u8; 4]) -> Self {
-        let source = sync::Arc::new(Source::default());
-        let server = sync::Arc::new(FeedServer::new(
-            source.clone(),
-            keys(),
-            lift_obs::LogConfig::discard(),
-            sync::Arc::default(),
-        ));
-        let address = ports().feed(net::IpAddr::from(host));
-        let listener = tokio::net::TcpListener::bind(address).await.unwrap();
-        let stop = tokio_util::sync::CancellationToken::new();
-        tokio::spawn(sync::Arc::clone(&server).run(listener, stop.clone()));
-        Self {
-            source,
-            server,
-            stop,
-        }
-    }
-
-    fn put(&self, version: u64) {
-        self.source.put(version);
-        self.server.push_head(self.source.head());
-    }
-}
+mod support;
 
-fn client(observer: &sync::Arc<Observer>, host: [u8; 4], seeds: &[[u8; 4]]) -> FeedClient {
-    client_of(NodeKind::Gateway, observer, host, seeds)
-}
-
-fn client_of(
-    kind: NodeKind,
-    observer: &sync::Arc<Observer>,
-    host: [u8; 4],
-    seeds: &[[u8; 4]],
-) -> FeedClient {
-    let seeds = seeds.iter().map(|ip| net::SocketAddr::from((*ip, 1)));
-    let card = card(net::Ipv4Addr::from(host));
-    let node = NodeSetup::builder()
-        .card(NodeCard { kind, ..card })
-        .ports(ports())
-        .seeds(seeds.collect())
-        .keys(keys())
-        .codec(sync::Arc::new(Codec))
-        .build();
-    FeedClient::start(node.unwrap(), observer.clone())
-}
+use std::{net, sync, time};
 
-async fn until(what: &str, condition: impl Fn() -> bool) {
-    let waiting = async {
-        while !condition() {
-            tokio::time::sleep(time::Duration::from_millis(5)).await;
-        }
-    };
-    let waited = tokio::time::timeout(PATIENCE, waiting).await;
-    assert!(waited.is_ok(), "{what}");
-}
+use lift_feed::{EarlierVersion, FeedSource as _, JoinAnswer, NamedWeights, Newcomer, NodeKind};
+use support::{Member, Observer, PATIENCE, client, client_of, keys, ports, record, until};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_follows_two_members_and_never_goes_back() {
@@ -367,6 +151,33 @@
     assert!(age(0) >= 12 * s && age(1) >= 9 * s && age(1) < 11 * s);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_naming_of_long_ago_is_not_news() {
+    // Guards against a naming that is forgotten for its age and announced again with every change
+    // of the configuration.
+    let host = [127, 0, 38, 1];
+    let member = Member::start(host).await;
+    let hour = time::Duration::from_secs(3_600);
+    *member.source.weights.lock() = Some(NamedWeights {
+        version: 3,
+        named_for: Some(hour),
+        earlier: vec![EarlierVersion {
+            version: 2,
+            named_for: 2 * hour,
+        }],
+    });
+    let observer = sync::Arc::new(Observer::default());
+    let _client = client(&observer, [127, 0, 38, 9], &[host]);
+    until("the naming", || !observer.weights.lock().is_empty()).await;
+    for version in 1..=3 {
+        member.put(version);
+        let is_held = || observer.tables.lock().last() == Some(&version);
+        until("the document", is_held).await;
+    }
+    let heard = observer.weights.lock().clone();
+    assert!(heard.iter().all(|(version, _)| *version == 3), "{heard:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_agent_takes_little_of_a_storm_of_changes() {
     // Guards against changes that an agent does not need and that fill the link of its host, which
--- a/crates/lift_fleet/src/directory.rs
+++ b/crates/lift_fleet/src/directory.rs
@@ -64,8 +64,8 @@
         if is_same_start && was_gone {
             return update_outcome::UpdateOutcome::Stale;
         }
-        // Gone is final. The member that was told may not have received the last heartbeats, which
-        // have the same sequence as its record then, or a higher one.
+        // A deregistration is final for one start of a server. The member that received it may have
+        // missed heartbeats, so its record can have a lower sequence than the one known here.
         let is_gone = record.announcement.state == backend_state::BackendState::Gone;
         let is_final = is_same_start && is_gone;
         if !is_final && !record.announcement.is_newer_than(&known.announcement) {
--- a/crates/lift_fleet/tests/directory.rs
+++ b/crates/lift_fleet/tests/directory.rs
@@ -83,20 +83,20 @@
 
 #[test]
 fn a_deregistration_wins_over_heartbeats_that_another_member_has_received() {
-    // Guards against a server that gets requests after it has left, because the member that it told
-    // had missed its last heartbeats.
+    // Guards against requests to a server that has left, because the member that received its
+    // deregistration had missed its last heartbeats.
     let now = time::Instant::now();
     for last_heartbeat in [2, 3, 9] {
-        let (mut told, mut other) = (Directory::new(), Directory::new());
-        told.apply_announcement(now, announcement("s", 1, 1));
+        let (mut receiver, mut other) = (Directory::new(), Directory::new());
+        receiver.apply_announcement(now, announcement("s", 1, 1));
         other.apply_announcement(now, announcement("s", 1, last_heartbeat));
-        let gone = told.deregister(now, "s", None).unwrap();
+        let gone = receiver.deregister(now, "s", None).unwrap();
         assert_eq!(other.merge(now, &gone), UpdateOutcome::Changed);
         let state = other.get("s").map(|r| r.announcement.state);
         assert_eq!(state, Some(BackendState::Gone));
         // And it stays so at both, whichever record comes last.
         let heartbeat = announcement("s", 1, last_heartbeat + 1);
-        for directory in [&mut told, &mut other] {
+        for directory in [&mut receiver, &mut other] {
             let outcome = directory.apply_announcement(now, heartbeat.clone());
             assert_eq!(outcome, UpdateOutcome::Stale);
         }
--- a/crates/lift_gateway/src/caller_connection.rs
+++ b/crates/lift_gateway/src/caller_connection.rs
@@ -27,12 +27,10 @@
             .table()
             .map(|t| *t.limits())
             .unwrap_or_default();
-        let connection = lift_listen::HttpConnection {
-            head_timeout: limits.idle_timeout,
-            max_head_bytes: limits.head_bytes,
-            max_headers: None,
-            unacknowledged_timeout: UNACKNOWLEDGED_TIMEOUT,
-        };
+        let connection = lift_listen::HttpConnection::default()
+            .head_timeout(limits.idle_timeout)
+            .max_head_bytes(limits.head_bytes)
+            .unacknowledged_timeout(UNACKNOWLEDGED_TIMEOUT);
         let service = hyper::service::service_fn(move |req| {
             let shared = sync::Arc::clone(&shared);
             async move { Ok::<_, convert::Infallible>(http_server::handle(shared, req).await) }
--- a/crates/lift_listen/src/http_connection.rs
+++ b/crates/lift_listen/src/http_connection.rs
@@ -16,22 +16,51 @@
 
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
-/// Limits of an HTTP connection of a caller. [`HttpConnection::serve`] serves one.
+/// Default timeout of a request's head.
+const DEFAULT_HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// Default maximum size of a request's head, in bytes.
+const DEFAULT_HEAD_BYTES: usize = 32 * 1024;
+
+/// Default TCP user timeout.
+const DEFAULT_UNACKNOWLEDGED_TIMEOUT: time::Duration = time::Duration::from_secs(4);
+
+/// How to serve an HTTP connection of a caller. Each limit has a default and a setter.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpConnection {
-    /// Timeout of a request's head, measured from the end of the previous request. It therefore
-    /// also limits how long a connection may be idle.
-    pub head_timeout: time::Duration,
-    /// Maximum size of a request's head in bytes, at least 8 KiB.
-    pub max_head_bytes: usize,
-    /// Maximum number of headers of a request. `None` leaves it to the HTTP library.
-    pub max_headers: Option<usize>,
-    /// TCP user timeout: how long bytes sent to the caller may stay unacknowledged before the
-    /// connection is closed.
-    pub unacknowledged_timeout: time::Duration,
+    head_timeout: time::Duration,
+    max_head_bytes: usize,
+    max_headers: Option<usize>,
+    unacknowledged_timeout: time::Duration,
 }
 
 impl HttpConnection {
+    /// Sets the timeout of a request's head, measured from the end of the previous request. It
+    /// therefore also limits how long a connection may be idle.
+    pub fn head_timeout(mut self, timeout: time::Duration) -> Self {
+        self.head_timeout = timeout;
+        self
+    }
+
+    /// Sets the maximum size of a request's head in bytes, at least 8 KiB.
+    pub fn max_head_bytes(mut self, bytes: usize) -> Self {
+        self.max_head_bytes = bytes.max(MIN_BUFFER_BYTES);
+        self
+    }
+
+    /// Sets the maximum number of headers of a request. The HTTP library has a default.
+    pub fn max_headers(mut self, count: usize) -> Self {
+        self.max_headers = Some(count);
+        self
+    }
+
+    /// Sets the TCP user timeout: how long bytes sent to the caller may stay unacknowledged before
+    /// the connection is closed.
+    pub fn unacknowledged_timeout(mut self, timeout: time::Duration) -> Self {
+        self.unacknowledged_timeout = timeout;
+        self
+    }
+
     /// Serves `stream` until the caller closes it. Once `draining` is cancelled, it is closed after
     /// the request in progress, or at once if it is idle between two requests. A connection without
     /// any request yet may still send its first one: the HTTP library would close it even if that
@@ -79,10 +108,21 @@
         builder
             .timer(rt::TokioTimer::new())
             .header_read_timeout(self.head_timeout)
-            .max_buf_size(self.max_head_bytes.max(MIN_BUFFER_BYTES));
+            .max_buf_size(self.max_head_bytes);
         if let Some(max_headers) = self.max_headers {
             builder.max_headers(max_headers);
         }
         builder
     }
 }
+
+impl Default for HttpConnection {
+    fn default() -> Self {
+        Self {
+            head_timeout: DEFAULT_HEAD_TIMEOUT,
+            max_head_bytes: DEFAULT_HEAD_BYTES,
+            max_headers: None,
+            unacknowledged_timeout: DEFAULT_UNACKNOWLEDGED_TIMEOUT,
+        }
+    }
+}
--- a/crates/lift_serve/src/claim_table.rs
+++ b/crates/lift_serve/src/claim_table.rs
@@ -67,8 +67,8 @@
 
     /// Returns the state of an attempt, or of another one that was started under the same key. An
     /// attempt that has not been received yet is recorded as refused, so that it does not run if
-    /// its call arrives after the query. While the table is full that can't be recorded, and the state
-    /// is [`attempt_state::AttemptState::Unknown`]: the call may run once there is space.
+    /// its call arrives after the query. A full table can't record that; the state is then
+    /// [`attempt_state::AttemptState::Unknown`], because the call may run once there is space.
     pub fn query(
         &self,
         now: time::Instant,
--- a/crates/lift_stage/tests/link_patience.rs
+++ b/crates/lift_stage/tests/link_patience.rs
@@ -13,11 +13,11 @@
     for percent in [12, 50, 75] {
         let congested = LinkPatience::of_link(percent);
         assert!(!congested.may_suspect);
-        // A queue of 300 KB leaves a link of 1.2 Mbit/s in 2 s.
+        // Pieces that were requested before the link congested occupy it for seconds.
         assert!(congested.silence > time::Duration::from_secs(2));
         assert!(congested.connect > time::Duration::from_secs(2));
         assert!(congested.silence <= LinkPatience::MAX_SILENCE);
     }
-    // An agent that has stopped is to be replaced soon, or its pieces are missed.
+    // On a free link silence means that the other agent has stopped.
     assert!(usual.silence < time::Duration::from_secs(2));
 }
--- a/crates/lift_transfer/src/congestion_estimator.rs
+++ b/crates/lift_transfer/src/congestion_estimator.rs
@@ -21,7 +21,7 @@
 /// have stopped.
 const MIN_SILENT_MEMBERS: usize = 2;
 
-/// Time after which a control member that was not measured again is forgotten.
+/// Time after which a control member without a further sample is forgotten.
 const MEMBER_MAX_AGE: time::Duration = time::Duration::from_secs(5);
 
 /// Shares through which a lowered one rises again, in percent.
@@ -39,7 +39,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct CongestionEstimator {
     samples: Vec<round_trip_sample::RoundTripSample>,
-    /// When each member was measured last.
+    /// Time of the last sample of each member.
     members: indexmap::IndexMap<net::SocketAddr, time::Instant>,
     /// Lowered share in percent, and the time until which it is kept at least.
     lowered: Option<(u32, time::Instant)>,
@@ -100,7 +100,7 @@
     /// Returns the share of the usual chunk traffic that is allowed at `now`, in percent. A lowered
     /// share rises step by step, and only on short round-trip times: a link on which nothing is
     /// answered any more has not recovered. A link that was never congested is assumed to be free
-    /// without any, because control may be unreachable.
+    /// even without answers, because control may be unreachable.
     pub fn allowed_percent(&self, now: time::Instant) -> u32 {
         let lowered = self.lowered.map_or(100, |(share, _)| share);
         lowered.min(self.current_percent(now))
@@ -113,7 +113,7 @@
         (percent < 100 || self.is_measured(now)).then_some(percent)
     }
 
-    /// Whether a round-trip time is recent enough to be used at `now`.
+    /// Whether a member has answered recently enough for the round-trip time to be used at `now`.
     fn is_measured(&self, now: time::Instant) -> bool {
         let mut answered = self.samples.iter().filter(|sample| sample.is_answered);
         answered.any(|sample| sample.is_recent(now))
