Log requests that start late on superseded weights

Change: a line, a counter and a histogram with the time since the newer target version was set and the time since the request was sent.

--- a/crates/lift_dispatch/src/target_versions.rs
+++ b/crates/lift_dispatch/src/target_versions.rs
@@ -119,15 +119,36 @@
         Some(expires_at + self.grace / START_SLACK_DIVISOR)
     }
 
+    /// Time at `now` since the target version was set that replaces `version`. `None` if no newer
+    /// target version was set.
+    pub fn superseded_for(
+        &self,
+        now: time::Instant,
+        model: &str,
+        version: lift_fleet::WeightsVersion,
+    ) -> Option<time::Duration> {
+        let at = self.superseded_at(model, version)?;
+        Some(now.saturating_duration_since(at))
+    }
+
     /// When the grace period ends in which `version` may still be used.
     fn expires_at(
         &self,
         model: &str,
         version: lift_fleet::WeightsVersion,
+    ) -> Option<time::Instant> {
+        Some(self.superseded_at(model, version)? + self.grace)
+    }
+
+    /// When the first target version was set that is newer than `version`.
+    fn superseded_at(
+        &self,
+        model: &str,
+        version: lift_fleet::WeightsVersion,
     ) -> Option<time::Instant> {
         let targets = self.targets.get(model)?;
         let (_, at) = targets.iter().find(|(newer, _)| *newer > version)?;
-        Some(*at + self.grace)
+        Some(*at)
     }
 }
 
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -85,6 +85,19 @@
         self.target_versions.lock().start_deadline(model, version)
     }
 
+    /// Time since the target version was set that replaces `version` of a model. `None` if there is
+    /// no newer one.
+    pub(crate) fn superseded_for(
+        &self,
+        now: time::Instant,
+        model: &str,
+        version: lift_fleet::WeightsVersion,
+    ) -> Option<time::Duration> {
+        self.target_versions
+            .lock()
+            .superseded_for(now, model, version)
+    }
+
     /// Gateways that share the backend servers, this one included.
     pub(crate) fn gateways(&self) -> sync::Arc<lift_dispatch::GatewayShares> {
         sync::Arc::clone(&self.gateways.read())
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -79,6 +79,7 @@
                     self.servers_reached += 1;
                     self.may_have_run = true;
                     self.record_head_latency(&backend, now);
+                    self.record_start(&exchange, now);
                     return Ok(exchange);
                 }
                 Some(failure) => failure,
--- a/crates/lift_gateway/src/request_records.rs
+++ b/crates/lift_gateway/src/request_records.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{body_error, request_run};
+use crate::{body_error, exchange, request_run};
 
 impl request_run::RequestRun {
     /// Records and logs an attempt that failed before the body of its answer was read.
@@ -53,6 +53,35 @@
         });
     }
 
+    /// Records a request that has started on weights for which a newer target version is set, and
+    /// logs one that has started after the time in which such requests are sent. `docs/OPERATIONS.md`
+    /// uses the line to find requests that wait too long at a backend server.
+    pub(crate) fn record_start(&self, exchange: &exchange::Exchange, sent_at: time::Instant) {
+        let now = lift_clock::now();
+        let fleet = &self.shared.fleet;
+        let model = self.weights_requirement.model.as_deref();
+        let Some((model, version)) = model.zip(exchange.head.weights) else {
+            return;
+        };
+        let Some(superseded_for) = fleet.superseded_for(now, model, version) else {
+            return;
+        };
+        let latencies = &self.shared.latencies;
+        let kind = <&str>::from(self.route.kind);
+        latencies.record("gateway.superseded_start", kind, superseded_for);
+        if superseded_for <= self.shared.limits.weights_grace {
+            return;
+        }
+        self.shared.counters.increment("gateway.late_starts");
+        let waited = now.saturating_duration_since(sent_at);
+        self.shared.log.write_limited(|log| {
+            slog::warn!(log, "started late on superseded weights"; "request" => &self.head.id,
+                "backend" => &exchange.in_flight.backend().id, "version" => version,
+                "superseded_for_ms" => superseded_for.as_millis() as u64,
+                "waited_ms" => waited.as_millis() as u64);
+        });
+    }
+
     /// Counts a failed attempt and records it in the health of `backend`.
     pub(crate) fn record_failure(
         &self,
