Show that a server that pauses starts requests on superseded weights

Cause: only the gateway knows until when a request may start on older weights. It cancels what has not started, and a server that pauses or goes on after a closed connection starts it afterwards.

--- a/crates/lift_gateway/tests/support/dialect.rs
+++ b/crates/lift_gateway/tests/support/dialect.rs
@@ -22,7 +22,7 @@
             id: text(&head.headers, "x-id").ok_or(DialectError::Missing("x-id"))?,
             timeout: Some(time::Duration::from_secs(4)),
             key: text(&head.headers, "x-key"),
-            model: None,
+            model: text(&head.headers, "x-model"),
             last_event: None,
         })
     }
@@ -30,6 +30,8 @@
     fn write_call(&self, headers: &mut http::HeaderMap, call: &BackendCall) {
         headers.remove("x-key");
         set(headers, "x-backend", &call.backend);
+        let time_left = call.time_left.as_millis().to_string();
+        set(headers, "x-time-left", &time_left);
         if let Some(workspace) = &call.workspace {
             set(headers, "x-workspace", workspace);
         }
--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -6,6 +6,9 @@
 
 use super::{backend, codec, dialect, source};
 
+/// Model of the requests that name one.
+pub(crate) const MODEL: &str = "m";
+
 /// Limits of the gateways in these tests.
 pub(crate) fn limits() -> lift_gateway::GatewayLimits {
     lift_gateway::GatewayLimits {
@@ -94,6 +97,10 @@
             callers,
             readiness,
         };
+        if backends.is_empty() {
+            // A gateway is ready only if it knows a backend server.
+            fleet.announce_weights(net::SocketAddr::from(([127, 0, 0, 1], 9)), 0);
+        }
         for backend in backends {
             fleet.announce(backend, 1);
         }
@@ -125,24 +132,48 @@
         self.set_state(backend, sequence, lift_fleet::BackendState::Draining);
     }
 
+    /// Announces a backend server that holds `version` of [`MODEL`].
+    pub(crate) fn announce_weights(
+        &self,
+        address: net::SocketAddr,
+        version: lift_fleet::WeightsVersion,
+    ) {
+        let model = lift_fleet::LoadedModel {
+            name: String::from(MODEL),
+            version,
+        };
+        let announcement = announcement(address, 1, lift_fleet::BackendState::Ready);
+        self.publish(lift_fleet::Announcement {
+            models: vec![model],
+            ..announcement
+        });
+    }
+
+    /// Sets the target version of [`MODEL`] now.
+    pub(crate) fn set_target_version(&self, version: lift_fleet::WeightsVersion) {
+        let named = lift_feed::NamedWeights {
+            version,
+            named_for: Some(time::Duration::ZERO),
+            earlier: Vec::new(),
+        };
+        self.source
+            .weights
+            .lock()
+            .insert(String::from(MODEL), named);
+        self.feed
+            .push_head(lift_feed::FeedSource::head(&*self.source));
+    }
+
     fn set_state(
         &self,
         backend: &backend::Backend,
         sequence: u64,
         state: lift_fleet::BackendState,
     ) {
-        let announcement = lift_fleet::Announcement {
-            id: format!("s{}", backend.address.port()),
-            started_at: time::SystemTime::UNIX_EPOCH,
-            sequence,
-            service: String::from("s"),
-            address: backend.address,
-            failure_domain: String::from("d"),
-            slots: 8,
-            state,
-            warmup_left: time::Duration::ZERO,
-            models: Vec::new(),
-        };
+        self.publish(announcement(backend.address, sequence, state));
+    }
+
+    fn publish(&self, announcement: lift_fleet::Announcement) {
         let record = lift_fleet::BackendRecord {
             announcement,
             is_silent: false,
@@ -186,6 +217,14 @@
         tokio::join!(calling, adding).0
     }
 
+    /// Calls with a request for [`MODEL`].
+    pub(crate) async fn call_model(&self, route: &str, id: &str) -> (u16, String) {
+        let mut req = request(route, id, codec::KEY);
+        let model = http::HeaderValue::from_static(MODEL);
+        req.headers_mut().insert("x-model", model);
+        get(self.callers, req).await.unwrap()
+    }
+
     /// Address for callers.
     pub(crate) fn callers(&self) -> net::SocketAddr {
         self.callers
@@ -198,16 +237,39 @@
     }
 
     async fn send(&self, route: &str, id: &str, key: &str) -> Result<(u16, String), String> {
-        let req = http::Request::builder()
-            .uri(format!("/{route}/x"))
-            .header("host", "h")
-            .header("x-id", id)
-            .header("x-key", key)
-            .body(String::new());
-        get(self.callers, req.unwrap()).await
+        get(self.callers, request(route, id, key)).await
     }
 }
 
+fn announcement(
+    address: net::SocketAddr,
+    sequence: u64,
+    state: lift_fleet::BackendState,
+) -> lift_fleet::Announcement {
+    lift_fleet::Announcement {
+        id: format!("s{}", address.port()),
+        started_at: time::SystemTime::UNIX_EPOCH,
+        sequence,
+        service: String::from("s"),
+        address,
+        failure_domain: String::from("d"),
+        slots: 8,
+        state,
+        warmup_left: time::Duration::ZERO,
+        models: Vec::new(),
+    }
+}
+
+fn request(route: &str, id: &str, key: &str) -> http::Request<String> {
+    let req = http::Request::builder()
+        .uri(format!("/{route}/x"))
+        .header("host", "h")
+        .header("x-id", id)
+        .header("x-key", key)
+        .body(String::new());
+    req.unwrap()
+}
+
 async fn get(
     address: net::SocketAddr,
     mut req: http::Request<String>,
--- a/crates/lift_gateway/tests/support/mod.rs
+++ b/crates/lift_gateway/tests/support/mod.rs
@@ -8,8 +8,10 @@
 mod dialect;
 mod fleet;
 mod old_caller;
+mod pausing_backend;
 mod source;
 
 pub(crate) use backend::{Backend, Reply, Step};
-pub(crate) use fleet::{Fleet, limits};
+pub(crate) use fleet::{Fleet, MODEL, limits};
 pub(crate) use old_caller::{call_as_old_caller, call_as_old_caller_after};
+pub(crate) use pausing_backend::PausingBackend;
--- a/crates/lift_gateway/tests/support/source.rs
+++ b/crates/lift_gateway/tests/support/source.rs
@@ -7,6 +7,8 @@
 pub(crate) struct Source {
     pub(crate) backends: parking_lot::Mutex<Vec<lift_fleet::BackendRecord>>,
     pub(crate) is_leader: sync::atomic::AtomicBool,
+    pub(crate) weights:
+        parking_lot::Mutex<indexmap::IndexMap<lift_fleet::ModelName, lift_feed::NamedWeights>>,
 }
 
 #[async_trait::async_trait]
@@ -18,7 +20,7 @@
     fn head(&self) -> lift_feed::FleetHead {
         lift_feed::FleetHead {
             document: 1,
-            weights: indexmap::IndexMap::new(),
+            weights: self.weights.lock().clone(),
         }
     }
 
