Take no replayed naming for a new one

What callers could see: after a restart of all control members, a gateway that starts as well lets servers with an older version answer for the whole time once more. Cause: a member took each naming that it applied more than 3 s after its start for new. A member that has no leader for 3 s, or joins slowly, replays its log later than that. Evidence: a_naming_that_is_replayed_late_is_not_taken_for_a_new_one fails on the parent, which has Some(0 s) where nothing is known. Change: the consensus tells the driver where the replay ends: at the first entry that is beyond the commit index and not below the term with which this member first heard from a leader. The time limit is gone; the test that waited for it calls end_replay instead. Why it works: entries that any leader had before the contact are recognised by term and index, however late they are applied. Measured: tests of lift_consensus, lift_log, lift_registry pass.

--- a/crates/lift_consensus/src/action.rs
+++ b/crates/lift_consensus/src/action.rs
@@ -11,6 +11,9 @@
     Send(message::Message),
     /// Apply committed entries, then report `Applied`.
     Apply(Vec<entry::Entry>),
+    /// The entries applied so far may be old: they were in the log before this member first heard
+    /// from a leader. Those that follow were appended while it took part.
+    EndReplay,
     /// Replace the state of the state machine, then report `Applied`.
     Restore(snapshot::Snapshot),
     /// Encode the state machine, then report `SnapshotTaken`.
--- a/crates/lift_consensus/src/replica_election.rs
+++ b/crates/lift_consensus/src/replica_election.rs
@@ -78,6 +78,7 @@
                 sent,
             } => {
                 self.on_leader_contact(now, from);
+                self.record_contact(commit);
                 self.on_append(from, (prev_index, prev_term), entries, commit, sent);
             }
             message_body::MessageBody::SnapshotPart { .. } => {
--- a/crates/lift_consensus/tests/decisions.rs
+++ b/crates/lift_consensus/tests/decisions.rs
@@ -297,3 +297,55 @@
     let rng = rand::rngs::StdRng::seed_from_u64(1);
     assert_eq!(Replica::new(cfg, recovered, now, rng).members(), &members);
 }
+
+fn command(index: u64, term: u64) -> lift_consensus::Entry {
+    lift_consensus::Entry {
+        index,
+        term,
+        payload: lift_consensus::Payload::Command("c".into()),
+    }
+}
+
+/// Returns what a follower applies, with `None` where the replay ends.
+fn append(
+    follower: &mut Replica,
+    now: time::Instant,
+    entries: Vec<lift_consensus::Entry>,
+    commit: u64,
+) -> Vec<Option<u64>> {
+    let (prev_index, prev_term) = entries.first().map_or((0, 0), |entry| {
+        let prev_term = [0, 1, 2, 2, 3][entry.index as usize - 1];
+        (entry.index - 1, prev_term)
+    });
+    let body = MessageBody::Append {
+        prev_index,
+        prev_term,
+        entries,
+        commit,
+        sent: 1,
+    };
+    let actions = run(follower, now, message(2, 1, 3, body));
+    let applied = actions.into_iter().filter_map(|action| match action {
+        Action::Apply(entries) => Some(entries.into_iter().map(|e| Some(e.index)).collect()),
+        Action::EndReplay => Some(vec![None]),
+        _ => None,
+    });
+    applied.collect::<Vec<Vec<_>>>().concat()
+}
+
+/// Guards against a command that is as old as the log but counts as new, because it was applied long
+/// after the start of the member.
+#[test]
+fn commands_older_than_the_first_contact_are_replayed() {
+    let start = time::Instant::now();
+    let mut follower = replica(1, 2, start);
+    let now = start + time::Duration::from_secs(60);
+    let old = vec![command(1, 1), command(2, 2)];
+    assert_eq!(append(&mut follower, now, old, 1), [Some(1)]);
+    let later = now + time::Duration::from_secs(60);
+    let unsent = vec![command(3, 2), command(4, 3)];
+    let applied = append(&mut follower, later, unsent, 4);
+    assert_eq!(applied, [Some(2), Some(3), None, Some(4)]);
+    let applied = append(&mut follower, later, vec![command(5, 3)], 5);
+    assert_eq!(applied, [Some(5)]);
+}
--- a/crates/lift_disk/tests/model/host.rs
+++ b/crates/lift_disk/tests/model/host.rs
@@ -183,7 +183,9 @@
                 self.inbox
                     .push_back(lift_consensus::Event::SnapshotSaved(snapshot.index));
             }
-            lift_consensus::Action::Appended { .. } | lift_consensus::Action::Refused(_) => {}
+            lift_consensus::Action::Appended { .. }
+            | lift_consensus::Action::Refused(_)
+            | lift_consensus::Action::EndReplay => {}
         }
         true
     }
--- a/crates/lift_log/src/apply_thread.rs
+++ b/crates/lift_log/src/apply_thread.rs
@@ -10,6 +10,7 @@
 #[derive(Debug)]
 pub(crate) enum Job {
     Apply(Vec<lift_consensus::Entry>),
+    EndReplay,
     Restore(lift_consensus::Snapshot),
     TakeSnapshot,
     Stop,
@@ -31,6 +32,7 @@
                 }
                 node.step(lift_consensus::Event::Applied(applied));
             }
+            Job::EndReplay => machine.end_replay(),
             Job::Restore(snapshot) => {
                 if !machine.restore(&snapshot.state) {
                     slog::crit!(node.log, "the snapshot can't be read; the member stops";
--- a/crates/lift_log/src/node.rs
+++ b/crates/lift_log/src/node.rs
@@ -124,6 +124,9 @@
                 lift_consensus::Action::Apply(entries) => {
                     let _ = self.to_apply.send(apply_thread::Job::Apply(entries));
                 }
+                lift_consensus::Action::EndReplay => {
+                    let _ = self.to_apply.send(apply_thread::Job::EndReplay);
+                }
                 lift_consensus::Action::Restore(snapshot) => {
                     let _ = self.to_apply.send(apply_thread::Job::Restore(snapshot));
                 }
--- a/crates/lift_log/src/state_machine.rs
+++ b/crates/lift_log/src/state_machine.rs
@@ -8,6 +8,11 @@
     /// Applies one committed command and returns its reply. Called in order of `index`.
     fn apply(&self, index: lift_types::LogIndex, command: &[u8]) -> bytes::Bytes;
 
+    /// The commands applied before this call may be as old as the log; those after it were appended
+    /// while this member took part. Must not change the state, but may change what is known about
+    /// the age of a command.
+    fn end_replay(&self) {}
+
     /// Encodes the whole state. Not called while a command is applied.
     fn snapshot(&self) -> bytes::Bytes;
 
--- a/crates/lift_registry/src/fleet_state_machine.rs
+++ b/crates/lift_registry/src/fleet_state_machine.rs
@@ -5,10 +5,6 @@
 use sync::atomic;
 use tokio::sync::watch;
 
-/// Time after the creation of the state machine during which applied commands are assumed to be
-/// replayed from the disk.
-const REPLAY_DURATION: time::Duration = time::Duration::from_secs(3);
-
 /// Target versions of one model whose times are kept. Each counts for as long as older weights may
 /// be in use, which is seconds.
 const MAX_TIMES: usize = 8;
@@ -27,7 +23,8 @@
     /// versions that may have been replayed from the disk or come from a snapshot.
     target_versions:
         parking_lot::Mutex<indexmap::IndexMap<lift_fleet::ModelName, Vec<VersionTime>>>,
-    started: time::Instant,
+    /// Whether the commands that are applied may be as old as the log.
+    is_replaying: atomic::AtomicBool,
     unreadable_commands: atomic::AtomicU64,
 }
 
@@ -38,7 +35,7 @@
             state: parking_lot::Mutex::default(),
             changes: watch::Sender::new(0),
             target_versions: parking_lot::Mutex::default(),
-            started: lift_clock::now(),
+            is_replaying: atomic::AtomicBool::new(true),
             unreadable_commands: atomic::AtomicU64::new(0),
         }
     }
@@ -92,13 +89,12 @@
         postcard::from_bytes(buf).ok()
     }
 
-    /// Records when a target version was applied. Commands applied soon after the start are left
-    /// out: they may be replayed from the disk and be old.
+    /// Records when a target version was applied. A replayed command is left out: a late time would
+    /// let requests start on older weights for longer.
     fn record_target_version(&self, command: &lift_fleet::FleetCommand) {
         let now = lift_clock::now();
-        let is_replay = now.saturating_duration_since(self.started) < REPLAY_DURATION;
         if let lift_fleet::FleetCommand::SetTargetVersion { model, version } = command
-            && !is_replay
+            && !self.is_replaying.load(atomic::Ordering::Acquire)
         {
             let mut applied = self.target_versions.lock();
             let times = applied.entry(model.clone()).or_default();
@@ -154,6 +150,10 @@
         reply.map(bytes::Bytes::from).unwrap_or_default()
     }
 
+    fn end_replay(&self) {
+        self.is_replaying.store(false, atomic::Ordering::Release);
+    }
+
     fn snapshot(&self) -> bytes::Bytes {
         let state = self.state.lock().clone();
         let encoded = postcard::to_stdvec(&state);
--- a/crates/lift_registry/tests/namings.rs
+++ b/crates/lift_registry/tests/namings.rs
@@ -5,9 +5,6 @@
 
 use lift_log::StateMachine as _;
 
-/// Longer than the time in which commands may be replayed from the disk.
-const REPLAYED: time::Duration = time::Duration::from_millis(3_100);
-
 fn name(machine: &lift_registry::FleetStateMachine, index: u64, version: u64) {
     let command = lift_fleet::FleetCommand::SetTargetVersion {
         model: String::from("m"),
@@ -22,7 +19,7 @@
     // Guards against a gateway that starts after two namings and hears of the second one only.
     let machine = lift_registry::FleetStateMachine::new();
     name(&machine, 1, 1);
-    std::thread::sleep(REPLAYED);
+    machine.end_replay();
     name(&machine, 2, 2);
     std::thread::sleep(time::Duration::from_millis(50));
     name(&machine, 3, 3);
@@ -39,3 +36,15 @@
     }
     assert!(machine.head().weights["m"].earlier.len() <= 8);
 }
+
+#[test]
+fn a_naming_that_is_replayed_late_is_not_taken_for_a_new_one() {
+    let machine = lift_registry::FleetStateMachine::new();
+    // A member without a leader replays its log after seconds.
+    std::thread::sleep(time::Duration::from_millis(3_100));
+    name(&machine, 1, 2);
+    assert_eq!(machine.head().weights["m"].named_for, None);
+    machine.end_replay();
+    name(&machine, 2, 3);
+    assert!(machine.head().weights["m"].named_for.is_some());
+}
