Refuse announcements that no backend server can have sent

Report: another writer left one odd entry among those of the replicas, and the machines that read the list stopped following it.

A heartbeat with a service name of 6 MiB became a record of the directory. The message with it exceeded the longest frame, so every connection on which a member tells its nodes ended, and ended again after each new connection, since the whole state is sent first. No node heard of any server again. A start before 1970 can't be encoded and would have done the same; a sequence or a start near the end of its range could never be replaced by a later one, and overflowed when the server left; a server with four thousand million slots drew all requests; port 0 and an identifier that fits in no header named a server that can't be called or checked.

Announcement::check holds the bounds, and a member checks before it touches the directory, so what it knows of the server stays.

Nesting, wrong types, duplicate keys and ports above 65535 were refused before.

--- a/crates/lift_fleet/src/announcement.rs
+++ b/crates/lift_fleet/src/announcement.rs
@@ -2,7 +2,27 @@
 
 use std::{net, time};
 
-use crate::{backend_id, backend_state, loaded_model};
+use crate::{announcement_error, backend_id, backend_state, loaded_model};
+
+/// Longest identifier or name, in bytes. Members send the records of all backend servers in one
+/// message, which must stay below the longest frame.
+const MAX_NAME_BYTES: usize = 256;
+
+/// Largest number of models of one backend server.
+const MAX_MODELS: usize = 64;
+
+/// Largest number of slots. A server with more would draw the requests of all others.
+const MAX_SLOTS: u32 = 65_536;
+
+/// Sequences and versions are below this. Larger integers are not exact in JSON documents of many
+/// writers, and nothing that counts up later would be newer than the largest ones.
+const COUNT_LIMIT: u64 = 1 << 53;
+
+/// Starts are earlier than this, after 1970: the year 10000. A later one is in another unit, and
+/// no restart would be newer than it.
+const START_LIMIT: time::Duration = time::Duration::from_secs(253_402_300_800);
+
+type Result = std::result::Result<(), announcement_error::AnnouncementError>;
 
 /// Content of one heartbeat, by which a backend server announces its address and state.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -31,6 +51,39 @@
 }
 
 impl Announcement {
+    /// Checks that a backend server can have sent this. Anything else must not enter the directory,
+    /// since every node follows it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first field that is invalid.
+    pub fn check(&self) -> Result {
+        check_id(&self.id)?;
+        check_name("the service", &self.service)?;
+        check_name("the failure domain", &self.failure_domain)?;
+        let ip = self.address.ip();
+        if self.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+            return Err(announcement_error::AnnouncementError::Address);
+        }
+        check_range("the number of slots", self.slots <= MAX_SLOTS)?;
+        check_range("the sequence", self.sequence < COUNT_LIMIT)?;
+        let started = self.started_at.duration_since(time::SystemTime::UNIX_EPOCH);
+        let is_start = started.is_ok_and(|since| since < START_LIMIT);
+        check_range("the time of the start", is_start)?;
+        self.check_models()
+    }
+
+    fn check_models(&self) -> Result {
+        if self.models.len() > MAX_MODELS {
+            return Err(announcement_error::AnnouncementError::Models);
+        }
+        for model in &self.models {
+            check_name("the name of a model", &model.name)?;
+            check_range("the version of a model", model.version < COUNT_LIMIT)?;
+        }
+        Ok(())
+    }
+
     /// Whether `self` was sent after `other`, if both have the same identifier.
     pub fn is_newer_than(&self, other: &Self) -> bool {
         (self.started_at, self.sequence) > (other.started_at, other.sequence)
@@ -48,3 +101,25 @@
             && self.models == other.models
     }
 }
+
+fn check_id(id: &str) -> Result {
+    let is_graphic = id.bytes().all(|byte| byte.is_ascii_graphic());
+    match is_graphic && !id.is_empty() && id.len() <= MAX_NAME_BYTES {
+        true => Ok(()),
+        false => Err(announcement_error::AnnouncementError::Id),
+    }
+}
+
+fn check_name(field: &'static str, name: &str) -> Result {
+    match !name.is_empty() && name.len() <= MAX_NAME_BYTES {
+        true => Ok(()),
+        false => Err(announcement_error::AnnouncementError::Name(field)),
+    }
+}
+
+fn check_range(field: &'static str, is_in_range: bool) -> Result {
+    match is_in_range {
+        true => Ok(()),
+        false => Err(announcement_error::AnnouncementError::Number(field)),
+    }
+}
--- a/crates/lift_fleet/src/directory.rs
+++ b/crates/lift_fleet/src/directory.rs
@@ -120,7 +120,7 @@
             return None;
         }
         announcement.state = backend_state::BackendState::Gone;
-        announcement.sequence += 1;
+        announcement.sequence = announcement.sequence.saturating_add(1);
         entry.last_seen = now;
         Some(entry.record.clone())
     }
--- a/crates/lift_fleet/src/lib.rs
+++ b/crates/lift_fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! Every function takes `now` where it needs the time. See `docs/platform.md`.
 
 mod announcement;
+mod announcement_error;
 mod api_key;
 mod backend_id;
 mod backend_record;
@@ -40,6 +41,7 @@
 mod weights_version;
 
 pub use announcement::Announcement;
+pub use announcement_error::AnnouncementError;
 pub use api_key::ApiKey;
 pub use backend_id::BackendId;
 pub use backend_record::BackendRecord;
--- a/crates/lift_registry/src/fleet_control_error.rs
+++ b/crates/lift_registry/src/fleet_control_error.rs
@@ -22,6 +22,9 @@
     /// The document is invalid and was rejected.
     #[error(transparent)]
     Invalid(#[from] lift_fleet::DocumentError),
+    /// The announcement is invalid and was rejected. What is known of the backend server stays.
+    #[error(transparent)]
+    Announcement(#[from] lift_fleet::AnnouncementError),
     /// A part of the member, named here, can't be started, or a setting is missing.
     #[error("the control member can't be started: {0}")]
     Start(&'static str),
--- a/crates/lift_registry/src/registry_control.rs
+++ b/crates/lift_registry/src/registry_control.rs
@@ -67,6 +67,8 @@
 
     fn announce(&self, announcement: lift_fleet::Announcement) -> Result<()> {
         self.check_quorum()?;
+        let checked = announcement.check();
+        checked.map_err(fleet_control_error::FleetControlError::Announcement)?;
         let id = announcement.id.clone();
         let (outcome, record) = {
             let mut directory = self.directory.lock();
