Bound the keep-alive time that a backend server names

Report: an entry with a number too large ended the machines that read it.

Callers lost their connection without an answer, although the server had answered: the gateway added the time that the server names in Keep-Alive to the current time, and the sum overflowed, which ended the task of the request. The time is bounded by the longest one after which a connection is still used, so the sum is always in range.

a_keep_alive_time_that_is_too_large_costs_no_answer failed before: "overflow when adding duration to instant", "left: Err("connection closed before message completed")".

--- a/crates/lift_gateway/src/backend_pool.rs
+++ b/crates/lift_gateway/src/backend_pool.rs
@@ -14,6 +14,10 @@
 /// no request is sent while the backend server closes it.
 const KEEP_ALIVE_MARGIN: time::Duration = time::Duration::from_millis(700);
 
+/// Longest time for which an idle connection is kept, whatever the backend server specifies. No
+/// request takes one that has been idle for longer.
+const MAX_KEEP_ALIVE: time::Duration = time::Duration::from_secs(60);
+
 /// Largest number of idle connections to one backend server.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
@@ -73,6 +77,7 @@
         keep_alive: Option<time::Duration>,
     ) {
         let keep_time = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE + KEEP_ALIVE_MARGIN);
+        let keep_time = keep_time.min(MAX_KEEP_ALIVE);
         let expires_at = now + keep_time.saturating_sub(KEEP_ALIVE_MARGIN);
         self.shards.with(&address, |pool| {
             let idle = pool.entry(address).or_default();
--- a/crates/lift_gateway/tests/support/dialect.rs
+++ b/crates/lift_gateway/tests/support/dialect.rs
@@ -12,6 +12,10 @@
     Some(String::from(value))
 }
 
+fn number(headers: &http::HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name)?.parse().ok()
+}
+
 fn set(headers: &mut http::HeaderMap, name: &'static str, value: &str) {
     headers.insert(name, value.parse().unwrap());
 }
@@ -43,6 +47,8 @@
             id: text(&head.headers, "x-id"),
             is_sealed: head.headers.contains_key("x-seal"),
             is_not_run: head.headers.contains_key("x-not-run"),
+            weights: number(&head.headers, "x-weights"),
+            keep_alive: number(&head.headers, "x-keep-s").map(time::Duration::from_secs),
             ..AnswerHead::default()
         }
     }
