Shorten the times of a routing table that no request lasts

Report: an entry with a number too large ended the machines that read it.

A configuration with an objective or a pause of 1e22 ms was accepted, and each request of the route lost its connection: multiples of the time, and their sums with the current time, overflow. The time to read a prompt comes from a rate that may be as odd; its multiples stop at the end of the range.

--- a/crates/lift_dispatch/src/backend_cost.rs
+++ b/crates/lift_dispatch/src/backend_cost.rs
@@ -73,7 +73,9 @@
 
     /// Cost of the prompts that the engine reads before that of this request.
     fn prompts_cost(&self, load: &backend_load::BackendLoad) -> f64 {
-        let wait = self.prefill_time * load.prompts_ahead(self.now);
+        let wait = self
+            .prefill_time
+            .saturating_mul(load.prompts_ahead(self.now));
         let target_s = self.target_latency.as_secs_f64().max(f64::MIN_POSITIVE);
         PROMPTS_AHEAD_WEIGHT * wait.as_secs_f64() / target_s
     }
--- a/crates/lift_dispatch/src/backend_selector.rs
+++ b/crates/lift_dispatch/src/backend_selector.rs
@@ -190,7 +190,8 @@
     /// reads it next.
     fn can_prefill_in_time(&self, load: &backend_load::BackendLoad) -> bool {
         let ahead = load.prompts_ahead(self.now);
-        ahead == 0 || self.prefill_time * (ahead + 1) <= self.target_latency.mul_f64(PREFILL_SHARE)
+        let read_after = self.prefill_time.saturating_mul(ahead.saturating_add(1));
+        ahead == 0 || read_after <= self.target_latency.mul_f64(PREFILL_SHARE)
     }
 }
 
--- a/crates/lift_fleet/src/routing_table_builder.rs
+++ b/crates/lift_fleet/src/routing_table_builder.rs
@@ -1,9 +1,13 @@
 //! Builder of routing tables.
 
-use std::{cmp, sync};
+use std::{cmp, sync, time};
 
 use crate::{api_key, caller_limits, document_version, route, routing_table, service, table_error};
 
+/// Longest time in a table. No request lasts as long, and multiples of it can be added to the time
+/// of a request.
+const MAX_TIME: time::Duration = time::Duration::from_secs(24 * 60 * 60);
+
 type Result<T> = std::result::Result<T, table_error::TableError>;
 
 /// Collects services, routes and workspaces, and checks that they are consistent.
@@ -31,9 +35,14 @@
         self
     }
 
-    /// Adds a route, which [`Self::build`] checks.
+    /// Adds a route, which [`Self::build`] checks. Times of over a day are shortened to one.
     pub fn route(mut self, route: route::Route) -> Self {
-        self.routes.push(route);
+        self.routes.push(route::Route {
+            timeout: route.timeout.min(MAX_TIME),
+            target_latency: route.target_latency.min(MAX_TIME),
+            target_gap: route.target_gap.min(MAX_TIME),
+            ..route
+        });
         self
     }
 
@@ -62,9 +71,14 @@
         }
     }
 
-    /// Sets the limits on the requests and connections of callers.
+    /// Sets the limits on the requests and connections of callers. Times of over a day are
+    /// shortened to one.
     pub fn limits(mut self, limits: caller_limits::CallerLimits) -> Self {
-        self.table.limits = limits;
+        self.table.limits = caller_limits::CallerLimits {
+            head_timeout: limits.head_timeout.min(MAX_TIME),
+            idle_timeout: limits.idle_timeout.min(MAX_TIME),
+            ..limits
+        };
         self
     }
 
--- a/crates/lift_gateway/tests/odd_numbers.rs
+++ b/crates/lift_gateway/tests/odd_numbers.rs
@@ -16,3 +16,15 @@
     assert_eq!(first, Ok((200, String::from("word"))));
     assert_eq!(fleet.call("non_idempotent", "r2").await.1, "done");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_route_whose_times_are_too_large_is_served() {
+    // Guards against a configuration that ends each request of a route.
+    let backend = Backend::start(&[Reply::events(1..=2)]).await;
+    let fleet = Fleet::start(99, &[&backend]).await;
+    let answer = fleet.try_call("endless_times", "r1").await;
+    assert!(
+        answer.as_ref().is_ok_and(|(status, _)| *status == 200),
+        "{answer:?}"
+    );
+}
--- a/crates/lift_gateway/tests/support/codec.rs
+++ b/crates/lift_gateway/tests/support/codec.rs
@@ -26,6 +26,12 @@
         for (name, kind) in kinds {
             builder = builder.route(route(name, kind));
         }
+        builder = builder.route(lift_fleet::Route {
+            timeout: time::Duration::MAX,
+            target_latency: time::Duration::MAX,
+            target_gap: time::Duration::MAX,
+            ..route("endless_times", lift_fleet::RouteKind::ResumableStream)
+        });
         let builder = builder.key(String::from(KEY), String::from("depots"))?;
         Ok(builder.build()?)
     }
