Add the counts of load reports without overflow

Report: an entry with a number too large ended the machines that read it, or they stopped following the list.

A backend server whose report counts near 2^32 requests is read by its agent and passed on to all gateways. The sum of running and waiting requests overflowed. Built with checks, that ended the task in the agent that asks the server, so its weights were never kept up again, and the task in each gateway that receives load reports of all servers. Built without, the sum wrapped around, and the fullest server looked empty. Counts now stop at the end of their range, which means a full server.

All failed before: a_server_that_reports_too_many_requests_still_gets_its_weights ("load_reporter.rs:82:24: attempt to add with overflow", "it loads version 2"), a_load_report_with_too_many_requests_does_not_end_the_reports ("load_receiver.rs:28:23: attempt to add with overflow", "left: 200 right: 503") and a_server_that_reports_too_many_requests_is_full ("backend_load.rs:117:9: attempt to add with overflow").

--- a/crates/lift_dispatch/src/backend_load.rs
+++ b/crates/lift_dispatch/src/backend_load.rs
@@ -114,7 +114,9 @@
         let Some((sample, own_at_sample)) = &self.sample else {
             return self.own_requests;
         };
-        (sample.requests + self.added_since_sample(gateways))
+        sample
+            .requests
+            .saturating_add(self.added_since_sample(gateways))
             .saturating_sub(own_at_sample.saturating_sub(self.own_requests))
             .max(self.own_requests)
     }
@@ -139,7 +141,8 @@
     pub fn prompts_ahead(&self, now: time::Instant) -> u32 {
         let sample = self.fresh_sample(now);
         sample.map_or(0, |sample| {
-            sample.queued_prompts + self.added_since_sample(PREFILL_GATEWAYS)
+            let added = self.added_since_sample(PREFILL_GATEWAYS);
+            sample.queued_prompts.saturating_add(added)
         })
     }
 
--- a/crates/lift_dispatch/tests/odd_samples.rs
+++ b/crates/lift_dispatch/tests/odd_samples.rs
@@ -60,3 +60,17 @@
     let reading = load(now, 1, 1);
     assert_eq!(select(now, &reading, for_ever), Err(SelectionError::Full));
 }
+
+#[test]
+fn a_server_that_reports_too_many_requests_is_full() {
+    // Guards against a sum that overflows, by which the fullest server looks empty.
+    let now = time::Instant::now();
+    let mut load = load(now, u32::MAX, u32::MAX);
+    load.start_request(now);
+    assert!(load.estimate_requests(now, 3) >= u32::MAX - 1);
+    assert_eq!(load.prompts_ahead(now), u32::MAX);
+    for prefill_time in [time::Duration::ZERO, time::Duration::MAX] {
+        let selected = select(now, &load, prefill_time);
+        assert_eq!(selected, Err(SelectionError::Full));
+    }
+}
--- a/crates/lift_feed/src/load_report.rs
+++ b/crates/lift_feed/src/load_report.rs
@@ -23,3 +23,10 @@
     /// Random number from 0 up to 1, by which gateways take turns in using free slots.
     pub random: f64,
 }
+
+impl LoadReport {
+    /// Requests that run or wait.
+    pub fn requests(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
--- a/crates/lift_gateway/src/load_receiver.rs
+++ b/crates/lift_gateway/src/load_receiver.rs
@@ -25,7 +25,7 @@
             continue;
         };
         let sample = lift_dispatch::LoadSample {
-            requests: report.running + report.waiting,
+            requests: report.requests(),
             queued_prompts: report.unread,
             models: report.models,
             link_percent: report.link_percent.map(|percent| percent.min(100)),
--- a/crates/lift_gateway/tests/odd_numbers.rs
+++ b/crates/lift_gateway/tests/odd_numbers.rs
@@ -4,6 +4,8 @@
 
 mod support;
 
+use std::time;
+
 use support::{Backend, Fleet, Reply};
 
 #[tokio::test(flavor = "multi_thread")]
@@ -28,3 +30,30 @@
         "{answer:?}"
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_load_report_with_too_many_requests_does_not_end_the_reports() {
+    // Guards against a gateway that follows no report any more after an odd one.
+    let backend = Backend::start(&[]).await;
+    let fleet = Fleet::start(123, &[&backend]).await;
+    let mut report = lift_feed::LoadReport {
+        backend: backend.address,
+        running: u32::MAX,
+        waiting: u32::MAX,
+        unread: u32::MAX,
+        models: Vec::new(),
+        link_percent: Some(u32::MAX),
+        is_loading: false,
+        random: f64::NAN,
+    };
+    fleet.report(&report).await;
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    assert_eq!(fleet.call("non_idempotent", "r1").await.0, 503);
+    report.running = 0;
+    report.waiting = 0;
+    report.unread = 0;
+    report.random = 0.0;
+    fleet.report(&report).await;
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    assert_eq!(fleet.call("non_idempotent", "r2").await.0, 200);
+}
--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -24,6 +24,8 @@
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
     source: sync::Arc<source::Source>,
     feed: sync::Arc<lift_feed::FeedServer>,
+    keys: lift_wire::LinkKeys,
+    loads: net::SocketAddr,
     callers: net::SocketAddr,
     readiness: net::SocketAddr,
 }
@@ -55,6 +57,7 @@
         tokio::spawn(sync::Arc::clone(&feed).run(listener, stop));
         let callers = net::SocketAddr::from((host, 17_604));
         let readiness = net::SocketAddr::from((host, 17_605));
+        let loads = ports.loads(net::IpAddr::from(host));
         let card = lift_feed::NodeCard {
             kind: lift_feed::NodeKind::Gateway,
             location: lift_types::Location {
@@ -64,7 +67,7 @@
             },
             service: None,
             incarnation: 1,
-            load_addr: Some(ports.loads(net::IpAddr::from(host))),
+            load_addr: Some(loads),
             piece_addr: None,
         };
         let counters = sync::Arc::<lift_obs::Counters>::default();
@@ -72,7 +75,7 @@
             .card(card)
             .ports(ports)
             .seeds(vec![net::SocketAddr::new(member, 1)])
-            .keys(keys)
+            .keys(keys.clone())
             .codec(sync::Arc::new(codec::Codec))
             .counters(counters.clone())
             .build();
@@ -91,6 +94,8 @@
             counters,
             source,
             feed,
+            keys,
+            loads,
             callers,
             readiness,
         };
@@ -174,9 +179,18 @@
         route: &str,
         id: &str,
     ) -> (u16, String) {
+        self.prefer(first, second, self.call(route, id)).await
+    }
+
+    /// Runs `calling` as [`Self::call_preferring`] does.
+    pub(crate) async fn prefer<T>(
+        &self,
+        first: &backend::Backend,
+        second: &backend::Backend,
+        calling: impl Future<Output = T>,
+    ) -> T {
         self.drain(second, 3);
         tokio::time::sleep(time::Duration::from_millis(50)).await;
-        let calling = self.call(route, id);
         let adding = async {
             while first.received().is_empty() {
                 tokio::time::sleep(time::Duration::from_millis(1)).await;
@@ -186,6 +200,13 @@
         tokio::join!(calling, adding).0
     }
 
+    /// Sends a load report to the gateway.
+    pub(crate) async fn report(&self, report: &lift_feed::LoadReport) {
+        let datagram = lift_wire::seal(&self.keys, report).unwrap();
+        let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        socket.send_to(&datagram, self.loads).await.unwrap();
+    }
+
     /// Address for callers.
     pub(crate) fn callers(&self) -> net::SocketAddr {
         self.callers
--- a/crates/lift_stage/src/engine_report.rs
+++ b/crates/lift_stage/src/engine_report.rs
@@ -14,6 +14,11 @@
 }
 
 impl EngineReport {
+    /// Requests that run or wait.
+    pub fn requests(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+
     /// Version of the weights of `model` that it holds, 0 where it holds none.
     pub fn version(&self, model: &str) -> lift_fleet::WeightsVersion {
         let held = self.models.iter().find(|m| m.name == model);
--- a/crates/lift_stage/src/load_reporter.rs
+++ b/crates/lift_stage/src/load_reporter.rs
@@ -79,7 +79,6 @@
 
     fn load_report(&mut self, report: &engine_report::EngineReport) -> lift_feed::LoadReport {
         let now = lift_clock::now();
-        let requests = report.running + report.waiting;
         let prefill_time = self.shared.prefill_time().unwrap_or_default();
         lift_feed::LoadReport {
             backend: self.shared.backend,
@@ -87,7 +86,7 @@
             waiting: report.waiting,
             unread: self
                 .prefill_queue
-                .record_sample(now, requests, prefill_time),
+                .record_sample(now, report.requests(), prefill_time),
             models: report.models.clone(),
             link_percent: self.shared.pressure.lock().link_percent(now),
             is_loading: report.is_busy,
--- a/crates/lift_stage/tests/stage.rs
+++ b/crates/lift_stage/tests/stage.rs
@@ -74,6 +74,17 @@
     assert!(engines[1].was_whole(&origin));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_reports_too_many_requests_still_gets_its_weights() {
+    // Guards against an agent that stops asking its server after one odd report.
+    let origin = Origin::new(10);
+    let engines = [Engine::holding(1)];
+    engines[0].claim_requests(u32::MAX);
+    let fleet = Fleet::start(90, &origin, &engines).await;
+    fleet.name(2);
+    until("it loads version 2", || engines[0].version() == 2).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_newer_version_ends_the_transfer_of_the_one_before() {
     let origin = Origin::new(30);
--- a/crates/lift_stage/tests/support/engine.rs
+++ b/crates/lift_stage/tests/support/engine.rs
@@ -22,6 +22,8 @@
     /// Pieces that are spoilt once right after they were put.
     rot: u32,
     is_down: bool,
+    /// Requests that it claims to run, and as many that wait.
+    requests: u32,
 }
 
 impl Engine {
@@ -60,6 +62,11 @@
         self.state.lock().is_down = false;
     }
 
+    /// Claims to run `requests` requests, and that as many wait.
+    pub(crate) fn claim_requests(&self, requests: u32) {
+        self.state.lock().requests = requests;
+    }
+
     /// Spoils the next pieces that are put.
     pub(crate) fn rot(&self, pieces: u32) {
         self.state.lock().rot = pieces;
@@ -91,7 +98,10 @@
             name: String::from("m"),
             version,
         });
+        let requests = self.state.lock().requests;
         Ok(EngineReport {
+            running: requests,
+            waiting: requests,
             models: models.into_iter().collect(),
             ..EngineReport::default()
         })
