Keep no connection to a server that repeats no identifiers

Report: a faulty replica wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for requests that it was running.

The gateway required the identifier only on connections on which the server had repeated one before. On a kept connection to a server that repeats none, the copy of a refusal was taken for the refusal of the next request: the caller was told that it had not run, or it ran at a second server. Now a connection is kept only after an answer with the identifier, and on a kept one every answer must have it. A refusal without one counts only on a connection that has carried no other request, where nothing else can have been refused.

a_server_without_identifiers_can_not_refuse_a_request_by_an_earlier_refusal failed before: "left: (503, "not_taken\n") right: (200, "word")". The other three tests passed before and stay as guards.

--- a/crates/lift_gateway/src/backend_connection.rs
+++ b/crates/lift_gateway/src/backend_connection.rs
@@ -34,8 +34,8 @@
 pub(crate) struct BackendConnection {
     sender: hyper::client::conn::http1::SendRequest<Body>,
     allowance: sync::Arc<read_allowance::ReadAllowance>,
-    /// Whether an answer on this connection has repeated the identifier of its request.
-    has_echoed: bool,
+    /// Whether the connection has carried another request before.
+    is_reused: bool,
 }
 
 impl BackendConnection {
@@ -59,7 +59,7 @@
         Some(Self {
             sender,
             allowance,
-            has_echoed: false,
+            is_reused: false,
         })
     }
 
@@ -83,16 +83,21 @@
         self.allowance.renew();
     }
 
-    /// Checks the identifier that an answer repeats against that of the request. A server that has
-    /// repeated one before must go on to do so: an answer without one may be a late copy of an
-    /// earlier answer.
-    pub(crate) fn check_echo(&mut self, echoed: Option<&str>, id: &str) -> bool {
+    /// Checks the identifier that an answer repeats against that of the request. On a connection
+    /// that has carried another request, an answer without one may be a late copy of an earlier
+    /// answer or refusal.
+    pub(crate) fn check_echo(&self, echoed: Option<&str>, id: &str) -> bool {
         match echoed {
-            Some(echoed) => {
-                self.has_echoed = true;
-                echoed == id
-            }
-            None => !self.has_echoed,
+            Some(echoed) => echoed == id,
+            None => !self.is_reused,
+        }
+    }
+
+    /// Prepares the connection for the next request.
+    pub(crate) fn reuse(self) -> Self {
+        Self {
+            is_reused: true,
+            ..self
         }
     }
 
--- a/crates/lift_gateway/src/exchange.rs
+++ b/crates/lift_gateway/src/exchange.rs
@@ -43,7 +43,7 @@
         deadline: time::Instant,
     ) -> Result<Self, lift_dispatch::AttemptFailure> {
         let sent = send(shared, &in_flight, req, is_repeatable, deadline).await;
-        let (response, mut connection) = sent?;
+        let (response, connection) = sent?;
         in_flight.receive_head();
         let (parts, body) = response.into_parts();
         let head = shared.dialect.read_answer(&parts);
@@ -73,21 +73,22 @@
     }
 
     /// Returns the connection to the pool after the answer was read to its end, unless the backend
-    /// server closes it.
+    /// server closes it or repeats no identifiers, by which the next answer could be checked.
     pub(crate) fn finish(self, shared: &sync::Arc<shared::Shared>) {
         let is_closing = self
             .parts
             .headers
             .get(http::header::CONNECTION)
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        if is_closing || self.parts.version != http::Version::HTTP_11 {
+        let is_anonymous = self.head.id.is_none();
+        if is_closing || is_anonymous || self.parts.version != http::Version::HTTP_11 {
             return;
         }
         let address = self.in_flight.backend().address;
         let now = lift_clock::now();
         shared
             .pool
-            .put(now, address, self.connection, self.head.keep_alive);
+            .put(now, address, self.connection.reuse(), self.head.keep_alive);
     }
 }
 
--- a/crates/lift_gateway/tests/support/backend.rs
+++ b/crates/lift_gateway/tests/support/backend.rs
@@ -26,8 +26,12 @@
     Pause(u64),
     /// Sends a text again and again, with a pause in milliseconds, until the connection breaks.
     Repeat(String, u64),
+    /// Sends a text if the connection has carried another request before.
+    SendIfUsed(String),
     /// Closes the connection.
     Close,
+    /// Resets the connection.
+    Reset,
 }
 
 impl Step {
@@ -35,6 +39,10 @@
         Self::Send(String::from(text))
     }
 
+    pub(crate) fn send_if_used(text: &str) -> Self {
+        Self::SendIfUsed(String::from(text))
+    }
+
     pub(crate) fn repeat(text: &str, pause_ms: u64) -> Self {
         Self::Repeat(String::from(text), pause_ms)
     }
@@ -164,7 +172,7 @@
 
 async fn serve(state: sync::Arc<State>, mut stream: tokio::net::TcpStream) {
     let mut buf = Vec::new();
-    loop {
+    for request in 0.. {
         let Some(head) = read_head(&mut stream, &mut buf).await else {
             return;
         };
@@ -190,7 +198,7 @@
                 return;
             }
             Reply::Answer(answer) => answer,
-            Reply::Script(steps) => match play(&mut stream, &steps, &id).await {
+            Reply::Script(steps) => match play(&mut stream, &steps, &id, request > 0).await {
                 Some(()) => continue,
                 None => return,
             },
@@ -209,7 +217,12 @@
 }
 
 /// Plays a script. `None` if the connection is closed or broken.
-async fn play(stream: &mut tokio::net::TcpStream, steps: &[Step], id: &str) -> Option<()> {
+async fn play(
+    stream: &mut tokio::net::TcpStream,
+    steps: &[Step],
+    id: &str,
+    is_used: bool,
+) -> Option<()> {
     for step in steps {
         match step {
             Step::Send(text) => send(stream, text, id).await?,
@@ -220,7 +233,13 @@
                     tokio::time::sleep(time::Duration::from_millis(*pause_ms)).await;
                 }
             },
+            Step::SendIfUsed(text) if is_used => send(stream, text, id).await?,
+            Step::SendIfUsed(_) => {}
             Step::Close => return None,
+            Step::Reset => {
+                stream.set_zero_linger().unwrap();
+                return None;
+            }
         }
     }
     Some(())
