--- a/crates/lift_gateway/src/event_stream.rs
+++ b/crates/lift_gateway/src/event_stream.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     attempt_error, body_error, event_buffer, exchange, request_run, response, stall_timer,
+    stream_part,
 };
 
 /// Forwards complete events. If a backend server fails in the middle, resumes the stream at
@@ -14,7 +15,9 @@
 #[derive(Debug)]
 pub(crate) struct EventStream {
     run: request_run::RequestRun,
-    exchange: Option<exchange::Exchange>,
+    part: Option<stream_part::StreamPart>,
+    /// Media type that the caller was told.
+    media_type: Option<String>,
     buf: event_buffer::EventBuffer,
     is_first_event_pending: bool,
     stall_timer: stall_timer::StallTimer,
@@ -29,12 +32,14 @@
         // A resumed stream must use the same weights, so that no answer mixes two versions.
         run.weights_requirement.exact_version = exchange.head.weights;
         let shared = sync::Arc::clone(&run.shared);
-        let parts = exchange.parts.clone();
+        let head = exchange.parts.clone();
+        let part = stream_part::StreamPart::first(exchange);
         let buf = event_buffer::EventBuffer::new(run.head.last_event);
         let stall_timer = stall_timer::StallTimer::start(lift_clock::now(), run.route.target_gap);
         let events = Self {
             run,
-            exchange: Some(exchange),
+            media_type: part.media_type(),
+            part: Some(part),
             buf,
             is_first_event_pending: true,
             stall_timer,
@@ -48,7 +53,7 @@
             }
         });
         let body = http_body_util::StreamBody::new(frames);
-        response::stream(&shared, &parts, body.boxed_unsync())
+        response::stream(&shared, &head, body.boxed_unsync())
     }
 
     /// Returns the next events, or `None` at the end of the answer. Resumes the stream after a
@@ -80,15 +85,15 @@
             true => left.min(self.stall_timer.time_left(now)),
             false => left,
         };
-        let Some(exchange) = &mut self.exchange else {
+        let Some(part) = &mut self.part else {
             return Err(lift_dispatch::AttemptFailure::Broken);
         };
-        let read = tokio::time::timeout(limit, exchange.next_frame()).await;
+        let read = tokio::time::timeout(limit, part.exchange.next_frame()).await;
         let frame = read.map_err(|_| lift_dispatch::AttemptFailure::Silent)?;
         let Some(frame) = frame else {
-            return match self.buf.has_partial_event() {
-                true => Err(lift_dispatch::AttemptFailure::Broken),
-                false => Ok(None),
+            return match !self.buf.has_partial_event() && part.may_end() {
+                true => Ok(None),
+                false => Err(lift_dispatch::AttemptFailure::Broken),
             };
         };
         let frame = frame.map_err(|_| lift_dispatch::AttemptFailure::Broken)?;
@@ -99,6 +104,7 @@
         let events = self.buf.push(data);
         let events = events.map_err(|_| lift_dispatch::AttemptFailure::Damaged)?;
         if self.buf.last_event() != last_event {
+            part.record_event();
             self.stall_timer.restart(lift_clock::now());
         }
         Ok(Some(events))
@@ -111,23 +117,23 @@
         &mut self,
         failure: lift_dispatch::AttemptFailure,
     ) -> Result<(), body_error::BodyError> {
-        let failed = self.exchange.take();
-        if let Some(exchange) = &failed {
+        let failed = self.part.take();
+        if let Some(part) = &failed {
             self.run
-                .record_failure(exchange.in_flight.backend(), failure);
+                .record_failure(part.exchange.in_flight.backend(), failure);
         }
         let stalled = failed.filter(|_| failure == lift_dispatch::AttemptFailure::Silent);
         let found = self.find_successor(failure).await;
         let now = lift_clock::now();
         self.stall_timer.restart(now);
         match (found, stalled) {
-            (Ok(exchange), _) => {
+            (Ok(part), _) => {
                 self.buf.discard_partial_event();
-                self.exchange = Some(exchange);
+                self.part = Some(part);
                 Ok(())
             }
             (Err(_), Some(stalled)) if now < self.run.deadline => {
-                self.exchange = Some(stalled);
+                self.part = Some(stalled);
                 Ok(())
             }
             (Err(error), _) => Err(self.fail(error)),
@@ -138,7 +144,7 @@
     async fn find_successor(
         &mut self,
         mut failure: lift_dispatch::AttemptFailure,
-    ) -> Result<exchange::Exchange, body_error::BodyError> {
+    ) -> Result<stream_part::StreamPart, body_error::BodyError> {
         loop {
             if lift_clock::now() >= self.run.deadline {
                 return Err(body_error::BodyError::Late);
@@ -146,18 +152,19 @@
             if self.run.decide_retry(failure) == lift_dispatch::RetryDecision::GiveUp {
                 return Err(body_error::BodyError::Broken);
             }
-            failure = match self.run.attempt(self.buf.last_event()).await {
-                Ok(exchange) if self.is_continued_by(&exchange) => {
+            let attempted = self.run.attempt(self.buf.last_event()).await;
+            failure = match attempted.map(stream_part::StreamPart::continuation) {
+                Ok(part) if self.is_continued_by(&part) => {
                     self.run
                         .shared
                         .counters
                         .increment("gateway.streams_resumed");
-                    return Ok(exchange);
+                    return Ok(part);
                 }
-                Ok(exchange) => {
+                Ok(part) => {
                     let failure = lift_dispatch::AttemptFailure::Failed;
                     self.run
-                        .record_failure(exchange.in_flight.backend(), failure);
+                        .record_failure(part.exchange.in_flight.backend(), failure);
                     failure
                 }
                 Err(attempt_error::AttemptError::Failed(failure)) => failure,
@@ -168,10 +175,14 @@
         }
     }
 
-    /// Whether the events of `exchange` continue this stream: it is a success on the same weights.
-    fn is_continued_by(&self, exchange: &exchange::Exchange) -> bool {
+    /// Whether the events of `part` continue this stream: it is a success on the same weights and
+    /// of the same media type.
+    fn is_continued_by(&self, part: &stream_part::StreamPart) -> bool {
         let weights = self.run.weights_requirement.exact_version;
-        exchange.parts.status.is_success() && exchange.head.weights == weights
+        let exchange = &part.exchange;
+        exchange.parts.status.is_success()
+            && exchange.head.weights == weights
+            && part.media_type() == self.media_type
     }
 
     fn fail(&self, error: body_error::BodyError) -> body_error::BodyError {
@@ -193,9 +204,10 @@
     }
 
     fn finish(&mut self) {
-        let Some(exchange) = self.exchange.take() else {
+        let Some(part) = self.part.take() else {
             return;
         };
+        let exchange = part.exchange;
         let backend = exchange.in_flight.backend();
         self.run.record_success(backend);
         let status = exchange.parts.status.as_u16();
--- a/crates/lift_gateway/src/lib.rs
+++ b/crates/lift_gateway/src/lib.rs
@@ -50,6 +50,7 @@
 mod response;
 mod shared;
 mod stall_timer;
+mod stream_part;
 mod whole_stream;
 
 pub use answer_head::AnswerHead;
--- a/crates/lift_gateway/tests/support/mod.rs
+++ b/crates/lift_gateway/tests/support/mod.rs
@@ -8,8 +8,10 @@
 mod dialect;
 mod fleet;
 mod old_caller;
+mod raw_caller;
 mod source;
 
 pub(crate) use backend::{Backend, Reply, Step};
 pub(crate) use fleet::{Fleet, limits};
 pub(crate) use old_caller::{call_as_old_caller, call_as_old_caller_after};
+pub(crate) use raw_caller::call_raw;
