Resume a stream of an entry only by the rest of the same answer

Report: a stream had begun and broke off; the next replica answered with an error, and clients found its text in their stream, or the stream ended as if it were complete.

An entry checked the version of the resumed answer and nothing else. The body of a 500, 503 or 404 followed the first part of the stream, and the whole looked complete; so did a stream whose rest was of another media type, empty, or shorter or longer than the first head had said.

ResumeCheck keeps the first head: only a success of a known version resumes, and the rest must have its status, version and media type, must not be empty unless all bytes are there, and must make up the length where that is known. Anything else is one more failed attempt, and the caller sees the break.

The scripted agent of faulty_agent.rs moved to a module that both tests use.

--- a/crates/lift_entry/src/answer_stream.rs
+++ b/crates/lift_entry/src/answer_stream.rs
@@ -4,7 +4,7 @@
 
 use futures_util::stream;
 
-use crate::{answer_part, caller_request, exchange, permit, shared, started_answer};
+use crate::{answer_part, caller_request, exchange, permit, resume_check, shared, started_answer};
 
 /// Maximum number of attempts to resume one stream.
 const MAX_RESUMES: u32 = 3;
@@ -18,8 +18,8 @@
     shared: sync::Arc<shared::Shared>,
     req: sync::Arc<caller_request::CallerRequest>,
     exchange: exchange::Exchange,
-    /// Version that a resumed stream must have; `None` if the stream can't resume.
-    version: Option<lift_types::VersionId>,
+    /// What the rest of the stream must be like; `None` if the stream can't resume.
+    resume: Option<resume_check::ResumeCheck>,
     /// Parts that were received before the stream was created, in reverse order.
     received_parts: Vec<bytes::Bytes>,
     forwarded_bytes: u64,
@@ -42,7 +42,7 @@
             shared,
             req,
             exchange: answer.exchange,
-            version: None,
+            resume: None,
             received_parts,
             forwarded_bytes: 0,
             resumes: 0,
@@ -51,9 +51,9 @@
         }
     }
 
-    /// Allows the stream to resume on hosts that serve `version`, if one is given.
-    pub(crate) fn with_resume_version(mut self, version: Option<lift_types::VersionId>) -> Self {
-        self.version = version;
+    /// Allows the stream to resume on hosts whose answers pass `check`, if one is given.
+    pub(crate) fn with_resume(mut self, check: Option<resume_check::ResumeCheck>) -> Self {
+        self.resume = check;
         self
     }
 
@@ -75,12 +75,20 @@
             self.forwarded_bytes += bytes.len() as u64;
             return Ok(answer_part::AnswerPart::Data(bytes));
         }
-        match self.exchange.recv_part(self.req.deadline).await {
+        match self.recv_part().await {
             Ok(part) => Ok(self.count_forwarded(part)),
             Err(failure) => self.resume_after(failure).await,
         }
     }
 
+    async fn recv_part(&mut self) -> Result<answer_part::AnswerPart, lift_route::AttemptFailure> {
+        let part = self.exchange.recv_part(self.req.deadline).await?;
+        if let Some(check) = &self.resume {
+            check.check_part(self.forwarded_bytes, &part)?;
+        }
+        Ok(part)
+    }
+
     /// Resumes the stream after `failure` and returns the next part. Fails if the stream has no
     /// version to resume on, its attempts are used up or the deadline has passed.
     async fn resume_after(
@@ -107,12 +115,16 @@
     /// Counts an attempt to resume and returns whether it is allowed.
     fn may_resume(&mut self) -> bool {
         self.resumes += 1;
-        self.version.is_some() && self.resumes <= MAX_RESUMES && !self.req.time_left().is_zero()
+        self.resume.is_some() && self.resumes <= MAX_RESUMES && !self.req.time_left().is_zero()
     }
 
     async fn resume(&mut self) -> Result<answer_part::AnswerPart, lift_route::AttemptFailure> {
+        let Some(check) = &self.resume else {
+            return Err(lift_route::AttemptFailure::NotSent);
+        };
+        let version = Some(check.version());
         let criteria = lift_route::HostCriteria {
-            version: self.version.clone(),
+            version: version.clone(),
             tried: self.tried.clone(),
             ..self.req.host_criteria(&self.shared)
         };
@@ -121,17 +133,16 @@
             .select_host(&self.req.service, &criteria)
             .ok_or(lift_route::AttemptFailure::NotSent)?;
         self.tried.push(host.location.host);
-        let call = self.req.to_call(
-            &self.shared,
-            None,
-            self.version.clone(),
-            self.forwarded_bytes,
-        );
+        let forwarded = self.forwarded_bytes;
+        let call = self.req.to_call(&self.shared, None, version, forwarded);
         let mut exchange = exchange::Exchange::start(&self.shared, &host, call).await?;
-        exchange.recv_head(self.req.deadline).await?;
+        let head = exchange.recv_head(self.req.deadline).await?;
+        check.check_head(forwarded, &head)?;
+        let part = exchange.recv_part(self.req.deadline).await?;
+        check.check_first_part(forwarded, &part)?;
         self.exchange = exchange;
         self.shared.counters.increment("entry.stream_resumed");
-        self.exchange.recv_part(self.req.deadline).await
+        Ok(part)
     }
 
     fn count_forwarded(&mut self, part: answer_part::AnswerPart) -> answer_part::AnswerPart {
--- a/crates/lift_entry/src/idempotent_handler.rs
+++ b/crates/lift_entry/src/idempotent_handler.rs
@@ -5,7 +5,8 @@
 use axum::response;
 
 use crate::{
-    answer_stream, caller_reply, caller_request, exchange, permit, shared, started_answer,
+    answer_stream, caller_reply, caller_request, exchange, permit, resume_check, shared,
+    started_answer,
 };
 
 /// Handles one idempotent request: sends, retries and hedges it.
@@ -130,7 +131,7 @@
         let shared = sync::Arc::clone(&self.shared);
         let req = sync::Arc::clone(&self.req);
         let stream = answer_stream::AnswerStream::new(shared, req, answer, permit)
-            .with_resume_version(head.version.clone());
+            .with_resume(resume_check::ResumeCheck::new(&head));
         caller_reply::answer(&self.shared, self.req.id, &head, stream.into_body())
     }
 
--- a/crates/lift_entry/src/lib.rs
+++ b/crates/lift_entry/src/lib.rs
@@ -38,6 +38,7 @@
 mod permit;
 mod readiness;
 mod registration;
+mod resume_check;
 mod routing_table;
 mod shared;
 mod started_answer;
--- a/crates/lift_entry/tests/faulty_agent.rs
+++ b/crates/lift_entry/tests/faulty_agent.rs
@@ -4,10 +4,11 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 mod fleet;
+mod scripted_agent;
 
 use std::{sync, time};
 
-use lift_wire::{AnswerMessage, CallMessage};
+use lift_wire::AnswerMessage;
 
 /// Returns the messages with which the agent answers a call with the given id and attempt.
 type Script = fn(u64, Option<u32>) -> Vec<AnswerMessage>;
@@ -37,55 +38,18 @@
 /// Starts an agent of the ledger on host 1 that answers calls by `script`, and claim queries with
 /// `Unknown`.
 async fn start(fleet: &fleet::Fleet, script: Script) {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let call_addr = listener.local_addr().unwrap();
-    let keys = sync::Arc::clone(&fleet.keys);
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let keys = sync::Arc::clone(&keys);
-            tokio::spawn(async move {
-                let purpose = lift_wire::Purpose::Calls;
-                let (mut rx, mut tx) = lift_wire::accept(stream, &keys, purpose).await.unwrap();
-                while let Ok(message) = rx.recv::<CallMessage>().await {
-                    let answers = match message {
-                        CallMessage::Call(call) => {
-                            script(call.id, call.claim.map(|claim| claim.attempt))
-                        }
-                        CallMessage::QueryClaim(query) => vec![AnswerMessage::Claim {
-                            id: query.id,
-                            state: lift_wire::ClaimState::Unknown,
-                        }],
-                        CallMessage::Ping => vec![AnswerMessage::Pong],
-                        _ => Vec::new(),
-                    };
-                    for answer in answers {
-                        tx.send(&answer).await.unwrap();
-                    }
-                }
-            });
-        }
-    });
-    let entry = fleet.entries[0].heartbeat_addr();
-    let keys = sync::Arc::clone(&fleet.keys);
-    tokio::spawn(async move {
-        let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
-        for sequence in 1.. {
-            let heartbeat = lift_wire::Heartbeat {
-                location: fleet::location(1),
-                incarnation: 1,
-                sequence,
-                state: lift_types::HostState::Up,
-                serving: None,
-                in_progress: 0,
-                call_addr,
-                chunk_addr: None,
-                services: vec![String::from("ledger")],
-            };
-            let datagram = lift_wire::seal(&keys, &heartbeat).unwrap();
-            let _ = socket.send_to(&datagram, entry).await;
-            tokio::time::sleep(time::Duration::from_millis(100)).await;
-        }
-    });
+    let script = move |call: &lift_wire::Call| {
+        let attempt = call.claim.as_ref().map(|claim| claim.attempt);
+        script(call.id, attempt)
+    };
+    let agent = scripted_agent::ScriptedAgent {
+        host: 1,
+        service: "ledger",
+        version: None,
+        pause: time::Duration::ZERO,
+        script: sync::Arc::new(script),
+    };
+    agent.start(fleet).await;
     fleet.wait_for_agents(1).await;
 }
 
