Read only positions that a version has from the staging area

Report: after one odd entry the machines that read the list stopped following it.

An agent asked its server for each position that the server listed as staged, one after the other, also for those beyond the last piece. A list of some million positions in one answer kept it from its work for as long.

positions_beyond_the_last_piece_are_not_read failed before: "left: 4991 right: 0".

--- a/crates/lift_stage/src/piece_manifest.rs
+++ b/crates/lift_stage/src/piece_manifest.rs
@@ -18,6 +18,11 @@
 }
 
 impl PieceManifest {
+    /// Whether there is a piece `index`.
+    pub fn has_piece(&self, index: lift_types::ChunkIndex) -> bool {
+        (index as usize) < self.digests.len()
+    }
+
     /// Whether `buf` is piece `index`.
     pub fn matches(&self, index: lift_types::ChunkIndex, buf: &[u8]) -> bool {
         let digest = self.digests.get(index as usize);
--- a/crates/lift_stage/src/weights_keeper.rs
+++ b/crates/lift_stage/src/weights_keeper.rs
@@ -112,6 +112,9 @@
     let manifest = &staged.manifest;
     let asking = shared.stage.staged(&manifest.model);
     let lying = shared::within(shared::BACKEND_TIMEOUT, asking).await?;
+    // Other positions are of no use, however many the server lists.
+    let is_piece = |index: &lift_types::ChunkIndex| manifest.has_piece(*index);
+    let lying: indexmap::IndexSet<_> = lying.into_iter().filter(is_piece).collect();
     for index in lying {
         let reading = shared.stage.get_piece(&manifest.model, index);
         let read = shared::within(shared::BACKEND_TIMEOUT, reading).await?;
--- a/crates/lift_stage/tests/stage.rs
+++ b/crates/lift_stage/tests/stage.rs
@@ -85,6 +85,19 @@
     until("it loads version 2", || engines[0].version() == 2).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn positions_beyond_the_last_piece_are_not_read() {
+    // Guards against an agent that is busy with a list of its server that makes no sense.
+    let origin = Origin::new(10);
+    let engines = [Engine::holding(1)];
+    let positions: Vec<u32> = (10..5_000).chain([u32::MAX]).collect();
+    engines[0].claim_staged(&positions);
+    let fleet = Fleet::start(92, &origin, &engines).await;
+    fleet.name(2);
+    until("it loads version 2", || engines[0].version() == 2).await;
+    assert_eq!(engines[0].missed_reads(), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_newer_version_ends_the_transfer_of_the_one_before() {
     let origin = Origin::new(30);
--- a/crates/lift_stage/tests/support/engine.rs
+++ b/crates/lift_stage/tests/support/engine.rs
@@ -24,6 +24,10 @@
     is_down: bool,
     /// Requests that it claims to run, and as many that wait.
     requests: u32,
+    /// Positions that it claims to have staged besides the pieces that lie there.
+    odd_positions: Vec<u32>,
+    /// Reads of pieces that don't lie there.
+    missed_reads: u32,
 }
 
 impl Engine {
@@ -67,6 +71,16 @@
         self.state.lock().requests = requests;
     }
 
+    /// Claims to have staged these pieces too.
+    pub(crate) fn claim_staged(&self, positions: &[u32]) {
+        self.state.lock().odd_positions = positions.to_vec();
+    }
+
+    /// Reads of pieces that don't lie in the staging area.
+    pub(crate) fn missed_reads(&self) -> u32 {
+        self.state.lock().missed_reads
+    }
+
     /// Spoils the next pieces that are put.
     pub(crate) fn rot(&self, pieces: u32) {
         self.state.lock().rot = pieces;
@@ -109,12 +123,17 @@
 
     async fn staged(&self, _: &str) -> Result<Vec<u32>> {
         self.check()?;
-        Ok(self.state.lock().staged.keys().copied().collect())
+        let state = self.state.lock();
+        let staged = state.staged.keys().chain(&state.odd_positions);
+        Ok(staged.copied().collect())
     }
 
     async fn get_piece(&self, _: &str, index: u32) -> Result<Option<bytes::Bytes>> {
         self.check()?;
-        Ok(self.state.lock().staged.get(&index).cloned())
+        let mut state = self.state.lock();
+        let piece = state.staged.get(&index).cloned();
+        state.missed_reads += u32::from(piece.is_none());
+        Ok(piece)
     }
 
     async fn put_piece(&self, _: &str, index: u32, bytes: bytes::Bytes) -> Result<()> {
