Take a manifest of the origin only for the weights that were asked for

Report: after one odd entry the machines that read the list stopped following it.

A manifest of another agent was checked against the question, one of the origin was not. One without pieces was whole at once, so the agent ordered its server to load what lay there; one of another model or version was fetched and loaded in place of the version that was named. Both sources now share the check, and an odd manifest is asked for again.

a_manifest_of_something_else_is_never_loaded failed before: "stage.rs:19:5: it loads version 2".

--- a/crates/lift_stage/src/manifest_source.rs
+++ b/crates/lift_stage/src/manifest_source.rs
@@ -97,7 +97,11 @@
     origin: &lift_fleet::OriginEndpoint,
 ) -> Result<piece_manifest::PieceManifest> {
     let asking = shared.origin.manifest(origin.address, model, version);
-    shared::within(ORIGIN_TIMEOUT, asking).await
+    let manifest = shared::within(ORIGIN_TIMEOUT, asking).await?;
+    match manifest.is_of(model, version) {
+        true => Ok(manifest),
+        false => Err(error_stack::Report::new(stage_error::StageError::Origin)),
+    }
 }
 
 async fn ask(
@@ -118,9 +122,7 @@
     };
     let answer = piece_connection::within(AGENT_TIMEOUT, asking).await;
     match answer.change_context(failed.clone())? {
-        piece_message::PieceMessage::Manifest(manifest)
-            if manifest.model == model && manifest.version == version =>
-        {
+        piece_message::PieceMessage::Manifest(manifest) if manifest.is_of(model, Some(version)) => {
             Ok(manifest)
         }
         _ => Err(error_stack::Report::new(failed)),
--- a/crates/lift_stage/src/piece_manifest.rs
+++ b/crates/lift_stage/src/piece_manifest.rs
@@ -18,6 +18,13 @@
 }
 
 impl PieceManifest {
+    /// Whether it describes the weights that were asked for: this version, or any one without it.
+    /// A manifest without pieces describes none; all its pieces would be in place at once.
+    pub fn is_of(&self, model: &str, version: Option<lift_fleet::WeightsVersion>) -> bool {
+        let is_version = version.is_none_or(|version| version == self.version);
+        is_version && self.model == model && !self.digests.is_empty()
+    }
+
     /// Whether there is a piece `index`.
     pub fn has_piece(&self, index: lift_types::ChunkIndex) -> bool {
         (index as usize) < self.digests.len()
--- a/crates/lift_stage/tests/stage.rs
+++ b/crates/lift_stage/tests/stage.rs
@@ -85,6 +85,38 @@
     until("it loads version 2", || engines[0].version() == 2).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_manifest_of_something_else_is_never_loaded() {
+    // Guards against an order to load what is not there, after an odd answer of the origin.
+    let origin = Origin::new(10);
+    let digests = (0..3).map(|i| lift_stage::PieceDigest::of(&origin.bytes(7, i)));
+    let manifest = lift_stage::PieceManifest {
+        model: String::from("m"),
+        version: 2,
+        piece_bytes: 320,
+        digests: digests.collect(),
+    };
+    origin.send_first(vec![
+        lift_stage::PieceManifest {
+            version: 7,
+            ..manifest.clone()
+        },
+        lift_stage::PieceManifest {
+            model: String::from("other"),
+            ..manifest.clone()
+        },
+        lift_stage::PieceManifest {
+            digests: Vec::new(),
+            ..manifest
+        },
+    ]);
+    let engines = [Engine::holding(1)];
+    let fleet = Fleet::start(91, &origin, &engines).await;
+    fleet.name(2);
+    until("it loads version 2", || engines[0].version() == 2).await;
+    assert!(engines[0].was_whole(&origin));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn positions_beyond_the_last_piece_are_not_read() {
     // Guards against an agent that is busy with a list of its server that makes no sense.
--- a/crates/lift_stage/tests/support/origin.rs
+++ b/crates/lift_stage/tests/support/origin.rs
@@ -19,6 +19,7 @@
     spoil_every: atomic::AtomicU32,
     delay: parking_lot::Mutex<time::Duration>,
     has_manifests: atomic::AtomicBool,
+    odd_manifests: parking_lot::Mutex<Vec<PieceManifest>>,
 }
 
 impl Origin {
@@ -29,6 +30,7 @@
             spoil_every: atomic::AtomicU32::new(u32::MAX),
             delay: parking_lot::Mutex::default(),
             has_manifests: atomic::AtomicBool::new(true),
+            odd_manifests: parking_lot::Mutex::default(),
         };
         Self {
             state: sync::Arc::new(state),
@@ -56,6 +58,11 @@
             .store(false, atomic::Ordering::SeqCst);
     }
 
+    /// Hands out these manifests first, the last one before the others.
+    pub(crate) fn send_first(&self, odd: Vec<PieceManifest>) {
+        *self.state.odd_manifests.lock() = odd;
+    }
+
     /// Bytes of a piece.
     pub(crate) fn bytes(&self, version: u64, index: u32) -> bytes::Bytes {
         bytes::Bytes::from(format!("piece {index} of version {version}").repeat(20))
@@ -77,6 +84,9 @@
         if !self.state.has_manifests.load(atomic::Ordering::SeqCst) {
             return Err(error_stack::Report::new(StageError::Origin));
         }
+        if let Some(odd) = self.state.odd_manifests.lock().pop() {
+            return Ok(odd);
+        }
         let version = version.unwrap_or(1);
         let digests = (0..self.state.pieces).map(|i| PieceDigest::of(&self.bytes(version, i)));
         Ok(PieceManifest {
