Refuse to name a version of a model whose name is no name

Report: after one odd entry the machines that read the list stopped following it.

The names of all models are in one message with which a member greets each node. Two namings of models with names of 3 MiB made it longer than the longest frame, so every connection of every node ended, and ended again after each new one: no node heard of any server, configuration or confirmation any more, and the log kept the names. Members now refuse a name that is empty or over 256 bytes before it reaches the log.

a_model_with_a_huge_name_does_not_keep_nodes_from_following failed before: "odd_announcements.rs:94:5: 2 accepted" (the node heard of no heartbeat within 20 s).

--- a/crates/lift_fleet/src/lib.rs
+++ b/crates/lift_fleet/src/lib.rs
@@ -59,7 +59,7 @@
 pub use loaded_model::LoadedModel;
 pub use member_status::MemberStatus;
 pub use membership_action::MembershipAction;
-pub use model_name::ModelName;
+pub use model_name::{MAX_MODEL_NAME_BYTES, ModelName};
 pub use origin_endpoint::OriginEndpoint;
 pub use route::Route;
 pub use route_kind::RouteKind;
--- a/crates/lift_registry/src/fleet_control_error.rs
+++ b/crates/lift_registry/src/fleet_control_error.rs
@@ -25,6 +25,9 @@
     /// The announcement is invalid and was rejected. What is known of the backend server stays.
     #[error(transparent)]
     Announcement(#[from] lift_fleet::AnnouncementError),
+    /// The name of the model is empty or too long. No version was set.
+    #[error("the name of the model is empty or too long")]
+    Model,
     /// A part of the member, named here, can't be started, or a setting is missing.
     #[error("the control member can't be started: {0}")]
     Start(&'static str),
--- a/crates/lift_registry/src/registry_control.rs
+++ b/crates/lift_registry/src/registry_control.rs
@@ -55,6 +55,11 @@
         model: lift_fleet::ModelName,
         version: lift_fleet::WeightsVersion,
     ) -> Result<lift_fleet::FleetReply> {
+        if model.is_empty() || model.len() > lift_fleet::MAX_MODEL_NAME_BYTES {
+            return Err(error_stack::Report::new(
+                fleet_control_error::FleetControlError::Model,
+            ));
+        }
         let command = lift_fleet::FleetCommand::SetTargetVersion {
             model: model.clone(),
             version,
--- a/crates/lift_registry/tests/odd_announcements.rs
+++ b/crates/lift_registry/tests/odd_announcements.rs
@@ -1,11 +1,11 @@
-//! Announcements that no backend server can have sent.
+//! Announcements and namings that no backend server or operator can have meant.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 mod support;
 
 use std::{sync, time};
 
-use lift_registry::FleetControl;
+use lift_registry::{FleetControl, FleetControlError};
 use support::{Fleet, Observer, WAIT_TIMEOUT, announcement};
 
 /// Longer than the longest frame between members and nodes.
@@ -57,3 +57,44 @@
     }
     assert!(control.deregister("s", None).is_ok());
 }
+
+/// Names a version of `model` at the member that leads.
+async fn name(members: &[&lift_registry::ControlMember], model: &str) -> bool {
+    let naming = async {
+        loop {
+            for member in members {
+                let control = member.control();
+                match control.set_target_version(String::from(model), 1).await {
+                    Ok(_) => return true,
+                    Err(e) if *e.current_context() == FleetControlError::Model => return false,
+                    Err(_) => tokio::time::sleep(time::Duration::from_millis(50)).await,
+                }
+            }
+        }
+    };
+    tokio::time::timeout(WAIT_TIMEOUT, naming).await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_model_with_a_huge_name_does_not_keep_nodes_from_following() {
+    // Guards against a head that is longer than the longest frame.
+    let fleet = Fleet::new(55, 3);
+    let a = fleet.start(0, true).await;
+    let b = fleet.start(1, true).await;
+    let c = fleet.start(2, true).await;
+    let observer = sync::Arc::new(Observer::default());
+    let _node = fleet.follow(8, observer.clone());
+    assert!(name(&[&a, &b, &c], "m").await);
+    let mut accepted = 0;
+    for letter in ["a", "b"] {
+        let huge = letter.repeat(HUGE_BYTES / 2);
+        accepted += u32::from(name(&[&a, &b, &c], &huge).await);
+    }
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    assert!(
+        hears(&*a.control(), &observer, 2).await,
+        "{accepted} accepted"
+    );
+    assert_eq!(accepted, 0);
+    assert!(!name(&[&a, &b, &c], "").await);
+}
