--- a/crates/lift_gateway/tests/broken_streams.rs
+++ b/crates/lift_gateway/tests/broken_streams.rs
@@ -157,3 +157,19 @@
         Step::Close,
     ])
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_a_length_is_forwarded_unless_its_connection_is_reset() {
+    let head = "HTTP/1.1 200 X\r\nx-id: {id}\r\nx-seal: 1\r\n\r\nword";
+    for (i, (end, expected)) in [(Step::Close, 200), (Step::Reset, 502)]
+        .into_iter()
+        .enumerate()
+    {
+        let steps = vec![Step::send(head), Step::Pause(50), end];
+        let backend = Backend::start(&[Reply::Script(steps)]).await;
+        let fleet = Fleet::start(124 + i as u8, &[&backend]).await;
+        let (status, body) = fleet.call("non_idempotent", "r1").await;
+        assert_eq!(status, expected, "{body}");
+        assert_eq!(body.contains("word"), expected == 200, "{body}");
+    }
+}
