Use connections to backend servers without identifiers once in agents too

Report: a faulty replica wrote an earlier refusal once more on a kept connection.

An agent whose backend server need not echo identifiers kept connections to it, on which the copy of a refusal or of any answer was the answer to the next request, whatever became of that. The client now pools none to such a server, as the gateway does; the server is on the same host.

an_earlier_refusal_without_an_identifier_is_not_the_answer_to_the_next_request failed before: "left: 503 right: 200".

--- a/crates/lift_border/src/http_backend.rs
+++ b/crates/lift_border/src/http_backend.rs
@@ -27,6 +27,10 @@
 /// Longest time to open a connection. The backend server is on the same host.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// Idle connections that are kept to a backend server that need not echo identifiers. On a
+/// connection that was used before, its answer can't be told from the copy of an earlier one.
+const IDLE_WITHOUT_ECHO: usize = 0;
+
 /// Headers that concern one connection or are set anew on each hop.
 const HOP_HEADERS: [&str; 11] = [
     "connection",
@@ -61,9 +65,12 @@
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         // The client sends a request again only where the pooled connection had closed before
         // it wrote the first byte, so a request that may have run is never sent twice.
-        let client = legacy::Client::builder(rt::TokioExecutor::new())
-            .retry_canceled_requests(true)
-            .build(connector);
+        let mut client = legacy::Client::builder(rt::TokioExecutor::new());
+        client.retry_canceled_requests(true);
+        if echo == echo_check::EchoCheck::WhenPresent {
+            client.pool_max_idle_per_host(IDLE_WITHOUT_ECHO);
+        }
+        let client = client.build(connector);
         Self { addr, echo, client }
     }
 
--- a/crates/lift_border/tests/http_backend.rs
+++ b/crates/lift_border/tests/http_backend.rs
@@ -88,3 +88,39 @@
     let addr = listener.local_addr().unwrap();
     assert_eq!(failure(addr).await, BackendError::Timeout);
 }
+
+/// Answers the first request of each connection, and any later one with an earlier refusal.
+async fn repeating_server() -> net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let answer = "HTTP/1.1 200 OK\r\nx-lift-version: v1\r\ncontent-length: 4\r\n\r\nword";
+    let refusal = "HTTP/1.1 503 X\r\nx-lift-version: v1\r\ncontent-length: 4\r\n\r\nfull";
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buf = [0; 4_096];
+                let answers = std::iter::once(answer).chain(std::iter::repeat(refusal));
+                for answer in answers {
+                    if !matches!(stream.read(&mut buf).await, Ok(read) if read > 0) {
+                        return;
+                    }
+                    stream.write_all(answer.as_bytes()).await.unwrap();
+                }
+            });
+        }
+    });
+    addr
+}
+
+#[tokio::test]
+async fn an_earlier_refusal_without_an_identifier_is_not_the_answer_to_the_next_request() {
+    let backend = HttpBackend::new(repeating_server().await, EchoCheck::WhenPresent);
+    for _ in 0..3 {
+        let mut answer = backend.submit(call()).await.unwrap();
+        assert_eq!(answer.head.status, 200);
+        while let Some(part) = answer.body.next().await {
+            assert_eq!(part.unwrap().as_ref(), b"word");
+        }
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+}
