--- a/crates/lift_fleet/src/lib.rs
+++ b/crates/lift_fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! Every function takes `now` where it needs the time. See `docs/platform.md`.
 
 mod announcement;
+mod announcement_error;
 mod api_key;
 mod backend_id;
 mod backend_record;
@@ -40,6 +41,7 @@
 mod weights_version;
 
 pub use announcement::Announcement;
+pub use announcement_error::AnnouncementError;
 pub use api_key::ApiKey;
 pub use backend_id::BackendId;
 pub use backend_record::BackendRecord;
@@ -57,7 +59,7 @@
 pub use loaded_model::LoadedModel;
 pub use member_status::MemberStatus;
 pub use membership_action::MembershipAction;
-pub use model_name::ModelName;
+pub use model_name::{MAX_MODEL_NAME_BYTES, ModelName};
 pub use origin_endpoint::OriginEndpoint;
 pub use route::Route;
 pub use route_kind::RouteKind;
--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -27,10 +27,10 @@
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
     source: sync::Arc<source::Source>,
     feed: sync::Arc<lift_feed::FeedServer>,
+    keys: lift_wire::LinkKeys,
+    loads: net::SocketAddr,
     callers: net::SocketAddr,
     readiness: net::SocketAddr,
-    loads: net::SocketAddr,
-    keys: lift_wire::LinkKeys,
 }
 
 impl Fleet {
@@ -60,6 +60,7 @@
         tokio::spawn(sync::Arc::clone(&feed).run(listener, stop));
         let callers = net::SocketAddr::from((host, 17_604));
         let readiness = net::SocketAddr::from((host, 17_605));
+        let loads = ports.loads(net::IpAddr::from(host));
         let card = lift_feed::NodeCard {
             kind: lift_feed::NodeKind::Gateway,
             location: lift_types::Location {
@@ -69,7 +70,7 @@
             },
             service: None,
             incarnation: 1,
-            load_addr: Some(ports.loads(net::IpAddr::from(host))),
+            load_addr: Some(loads),
             piece_addr: None,
         };
         let counters = sync::Arc::<lift_obs::Counters>::default();
@@ -96,10 +97,10 @@
             counters,
             source,
             feed,
+            keys,
+            loads,
             callers,
             readiness,
-            loads: ports.loads(net::IpAddr::from(host)),
-            keys,
         };
         if backends.is_empty() {
             // A gateway is ready only if it knows a backend server.
@@ -172,9 +173,7 @@
             is_loading: false,
             random: 0.0,
         };
-        let datagram = lift_wire::seal(&self.keys, &report).unwrap();
-        let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
-        socket.send_to(&datagram, self.loads).await.unwrap();
+        self.report(&report).await;
         // The gateway reads it before the next call arrives.
         tokio::time::sleep(time::Duration::from_millis(20)).await;
     }
@@ -235,9 +234,18 @@
         route: &str,
         id: &str,
     ) -> (u16, String) {
+        self.prefer(first, second, self.call(route, id)).await
+    }
+
+    /// Runs `calling` as [`Self::call_preferring`] does.
+    pub(crate) async fn prefer<T>(
+        &self,
+        first: &backend::Backend,
+        second: &backend::Backend,
+        calling: impl Future<Output = T>,
+    ) -> T {
         self.drain(second, 3);
         tokio::time::sleep(time::Duration::from_millis(50)).await;
-        let calling = self.call(route, id);
         let adding = async {
             while first.received().is_empty() {
                 tokio::time::sleep(time::Duration::from_millis(1)).await;
@@ -255,6 +263,13 @@
         get(self.callers, req).await.unwrap()
     }
 
+    /// Sends a load report to the gateway.
+    pub(crate) async fn report(&self, report: &lift_feed::LoadReport) {
+        let datagram = lift_wire::seal(&self.keys, report).unwrap();
+        let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        socket.send_to(&datagram, self.loads).await.unwrap();
+    }
+
     /// Address for callers.
     pub(crate) fn callers(&self) -> net::SocketAddr {
         self.callers
