Pass sightings of parts of prompts between gateways through control members

Cause: a part of a prompt can crash every backend server that works on it. Requests with it come to all gateways, so none of them sees enough crashes to tell. The feed had no message from one gateway to the others.

Change: lift_fleet gets PromptPart, PartObservation and PartSighting. FeedClient::report_part_sightings puts sightings into a bounded log in memory and wakes all open connections; a member keeps the same kind of log, passes news to gateways only, and gives all it keeps to a gateway that connects. A gateway gives all it keeps to a member that connects, so that a restarted member has it back. FleetObserver::on_part_sightings gets each sighting once. What a gateway has learned from a member goes only to members that connect later.

- SightingLog decides without clock and I/O: 256 sightings, ten minutes, 64 parts and 4 KB each, the oldest dropped first; 2,048 identifiers are remembered, so that a late copy is not another crash.
- Each connection has a cursor into the log in place of a queue, and sends 32 sightings a message: a slow gateway is not disconnected by a storm of them.
- Messages are the last variants of NodeMessage and MemberMessage; the encoding of the others stays.
- feed.sighting.NAME counts what became of each sighting.

The test support of the feed gets counters, sightings and allow(dead_code), since two files use it now; the tests of feed.rs are unchanged.

--- a/crates/lift_feed/src/feed_link.rs
+++ b/crates/lift_feed/src/feed_link.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     ask_schedule, feed_error, feed_shared, feed_state, fleet_head, link_socket, member_message,
-    node_message, pack, server_connection,
+    node_message, pack, server_connection, spread,
 };
 
 /// Time without an answer after which a connection is replaced. It leaves some slack for a slow
@@ -106,6 +106,7 @@
     async fn exchange(&mut self, mut reader: Reader, mut writer: Writer) -> Result<()> {
         let mut ask = tokio::time::interval(ask_schedule::ASK_INTERVAL);
         let mut heard = lift_clock::now();
+        let mut sightings = self.shared.sightings.sender();
         loop {
             tokio::select! {
                 message = reader.recv() => {
@@ -127,6 +128,9 @@
                     }
                     push(&mut writer, &self.question(now))?;
                 }
+                batch = sightings.next() => {
+                    push(&mut writer, &node_message::NodeMessage::PartSightings(batch))?;
+                }
             }
             server_connection::within(SILENCE, writer.flush()).await?;
         }
@@ -191,6 +195,7 @@
                 return self.take_confirmation(nonce, document);
             }
             Message::Join(_) => {}
+            Message::PartSightings(sightings) => self.take_sightings(sightings),
         }
         Next::Read
     }
@@ -261,6 +266,14 @@
         self.fetch(version)
     }
 
+    fn take_sightings(&self, sightings: Vec<lift_fleet::PartSighting>) {
+        let shared = &self.shared;
+        let news = shared.sightings.add(sightings, spread::Spread::Newcomers);
+        if !news.is_empty() {
+            shared.observer.on_part_sightings(news);
+        }
+    }
+
     fn change_nodes(
         &self,
         change: impl FnOnce(&mut feed_state::FeedState, net::SocketAddr) -> bool,
--- a/crates/lift_feed/src/feed_server.rs
+++ b/crates/lift_feed/src/feed_server.rs
@@ -3,7 +3,8 @@
 use std::{sync, time};
 
 use crate::{
-    feed_source, fleet_head, member_card, member_message, node_kind, server_connection, subscribers,
+    feed_source, fleet_head, member_card, member_message, node_kind, server_connection,
+    shared_sightings, subscribers,
 };
 
 /// Pause after a failure to accept, such as a lack of file descriptors.
@@ -17,6 +18,8 @@
     pub(crate) log: slog::Logger,
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
     pub(crate) subscribers: subscribers::Subscribers,
+    /// What gateways have told. It is in memory only: a member that restarts gets it from them.
+    pub(crate) sightings: sync::Arc<shared_sightings::SharedSightings>,
 }
 
 impl FeedServer {
@@ -31,6 +34,7 @@
             source,
             keys,
             log,
+            sightings: shared_sightings::SharedSightings::new(sync::Arc::clone(&counters)),
             counters,
             subscribers: subscribers::Subscribers::new(),
         }
--- a/crates/lift_feed/src/feed_shared.rs
+++ b/crates/lift_feed/src/feed_shared.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync};
 
-use crate::{feed_state, fleet_observer, node_kind, node_setup};
+use crate::{feed_state, fleet_observer, node_kind, node_setup, shared_sightings};
 
 /// State of a feed client.
 #[derive(Debug)]
@@ -13,6 +13,7 @@
     /// The seeds of the settings, or of a later change.
     pub(crate) seeds: parking_lot::Mutex<Vec<net::SocketAddr>>,
     pub(crate) links: parking_lot::Mutex<indexmap::IndexSet<net::SocketAddr>>,
+    pub(crate) sightings: sync::Arc<shared_sightings::SharedSightings>,
 }
 
 impl Shared {
--- a/crates/lift_feed/src/fleet_observer.rs
+++ b/crates/lift_feed/src/fleet_observer.rs
@@ -55,4 +55,10 @@
     fn on_members(&self, members: &[member_card::MemberCard], highest: lift_types::MemberId) {
         let _ = (members, highest);
     }
+
+    /// What other gateways have observed, with ages as of this call. A sighting comes once,
+    /// however many members pass it on; what this node has reported itself does not come.
+    fn on_part_sightings(&self, sightings: Vec<lift_fleet::PartSighting>) {
+        let _ = sightings;
+    }
 }
--- a/crates/lift_feed/src/lib.rs
+++ b/crates/lift_feed/src/lib.rs
@@ -7,6 +7,10 @@
 //! was confirmed to be in force. Only the leader confirms that, under its lease; an
 //! [`AskSchedule`] for each connection keeps the questions to the others few.
 //!
+//! Gateways tell each other through the members which parts of prompts seem to crash backend
+//! servers ([`lift_fleet::PartSighting`]). A [`SightingLog`] at each gateway and member keeps the
+//! latest of them in memory; a [`SightingCursor`] for each connection tells what it has sent.
+//!
 //! A [`NodeSetup`] holds the settings that the roles of all nodes share.
 //!
 //! Documents are sent compressed and fetched over one connection. Every other message is sent
@@ -41,6 +45,12 @@
 mod node_setup_builder;
 mod pack;
 mod server_connection;
+mod shared_sightings;
+mod sighting_cursor;
+mod sighting_log;
+mod sighting_outcome;
+mod sighting_sender;
+mod spread;
 mod subscriber;
 mod subscribers;
 
@@ -67,3 +77,7 @@
 pub use node_setup::NodeSetup;
 pub use node_setup_builder::NodeSetupBuilder;
 pub use pack::{pack, unpack};
+pub use sighting_cursor::SightingCursor;
+pub use sighting_log::SightingLog;
+pub use sighting_outcome::SightingOutcome;
+pub use spread::Spread;
--- a/crates/lift_feed/src/member_message.rs
+++ b/crates/lift_feed/src/member_message.rs
@@ -39,4 +39,6 @@
     },
     /// Answer to a newcomer.
     Join(join_answer::JoinAnswer),
+    /// What gateways have observed. Only gateways receive it.
+    PartSightings(Vec<lift_fleet::PartSighting>),
 }
--- a/crates/lift_feed/src/node_kind.rs
+++ b/crates/lift_feed/src/node_kind.rs
@@ -20,6 +20,12 @@
         self != Self::Agent
     }
 
+    /// Whether nodes of this kind receive the sightings of gateways, which alone choose where
+    /// requests go.
+    pub(crate) fn follows_sightings(self) -> bool {
+        self == Self::Gateway
+    }
+
     /// Shortest time between two documents that a node of this kind fetches. Agents take little
     /// from a document, and their links also carry requests.
     pub(crate) fn fetch_interval(self) -> time::Duration {
--- a/crates/lift_feed/src/node_message.rs
+++ b/crates/lift_feed/src/node_message.rs
@@ -16,4 +16,6 @@
     Fetch,
     /// Asks to become a control member. It is the only message of its connection.
     Join(newcomer::Newcomer),
+    /// What a gateway has observed, and on a new connection what it keeps from others.
+    PartSightings(Vec<lift_fleet::PartSighting>),
 }
--- a/crates/lift_feed/src/server_connection.rs
+++ b/crates/lift_feed/src/server_connection.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     feed_error, feed_server, link_socket, member_message, node_card, node_kind, node_message,
-    subscriber,
+    spread, subscriber,
 };
 
 /// Time for the handshake and the first message.
@@ -78,7 +78,7 @@
     let served = async {
         push_state(server, card.kind, &mut writer)?;
         within(SILENCE, writer.flush()).await?;
-        exchange(server, queue, reader, writer).await
+        exchange(server, card.kind, queue, reader, writer).await
     };
     let ended = tokio::select! {
         ended = served => ended,
@@ -115,10 +115,12 @@
 
 async fn exchange(
     server: &feed_server::FeedServer,
+    kind: node_kind::NodeKind,
     mut queue: mpsc::Receiver<sync::Arc<member_message::MemberMessage>>,
     mut reader: Reader,
     mut writer: Writer,
 ) -> Result<()> {
+    let mut sightings = server.sightings.sender();
     loop {
         tokio::select! {
             message = queue.recv() => {
@@ -131,6 +133,9 @@
             message = within(SILENCE, reader.recv()) => {
                 answer(server, message?, &mut writer)?;
             }
+            batch = sightings.next(), if kind.follows_sightings() => {
+                push(&mut writer, &member_message::MemberMessage::PartSightings(batch))?;
+            }
         }
         within(SILENCE, writer.flush()).await?;
     }
@@ -156,6 +161,10 @@
             let document = lift_fleet::Document::clone(&document);
             push(writer, &member_message::MemberMessage::Document(document))
         }
+        node_message::NodeMessage::PartSightings(sightings) => {
+            server.sightings.add(sightings, spread::Spread::All);
+            Ok(())
+        }
         _ => Err(error_stack::Report::new(feed_error::FeedError::Link)),
     }
 }
--- a/crates/lift_feed/tests/support/mod.rs
+++ b/crates/lift_feed/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! Control members and nodes for the tests of the feed.
 
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
 use std::{net, sync, time};
 
 use lift_feed::{
@@ -88,6 +91,9 @@
     pub(crate) nodes: parking_lot::Mutex<Vec<NodeCard>>,
     pub(crate) round_trips: parking_lot::Mutex<Vec<time::Duration>>,
     pub(crate) backends: parking_lot::Mutex<Vec<lift_fleet::BackendRecord>>,
+    pub(crate) sightings: parking_lot::Mutex<Vec<lift_fleet::PartSighting>>,
+    /// Counters of the node.
+    pub(crate) counters: sync::Arc<lift_obs::Counters>,
 }
 
 impl FleetObserver for Observer {
@@ -111,6 +117,10 @@
         self.weights.lock().push((version, named_at));
     }
 
+    fn on_part_sightings(&self, sightings: Vec<lift_fleet::PartSighting>) {
+        self.sightings.lock().extend(sightings);
+    }
+
     fn on_nodes(&self, nodes: Vec<NodeCard>) {
         *self.nodes.lock() = nodes;
     }
@@ -162,17 +172,19 @@
 pub(crate) struct Member {
     pub(crate) source: sync::Arc<Source>,
     pub(crate) server: sync::Arc<FeedServer>,
+    pub(crate) counters: sync::Arc<lift_obs::Counters>,
     pub(crate) stop: tokio_util::sync::CancellationToken,
 }
 
 impl Member {
     pub(crate) async fn start(host: [u8; 4]) -> Self {
         let source = sync::Arc::new(Source::default());
+        let counters = sync::Arc::new(lift_obs::Counters::new());
         let server = sync::Arc::new(FeedServer::new(
             source.clone(),
             keys(),
             lift_obs::LogConfig::discard(),
-            sync::Arc::default(),
+            sync::Arc::clone(&counters),
         ));
         let address = ports().feed(net::IpAddr::from(host));
         let listener = tokio::net::TcpListener::bind(address).await.unwrap();
@@ -181,6 +193,7 @@
         Self {
             source,
             server,
+            counters,
             stop,
         }
     }
@@ -213,6 +226,7 @@
         .seeds(seeds.collect())
         .keys(keys())
         .codec(sync::Arc::new(Codec))
+        .counters(sync::Arc::clone(&observer.counters))
         .build();
     FeedClient::start(node.unwrap(), observer.clone())
 }
