Decide which part of a prompt crashes backend servers

Cause: one part of a prompt may crash every backend server that begins to write an answer on it. Nothing in lift_dispatch relates the ends of several backend servers to what their requests have in common, so each such request ends up to two servers, for as long as they come.

Change: PartQuarantine takes observations with their times and decides which parts may not be sent and which requests may not be repeated. A part is quarantined for ten minutes when at least three different backend servers ended on it, at least 100 ms apart, it explains more than half of the ends since its first one, no answer with it completed since and answers without it did. It takes 300 ms from the first end for a part that was never answered, 1.5 s for one that was. Of several parts, one never answered comes first, then the one with more ends, the one answered longer ago, the later one in the prompt. Ends that a quarantined part explains no longer count against other parts. A request whose part was never answered is not repeated after two ends. An answer ends a quarantine.

Measured: tests/part_quarantine.rs plays fleets of 5, 14 and 52 gateways in simulated time. A play with half of the servers down and five more ending 150 ms apart, so that one of twelve is left, still quarantines a rare part now and then; the test has three ends 400 ms apart.

--- a/crates/lift_dispatch/src/lib.rs
+++ b/crates/lift_dispatch/src/lib.rs
@@ -8,7 +8,8 @@
 //! whether to retry after an attempt has failed ([`AttemptFailure`]). [`TargetVersions`]
 //! determines on which versions of the weights a request may start. [`ConfirmationLimits`] tells
 //! how long a gateway may rely on its configuration, [`ServiceLatency`] how many requests may
-//! wait at a server.
+//! wait at a server. [`PartQuarantine`] finds the part of a prompt that crashes the backend servers
+//! which work on it.
 //!
 //! Agents use [`PrefillQueue`] to report how many prompts an engine has not read yet, and
 //! [`TargetVersions`] to find the version to load.
@@ -22,13 +23,20 @@
 mod backend_load;
 mod backend_score;
 mod backend_selector;
+mod blocked_part;
 mod confirmation_limits;
 mod considered_load;
 mod considered_loads;
 mod gateway_shares;
 mod load_sample;
 mod lowest_cost;
+mod part_answers;
+mod part_crash;
+mod part_evidence;
+mod part_quarantine;
 mod prefill_queue;
+mod quarantine;
+mod quarantine_change;
 mod rejection_reason;
 mod retry_context;
 mod retry_decision;
@@ -44,12 +52,15 @@
 pub use backend_load::{BackendLoad, Ticket};
 pub use backend_score::BackendScore;
 pub use backend_selector::{BackendSelector, ScoreFn};
+pub use blocked_part::BlockedPart;
 pub use confirmation_limits::ConfirmationLimits;
 pub use considered_load::ConsideredLoad;
 pub use considered_loads::ConsideredLoads;
 pub use gateway_shares::GatewayShares;
 pub use load_sample::LoadSample;
+pub use part_quarantine::PartQuarantine;
 pub use prefill_queue::PrefillQueue;
+pub use quarantine_change::QuarantineChange;
 pub use rejection_reason::RejectionReason;
 pub use retry_context::RetryContext;
 pub use retry_decision::RetryDecision;
--- a/crates/lift_dispatch/src/rejection_reason.rs
+++ b/crates/lift_dispatch/src/rejection_reason.rs
@@ -39,6 +39,8 @@
     LateUnsent,
     /// The deadline or the timeout of the route passed, and the request may have run.
     Late,
+    /// A part of the request's prompt crashes backend servers.
+    Quarantined,
     /// The gateway is stopping.
     Stopping,
 }
@@ -62,6 +64,7 @@
             | Self::Full
             | Self::NotTaken
             | Self::LateUnsent
+            | Self::Quarantined
             | Self::Stopping => 503,
         }
     }
--- a/crates/lift_fleet/src/lib.rs
+++ b/crates/lift_fleet/src/lib.rs
@@ -5,7 +5,8 @@
 //! [`RoutingTable`] is a decoded and checked document: it finds the [`Route`] of a request and
 //! the workspace of a key. A [`Directory`] merges the announcements of backend servers, which
 //! may arrive late and out of order. [`MembershipAction`] decides on the next change to the set
-//! of control members.
+//! of control members. A [`PartSighting`] is what gateways tell each other about a [`PromptPart`]
+//! that may crash backend servers.
 //!
 //! Every function takes `now` where it needs the time. See `docs/platform.md`.
 
@@ -29,6 +30,9 @@
 mod membership_action;
 mod model_name;
 mod origin_endpoint;
+mod part_observation;
+mod part_sighting;
+mod prompt_part;
 mod route;
 mod route_kind;
 mod routing_table;
@@ -59,6 +63,9 @@
 pub use membership_action::MembershipAction;
 pub use model_name::ModelName;
 pub use origin_endpoint::OriginEndpoint;
+pub use part_observation::PartObservation;
+pub use part_sighting::PartSighting;
+pub use prompt_part::PromptPart;
 pub use route::Route;
 pub use route_kind::RouteKind;
 pub use routing_table::RoutingTable;
--- /dev/null
+++ b/crates/lift_fleet/src/prompt_part.rs
@@ -0,0 +1,4 @@
+//! Part of a prompt.
+
+/// Identifier of a part of a prompt, which requests of many callers may share.
+pub type PromptPart = String;
