Give the ends of backend servers a type of their own

Cause: PartQuarantine counted the ends on a part, all unexplained ends and the explained ones with two types of which one carried a position that had no meaning for it.

Change: ServerEnds holds when servers have ended and counts those that came one after the other; PartEvidence adds the position in the prompt. The eight tests of part_quarantine.rs pass unchanged.

--- a/crates/lift_dispatch/src/lib.rs
+++ b/crates/lift_dispatch/src/lib.rs
@@ -41,6 +41,7 @@
 mod retry_context;
 mod retry_decision;
 mod selection_error;
+mod server_ends;
 mod service_backends;
 mod service_latency;
 mod target_versions;
--- a/crates/lift_dispatch/src/part_quarantine.rs
+++ b/crates/lift_dispatch/src/part_quarantine.rs
@@ -2,7 +2,10 @@
 
 use std::{collections, mem, time};
 
-use crate::{blocked_part, part_answers, part_crash, part_evidence, quarantine, quarantine_change};
+use crate::{
+    blocked_part, part_answers, part_crash, part_evidence, quarantine, quarantine_change,
+    server_ends,
+};
 
 /// Backend servers that must have ended one after the other on a part before it is quarantined.
 const MIN_ENDS: usize = 3;
@@ -28,7 +31,7 @@
 /// later stands for another end.
 const END_SEEN_TIME: time::Duration = time::Duration::from_secs(2);
 
-/// Largest number of requests whose evidence is kept, and of ends that are explained.
+/// Largest number of requests whose evidence is kept.
 const MAX_CRASHES: usize = 256;
 
 /// Largest number of quarantines at once.
@@ -47,9 +50,9 @@
     answers: part_answers::PartAnswers,
     quarantines: indexmap::IndexMap<lift_fleet::PromptPart, quarantine::Quarantine>,
     /// Ends of backend servers that no quarantined part explains, whichever parts were cleared.
-    unexplained: part_evidence::PartEvidence,
+    unexplained: server_ends::ServerEnds,
     /// Ends of backend servers that a quarantined part explains.
-    explained: indexmap::IndexMap<lift_fleet::BackendId, time::Instant>,
+    explained: server_ends::ServerEnds,
     /// Whether a part may become quarantined without further evidence.
     is_undecided: bool,
     changes: Vec<quarantine_change::QuarantineChange>,
@@ -89,7 +92,7 @@
         let evidence = self.evidence();
         parts.iter().all(|part| {
             let evidence = evidence.get(part.as_str());
-            let ends = evidence.map_or(0, part_evidence::PartEvidence::separate_ends);
+            let ends = evidence.map_or(0, |evidence| evidence.ends.count_separate());
             match self.answers.last_answer(part) {
                 Some(_) => ends < MIN_ENDS,
                 None => ends < MIN_ENDS_TO_REFUSE_REPEATS,
@@ -113,7 +116,7 @@
             self.explain(backend, at);
             return;
         }
-        self.unexplained.add(backend, at, 0);
+        self.unexplained.add(backend, at);
         let is_suspected = |part: &str| self.answers.last_answer(part).is_none_or(|a| a < at);
         let suspects = parts.iter().enumerate();
         let suspects = suspects.filter(|(_, part)| is_suspected(part));
@@ -176,7 +179,7 @@
     fn remove_expired(&mut self, now: time::Instant) {
         let is_old = |at: time::Instant| now.saturating_duration_since(at) >= QUARANTINE_TIME;
         self.crashes.retain(|crash| !is_old(crash.at));
-        self.explained.retain(|_, at| !is_old(*at));
+        self.explained.retain(|at| !is_old(at));
         self.unexplained.retain(|at| !is_old(at));
         let changes = &mut self.changes;
         self.quarantines.retain(|part, quarantine| {
@@ -211,8 +214,8 @@
     /// Whether enough backend servers have ended on a part, and the part explains most of the ends
     /// since its first one.
     fn is_enough(&self, evidence: &part_evidence::PartEvidence) -> bool {
-        let ends = evidence.separate_ends();
-        ends >= MIN_ENDS && ends * 2 > self.unexplained.separate_ends_since(evidence.first_end())
+        let ends = evidence.ends.count_separate();
+        ends >= MIN_ENDS && ends * 2 > self.unexplained.count_separate_since(evidence.ends.first())
     }
 
     /// Whether the part would have been answered since the first end if it was sound: some time has
@@ -227,7 +230,7 @@
             Some(_) => SETTLE_TIME_IF_ANSWERED,
             None => SETTLE_TIME,
         };
-        evidence.first_end().is_some_and(|first| {
+        evidence.ends.first().is_some_and(|first| {
             now.saturating_duration_since(first) >= settle_time
                 && self.answers.last_of_any() >= Some(first)
         })
@@ -239,7 +242,8 @@
         part: lift_fleet::PromptPart,
         evidence: &part_evidence::PartEvidence,
     ) {
-        let (Some(first_end), Some(last_end)) = (evidence.first_end(), evidence.last_end()) else {
+        let (Some(first_end), Some(last_end)) = (evidence.ends.first(), evidence.ends.last())
+        else {
             return;
         };
         let until = last_end + QUARANTINE_TIME;
@@ -257,7 +261,7 @@
         self.changes
             .push(quarantine_change::QuarantineChange::Started {
                 part,
-                ends: evidence.separate_ends(),
+                ends: evidence.ends.count_separate(),
                 lasts: until.saturating_duration_since(now),
             });
     }
@@ -265,10 +269,8 @@
     /// Records that a quarantined part explains the end of `backend`, and removes it from the
     /// evidence.
     fn explain(&mut self, backend: &str, at: time::Instant) {
-        if self.explained.len() >= MAX_CRASHES {
-            self.explained.shift_remove_index(0);
-        }
-        self.explained.insert(String::from(backend), at);
+        self.explained.remove(backend);
+        self.explained.add(backend, at);
         self.unexplained.remove(backend);
         self.crashes
             .retain(|crash| crash.backend != backend || !is_same_end(crash.at, at));
@@ -276,7 +278,7 @@
 
     fn is_explained(&self, backend: &str, at: time::Instant) -> bool {
         let explained = self.explained.get(backend);
-        explained.is_some_and(|explained| is_same_end(*explained, at))
+        explained.is_some_and(|explained| is_same_end(explained, at))
     }
 
     /// Evidence against each suspected part.
