Keep parts of prompts that crash backend servers away from them

What they saw of a crash is a connection that breaks 13 to 72 ms after the request was sent, before the head of the answer, and new connections that are refused within 3 ms.

Change: `Dialect::read_request` gives the shared parts of the prompt. An attempt that breaks before its answer or within its first two events counts as a crash if the server then refuses connections, which resets and cut links don't look like. Whole answers clear their parts; an answer without a length or chunks only once it is past its beginning, since a crash may look like its end. PartGuard holds the PartQuarantine, passes observations on through the feed and takes in those of the others. Each attempt, resumed streams too, is refused with 503 `quarantined` while a part is quarantined, with the rest of the quarantine in Retry-After, and a broken attempt isn't repeated on a suspected part.

--- a/crates/lift_gateway/src/caller_head.rs
+++ b/crates/lift_gateway/src/caller_head.rs
@@ -13,6 +13,8 @@
     pub key: Option<lift_fleet::ApiKey>,
     /// Requested model.
     pub model: Option<lift_fleet::ModelName>,
+    /// Parts of the prompt in order, without the last, which is the request's own.
+    pub parts: Vec<lift_fleet::PromptPart>,
     /// Number of the last event of the stream that the caller has received, if it resumes one.
     pub last_event: Option<u64>,
 }
--- a/crates/lift_gateway/src/event_buffer.rs
+++ b/crates/lift_gateway/src/event_buffer.rs
@@ -14,6 +14,7 @@
 pub struct EventBuffer {
     buf: bytes::BytesMut,
     last_event: Option<u64>,
+    complete_events: u64,
 }
 
 impl EventBuffer {
@@ -23,9 +24,15 @@
         Self {
             buf: bytes::BytesMut::new(),
             last_event,
+            complete_events: 0,
         }
     }
 
+    /// Number of numbered events that were complete, over all backend servers of the stream.
+    pub fn complete_events(&self) -> u64 {
+        self.complete_events
+    }
+
     /// Number of the last complete event, or the one given to [`Self::new`] if there is none yet.
     pub fn last_event(&self) -> Option<u64> {
         self.last_event
@@ -85,6 +92,7 @@
             }
             _ => {
                 self.last_event = Some(found);
+                self.complete_events += 1;
                 Ok(())
             }
         }
--- a/crates/lift_gateway/src/event_stream.rs
+++ b/crates/lift_gateway/src/event_stream.rs
@@ -9,6 +9,10 @@
     attempt_error, body_error, event_buffer, exchange, request_run, response, stall_timer,
 };
 
+/// Events at the beginning of an answer. A part of a prompt that crashes backend servers does so
+/// while they write these; an answer that is longer shows that its parts do not.
+const BEGINNING_EVENTS: u64 = 2;
+
 /// Forwards complete events. If a backend server fails in the middle, resumes the stream at
 /// another one where the route allows it.
 #[derive(Debug)]
@@ -17,6 +21,8 @@
     exchange: Option<exchange::Exchange>,
     buf: event_buffer::EventBuffer,
     is_first_event_pending: bool,
+    /// Events that were complete before the answer of the current backend server.
+    events_before: u64,
     stall_timer: stall_timer::StallTimer,
 }
 
@@ -37,6 +43,7 @@
             exchange: Some(exchange),
             buf,
             is_first_event_pending: true,
+            events_before: 0,
             stall_timer,
         };
         let frames = stream::unfold(Some(events), |events| async {
@@ -113,8 +120,11 @@
     ) -> Result<(), body_error::BodyError> {
         let failed = self.exchange.take();
         if let Some(exchange) = &failed {
-            self.run
-                .record_failure(exchange.in_flight.backend(), failure);
+            let backend = exchange.in_flight.backend();
+            self.run.record_failure(backend, failure);
+            if !self.is_under_way() {
+                self.run.record_break(backend, failure).await;
+            }
         }
         let stalled = failed.filter(|_| failure == lift_dispatch::AttemptFailure::Silent);
         let found = self.find_successor(failure).await;
@@ -123,6 +133,7 @@
         match (found, stalled) {
             (Ok(exchange), _) => {
                 self.buf.discard_partial_event();
+                self.events_before = self.buf.complete_events();
                 self.exchange = Some(exchange);
                 Ok(())
             }
@@ -174,6 +185,11 @@
         exchange.parts.status.is_success() && exchange.head.weights == weights
     }
 
+    /// Whether the current backend server has written more than the beginning of its answer.
+    fn is_under_way(&self) -> bool {
+        self.buf.complete_events() - self.events_before > BEGINNING_EVENTS
+    }
+
     fn fail(&self, error: body_error::BodyError) -> body_error::BodyError {
         let backend = self.run.tried.last().cloned().unwrap_or_default();
         self.run.record_broken_stream(error, &backend);
@@ -198,6 +214,10 @@
         };
         let backend = exchange.in_flight.backend();
         self.run.record_success(backend);
+        // A crash may look like the end of an answer whose end isn't marked.
+        if exchange.is_end_marked() || self.is_under_way() {
+            self.run.shared.parts.record_answer(&self.run.head.parts);
+        }
         let status = exchange.parts.status.as_u16();
         self.run.log_outcome("answered", status, &backend.id);
         exchange.finish(&self.run.shared);
--- a/crates/lift_gateway/src/exchange.rs
+++ b/crates/lift_gateway/src/exchange.rs
@@ -72,6 +72,14 @@
         frame
     }
 
+    /// Whether the answer has a length or chunks, so that its end shows that it is complete. Any
+    /// other answer ends with its connection, which may also have broken off.
+    pub(crate) fn is_end_marked(&self) -> bool {
+        let headers = &self.parts.headers;
+        headers.contains_key(http::header::CONTENT_LENGTH)
+            || headers.contains_key(http::header::TRANSFER_ENCODING)
+    }
+
     /// Returns the connection to the pool after the answer was read to its end, unless the backend
     /// server closes it.
     pub(crate) fn finish(self, shared: &sync::Arc<shared::Shared>) {
--- a/crates/lift_gateway/src/gateway.rs
+++ b/crates/lift_gateway/src/gateway.rs
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 pub struct Gateway {
     shared: sync::Arc<shared::Shared>,
-    feed: lift_feed::FeedClient,
+    feed: sync::Arc<lift_feed::FeedClient>,
     serving: parking_lot::Mutex<Option<tokio::task::JoinHandle<()>>>,
     draining: tokio_util::sync::CancellationToken,
     _stop: tokio_util::sync::DropGuard,
@@ -54,10 +54,13 @@
         };
         let keys = node.keys.clone();
         let feed = lift_feed::FeedClient::start(node, sync::Arc::new(observer));
+        let feed = sync::Arc::new(feed);
         let stop = tokio_util::sync::CancellationToken::new();
         let draining = tokio_util::sync::CancellationToken::new();
         let receiving = load_receiver::run(sync::Arc::clone(&shared), reports, keys);
         tokio::spawn(stop.clone().run_until_cancelled_owned(receiving));
+        let reporting = report_sightings(sync::Arc::clone(&shared), sync::Arc::clone(&feed));
+        tokio::spawn(stop.clone().run_until_cancelled_owned(reporting));
         let cleaning = clean_up(sync::Arc::clone(&shared));
         tokio::spawn(stop.clone().run_until_cancelled_owned(cleaning));
         let router = readiness::router(sync::Arc::clone(&shared));
@@ -104,6 +107,16 @@
     listener.change_context(gateway_error::GatewayError::Listen(what))
 }
 
+/// Passes the observations of this gateway on to the others.
+async fn report_sightings(
+    shared: sync::Arc<shared::Shared>,
+    feed: sync::Arc<lift_feed::FeedClient>,
+) {
+    loop {
+        feed.report_part_sightings(shared.parts.sightings.take().await);
+    }
+}
+
 async fn clean_up(shared: sync::Arc<shared::Shared>) {
     loop {
         tokio::time::sleep(CLEANUP_INTERVAL).await;
--- a/crates/lift_gateway/src/gateway_observer.rs
+++ b/crates/lift_gateway/src/gateway_observer.rs
@@ -48,6 +48,10 @@
             "version" => version, "named_for_ms" => age.map(|a| a.as_millis() as u64));
     }
 
+    fn on_part_sightings(&self, sightings: Vec<lift_fleet::PartSighting>) {
+        self.shared.parts.receive(&sightings);
+    }
+
     fn on_nodes(&self, nodes: Vec<lift_feed::NodeCard>) {
         let gateways = nodes
             .iter()
--- a/crates/lift_gateway/src/lib.rs
+++ b/crates/lift_gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod in_flight_request;
 mod limited_stream;
 mod load_receiver;
+mod part_guard;
 mod read_allowance;
 mod readiness;
 mod rejection;
@@ -48,7 +49,9 @@
 mod request_records;
 mod request_run;
 mod response;
+mod server_probe;
 mod shared;
+mod sighting_queue;
 mod stall_timer;
 mod whole_stream;
 
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -31,6 +31,7 @@
         &mut self,
         last_event: Option<u64>,
     ) -> Result<exchange::Exchange, attempt_error::AttemptError> {
+        self.check_parts()?;
         let backend = self
             .select_backend()
             .await
@@ -48,6 +49,8 @@
             };
             return Err(attempt_error::AttemptError::Rejected(reason));
         }
+        // The selection may have waited.
+        self.check_parts()?;
         let (weights, version_held) = self.shared.loads.read(backend.address, |load| {
             let sample = load.fresh_sample(now);
             let models = sample.map_or(&backend.models, |sample| &sample.models);
@@ -86,9 +89,26 @@
             Err(failure) => failure,
         };
         self.record_failed_attempt(&backend, failure, now);
+        self.record_break(&backend, failure).await;
         Err(attempt_error::AttemptError::Failed(failure))
     }
 
+    /// Checks that no part of the prompt is quarantined.
+    fn check_parts(&self) -> Result<(), attempt_error::AttemptError> {
+        let Some(blocked) = self.shared.parts.blocked(&self.head.parts) else {
+            return Ok(());
+        };
+        self.shared.log.write_limited(|log| {
+            slog::info!(log, "request quarantined"; "request" => &self.head.id,
+                "part" => &blocked.part, "left_ms" => blocked.time_left.as_millis() as u64);
+        });
+        let reason = match self.may_have_run {
+            true => lift_dispatch::RejectionReason::NoAnswer,
+            false => lift_dispatch::RejectionReason::Quarantined,
+        };
+        Err(attempt_error::AttemptError::Rejected(reason))
+    }
+
     /// Checks the head of an answer. Returns why the answer can't be forwarded, if so.
     fn check_head(&self, exchange: &exchange::Exchange) -> Option<lift_dispatch::AttemptFailure> {
         let status = exchange.parts.status;
--- a/crates/lift_gateway/src/request_records.rs
+++ b/crates/lift_gateway/src/request_records.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{body_error, request_run};
+use crate::{body_error, request_run, server_probe};
 
 impl request_run::RequestRun {
     /// Records and logs an attempt that failed before the body of its answer was read.
@@ -88,6 +88,29 @@
             .record("gateway.request", <&str>::from(self.route.kind), took);
     }
 
+    /// Records the end of `backend` as evidence against the parts of the prompt, if an attempt broke
+    /// because the backend server has ended.
+    pub(crate) async fn record_break(
+        &self,
+        backend: &lift_dispatch::Backend,
+        failure: lift_dispatch::AttemptFailure,
+    ) {
+        let is_break = failure == lift_dispatch::AttemptFailure::Broken;
+        if !is_break || self.head.parts.is_empty() {
+            return;
+        }
+        if !server_probe::has_ended(backend.address).await {
+            return;
+        }
+        self.shared.log.write_limited(|log| {
+            slog::info!(log, "backend server ended on a request"; "request" => &self.head.id,
+                "backend" => &backend.id, "parts" => self.head.parts.join(","));
+        });
+        self.shared
+            .parts
+            .record_crash(&backend.id, &self.head.parts);
+    }
+
     /// Writes the loads on which the request was refused.
     pub(crate) fn log_loads(&self, error: lift_dispatch::SelectionError) {
         let now = lift_clock::now();
--- a/crates/lift_gateway/src/request_run.rs
+++ b/crates/lift_gateway/src/request_run.rs
@@ -89,12 +89,17 @@
         let (failure, error_body) = match collected {
             Ok(body) if !status.is_server_error() => {
                 self.record_success(exchange.in_flight.backend());
+                if exchange.is_end_marked() {
+                    self.shared.parts.record_answer(&self.head.parts);
+                }
                 return Ok(self.forward_complete(exchange, body));
             }
             Ok(body) => (lift_dispatch::AttemptFailure::Failed, Some(body)),
             Err(failure) => (failure, None),
         };
-        self.record_failure(exchange.in_flight.backend(), failure);
+        let backend = exchange.in_flight.backend();
+        self.record_failure(backend, failure);
+        self.record_break(backend, failure).await;
         Err(Box::new(failed_attempt::FailedAttempt {
             run: self,
             failure,
@@ -146,6 +151,9 @@
         &self,
         failure: lift_dispatch::AttemptFailure,
     ) -> lift_dispatch::RetryDecision {
+        if self.may_have_run && !self.shared.parts.may_repeat(&self.head.parts) {
+            return lift_dispatch::RetryDecision::GiveUp;
+        }
         let now = lift_clock::now();
         let context = lift_dispatch::RetryContext {
             kind: self.route.kind,
@@ -188,6 +196,13 @@
     fn reject(&self, reason: lift_dispatch::RejectionReason) -> Response {
         let last = self.tried.last().cloned().unwrap_or_default();
         self.log_outcome(<&str>::from(reason), reason.http_status(), &last);
-        response::rejected(&self.shared, reason, Some(self.head.id.clone()))
+        let blocked = (reason == lift_dispatch::RejectionReason::Quarantined)
+            .then(|| self.shared.parts.blocked(&self.head.parts))
+            .flatten();
+        let id = Some(self.head.id.clone());
+        match blocked {
+            Some(blocked) => response::rejected_for(&self.shared, reason, id, blocked.time_left),
+            None => response::rejected(&self.shared, reason, id),
+        }
     }
 }
--- a/crates/lift_gateway/src/response.rs
+++ b/crates/lift_gateway/src/response.rs
@@ -50,24 +50,34 @@
     response
 }
 
-/// Rejects a request, and counts the rejection.
+/// Rejects a request, and counts the rejection. The caller is asked to retry soon if the request
+/// has not run.
 pub(crate) fn rejected(
     shared: &shared::Shared,
     reason: lift_dispatch::RejectionReason,
     id: Option<String>,
+) -> http::Response<Body> {
+    let range = MIN_RETRY_AFTER.as_millis() as u64..=MAX_RETRY_AFTER.as_millis() as u64;
+    let retry_after = time::Duration::from_millis(rand::rng().random_range(range));
+    rejected_for(shared, reason, id, retry_after)
+}
+
+/// Rejects a request, and counts the rejection. If the request has not run, the caller is asked to
+/// retry after `retry_after`.
+pub(crate) fn rejected_for(
+    shared: &shared::Shared,
+    reason: lift_dispatch::RejectionReason,
+    id: Option<String>,
+    retry_after: time::Duration,
 ) -> http::Response<Body> {
     shared
         .counters
         .increment_member("decline", <&str>::from(reason));
     let status = reason.http_status();
-    let retry_after = (status == 503).then(|| {
-        let range = MIN_RETRY_AFTER.as_millis() as u64..=MAX_RETRY_AFTER.as_millis() as u64;
-        time::Duration::from_millis(rand::rng().random_range(range))
-    });
     let rejection = rejection::Rejection {
         reason,
         id,
-        retry_after,
+        retry_after: (status == 503).then_some(retry_after),
     };
     let text = bytes::Bytes::from(format!("{reason}\n"));
     let body = http_body_util::Full::new(text).map_err(|never| match never {});
--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -5,7 +5,8 @@
 use sync::atomic;
 
 use crate::{
-    backend_loads, backend_pool, byte_budget, dialect, fleet_state, gateway_limits, request_log,
+    backend_loads, backend_pool, byte_budget, dialect, fleet_state, gateway_limits, part_guard,
+    request_log,
 };
 
 /// Number of shards of the state of services.
@@ -22,6 +23,8 @@
     pub(crate) pool: backend_pool::BackendPool,
     /// Memory of the answers that are held until they are complete.
     pub(crate) answer_bytes: sync::Arc<byte_budget::ByteBudget>,
+    /// Protection against parts of prompts that crash backend servers.
+    pub(crate) parts: part_guard::PartGuard,
     pub(crate) log: request_log::RequestLog,
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
     pub(crate) latencies: sync::Arc<lift_obs::Histograms>,
@@ -54,6 +57,7 @@
             loads: backend_loads::BackendLoads::new(),
             pool: backend_pool::BackendPool::new(),
             answer_bytes: byte_budget::ByteBudget::new(limits.max_answer_bytes),
+            parts: part_guard::PartGuard::new(logger.clone(), sync::Arc::clone(&counters)),
             log: request_log::RequestLog::new(logger, sync::Arc::clone(&counters)),
             counters,
             latencies,
--- a/crates/lift_gateway/tests/support/backend.rs
+++ b/crates/lift_gateway/tests/support/backend.rs
@@ -4,6 +4,9 @@
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
+/// Time from a request that crashes the server to the beginning of its answer.
+const PREFILL_TIME: time::Duration = time::Duration::from_millis(150);
+
 /// How a backend server replies to one request.
 #[derive(Clone, Debug)]
 pub(crate) enum Reply {
@@ -131,10 +134,24 @@
     replies: parking_lot::Mutex<Vec<Reply>>,
     received: parking_lot::Mutex<Vec<ReceivedRequest>>,
     hanging: sync::atomic::AtomicUsize,
+    /// A part on which the server ends, and what it sends before.
+    deadly_part: Option<(String, String)>,
+    ended: tokio_util::sync::CancellationToken,
 }
 
 impl Backend {
     pub(crate) async fn start(replies: &[Reply]) -> Self {
+        Self::start_with(replies, None).await
+    }
+
+    /// Starts a server that sends `beginning` and ends on requests with `part`: its listener and all
+    /// its connections are closed. It answers all other requests.
+    pub(crate) async fn start_crashing_on(part: &str, beginning: &str) -> Self {
+        let deadly_part = (String::from(part), String::from(beginning));
+        Self::start_with(&[], Some(deadly_part)).await
+    }
+
+    async fn start_with(replies: &[Reply], deadly_part: Option<(String, String)>) -> Self {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let mut replies = replies.to_vec();
@@ -143,13 +160,17 @@
             replies: parking_lot::Mutex::new(replies),
             received: parking_lot::Mutex::default(),
             hanging: sync::atomic::AtomicUsize::new(0),
+            deadly_part,
+            ended: tokio_util::sync::CancellationToken::new(),
         });
         let shared = sync::Arc::clone(&state);
-        tokio::spawn(async move {
+        let accepting = async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(sync::Arc::clone(&shared), stream));
+                let serving = serve(sync::Arc::clone(&shared), stream);
+                tokio::spawn(shared.ended.clone().run_until_cancelled_owned(serving));
             }
-        });
+        };
+        tokio::spawn(state.ended.clone().run_until_cancelled_owned(accepting));
         Self { address, state }
     }
 
@@ -157,6 +178,11 @@
         self.state.received.lock().clone()
     }
 
+    /// Whether the server has ended.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.state.ended.is_cancelled()
+    }
+
     pub(crate) fn hanging(&self) -> usize {
         self.state.hanging.load(sync::atomic::Ordering::SeqCst)
     }
@@ -179,6 +205,15 @@
             last_event: find("x-last"),
         });
         let id = find("x-id").unwrap_or_default();
+        let parts = find("x-parts").unwrap_or_default();
+        if let Some((deadly, beginning)) = &state.deadly_part
+            && parts.split(',').any(|part| part == deadly)
+        {
+            tokio::time::sleep(PREFILL_TIME).await;
+            let _ = send(&mut stream, beginning, &id).await;
+            state.ended.cancel();
+            return;
+        }
         let reply = state.replies.lock().pop().unwrap_or(Reply::ok("done"));
         let answer = match reply {
             Reply::Break => return,
--- a/crates/lift_gateway/tests/support/dialect.rs
+++ b/crates/lift_gateway/tests/support/dialect.rs
@@ -23,6 +23,9 @@
             timeout: Some(time::Duration::from_secs(4)),
             key: text(&head.headers, "x-key"),
             model: None,
+            parts: text(&head.headers, "x-parts").map_or_else(Vec::new, |parts| {
+                parts.split(',').map(String::from).collect()
+            }),
             last_event: None,
         })
     }
--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -197,17 +197,31 @@
         got.map_or(0, |(status, _)| status)
     }
 
+    /// Calls with the parts of a prompt, separated by commas.
+    pub(crate) async fn call_with_parts(
+        &self,
+        route: &str,
+        id: &str,
+        parts: &str,
+    ) -> Result<(u16, String), String> {
+        let req = request(route, id, codec::KEY).header("x-parts", parts);
+        get(self.callers, req.body(String::new()).unwrap()).await
+    }
+
     async fn send(&self, route: &str, id: &str, key: &str) -> Result<(u16, String), String> {
-        let req = http::Request::builder()
-            .uri(format!("/{route}/x"))
-            .header("host", "h")
-            .header("x-id", id)
-            .header("x-key", key)
-            .body(String::new());
+        let req = request(route, id, key).body(String::new());
         get(self.callers, req.unwrap()).await
     }
 }
 
+fn request(route: &str, id: &str, key: &str) -> http::request::Builder {
+    http::Request::builder()
+        .uri(format!("/{route}/x"))
+        .header("host", "h")
+        .header("x-id", id)
+        .header("x-key", key)
+}
+
 async fn get(
     address: net::SocketAddr,
     mut req: http::Request<String>,
