Take a stream without a length that has no event for broken off

Cause: an answer with neither a length nor chunks ends with its connection. If its backend server ended before the first event and the connection was closed in order, the stream counted as complete: the caller got an empty answer, and the server a success.

Change: such a stream without any event is broken off and resumed like any other. One that ends inside an event was so already. A resumed stream may have nothing left to send, and stays complete.

--- a/crates/lift_gateway/src/event_stream.rs
+++ b/crates/lift_gateway/src/event_stream.rs
@@ -93,7 +93,7 @@
         let read = tokio::time::timeout(limit, exchange.next_frame()).await;
         let frame = read.map_err(|_| lift_dispatch::AttemptFailure::Silent)?;
         let Some(frame) = frame else {
-            return match self.buf.has_partial_event() {
+            return match self.is_broken_off() {
                 true => Err(lift_dispatch::AttemptFailure::Broken),
                 false => Ok(None),
             };
@@ -185,6 +185,14 @@
         exchange.parts.status.is_success() && exchange.head.weights == weights
     }
 
+    /// Whether an answer that has ended is known to be incomplete: it ended inside an event, or its
+    /// end isn't marked and there was no event at all.
+    fn is_broken_off(&self) -> bool {
+        let is_marked = self.exchange.as_ref().is_some_and(|e| e.is_end_marked());
+        let is_empty = self.buf.last_event().is_none();
+        self.buf.has_partial_event() || (is_empty && !is_marked)
+    }
+
     /// Whether the current backend server has written more than the beginning of its answer.
     fn is_under_way(&self) -> bool {
         self.buf.complete_events() - self.events_before > BEGINNING_EVENTS
--- a/crates/lift_gateway/tests/server_in_trouble.rs
+++ b/crates/lift_gateway/tests/server_in_trouble.rs
@@ -131,6 +131,19 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_without_a_length_that_ends_before_its_first_event_is_broken_off() {
+    // Guards against a crash that passes for a complete answer without events: an answer without a
+    // length ends with its connection.
+    let head = "HTTP/1.1 200 X\r\nx-id: {id}\r\nx-seal: 1\r\n\r\n";
+    let first = Backend::start(&[script(&[Step::send(head), Step::Pause(50), Step::Close])]).await;
+    let fleet = Fleet::start(133, &[&first]).await;
+    let second = Backend::start(&[Reply::events(1..=3)]).await;
+    let (status, body) = fleet.call_preferring(&first, &second, "stream", "r1").await;
+    assert_eq!(status, 200);
+    assert!(body.contains("id: 3\n"), "{body}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_slow_but_sound_stream_is_not_cut() {
     // Guards against ending a stream that can't move to another server, because its pauses are
