Keep the evidence against parts in a type of its own

Change: CrashLog holds the requests that were at servers when those ended, and which ends are explained; PartQuarantine decides. The eight tests of part_quarantine.rs pass unchanged.

--- a/crates/lift_dispatch/src/lib.rs
+++ b/crates/lift_dispatch/src/lib.rs
@@ -27,6 +27,7 @@
 mod confirmation_limits;
 mod considered_load;
 mod considered_loads;
+mod crash_log;
 mod gateway_shares;
 mod load_sample;
 mod lowest_cost;
--- a/crates/lift_dispatch/src/part_quarantine.rs
+++ b/crates/lift_dispatch/src/part_quarantine.rs
@@ -1,10 +1,9 @@
 //! Decision which parts of prompts crash backend servers.
 
-use std::{collections, mem, time};
+use std::{mem, time};
 
 use crate::{
-    blocked_part, part_answers, part_crash, part_evidence, quarantine, quarantine_change,
-    server_ends,
+    blocked_part, crash_log, part_answers, part_crash, part_evidence, quarantine, quarantine_change,
 };
 
 /// Backend servers that must have ended one after the other on a part before it is quarantined.
@@ -27,13 +26,6 @@
 /// gateway that starts during it comes to the same decision as the others.
 const QUARANTINE_TIME: time::Duration = time::Duration::from_mins(10);
 
-/// Time in which all gateways have seen the end of a backend server. An identifier that comes back
-/// later stands for another end.
-const END_SEEN_TIME: time::Duration = time::Duration::from_secs(2);
-
-/// Largest number of requests whose evidence is kept.
-const MAX_CRASHES: usize = 256;
-
 /// Largest number of quarantines at once.
 const MAX_QUARANTINES: usize = 64;
 
@@ -46,13 +38,9 @@
 /// parts, which sound requests share. See `docs/platform.md`.
 #[derive(Clone, Debug, Default)]
 pub struct PartQuarantine {
-    crashes: collections::VecDeque<part_crash::PartCrash>,
+    crashes: crash_log::CrashLog,
     answers: part_answers::PartAnswers,
     quarantines: indexmap::IndexMap<lift_fleet::PromptPart, quarantine::Quarantine>,
-    /// Ends of backend servers that no quarantined part explains, whichever parts were cleared.
-    unexplained: server_ends::ServerEnds,
-    /// Ends of backend servers that a quarantined part explains.
-    explained: server_ends::ServerEnds,
     /// Whether a part may become quarantined without further evidence.
     is_undecided: bool,
     changes: Vec<quarantine_change::QuarantineChange>,
@@ -89,7 +77,7 @@
         if self.crashes.is_empty() {
             return true;
         }
-        let evidence = self.evidence();
+        let evidence = self.crashes.evidence();
         parts.iter().all(|part| {
             let evidence = evidence.get(part.as_str());
             let ends = evidence.map_or(0, |evidence| evidence.ends.count_separate());
@@ -109,47 +97,30 @@
         backend: &str,
         parts: &[lift_fleet::PromptPart],
     ) {
-        if now.saturating_duration_since(at) >= QUARANTINE_TIME || self.is_explained(backend, at) {
+        if now.saturating_duration_since(at) >= QUARANTINE_TIME {
             return;
         }
         if parts.iter().any(|part| self.quarantines.contains_key(part)) {
-            self.explain(backend, at);
+            self.crashes.explain(backend, at);
             return;
         }
-        self.unexplained.add(backend, at);
         let is_suspected = |part: &str| self.answers.last_answer(part).is_none_or(|a| a < at);
         let suspects = parts.iter().enumerate();
         let suspects = suspects.filter(|(_, part)| is_suspected(part));
         let suspects = suspects.map(|(i, part)| (part.clone(), i));
-        let suspects: indexmap::IndexMap<_, _> = suspects.collect();
-        let is_copy = |known: &part_crash::PartCrash| {
-            known.backend == backend && suspects.keys().eq(known.suspects.keys())
-        };
-        if suspects.is_empty() || self.crashes.iter().any(is_copy) {
-            return;
-        }
-        if self.crashes.len() >= MAX_CRASHES {
-            self.crashes.pop_front();
-        }
-        self.crashes.push_back(part_crash::PartCrash {
+        let crash = part_crash::PartCrash {
             backend: String::from(backend),
             at,
-            suspects,
-        });
-        self.is_undecided = true;
+            suspects: suspects.collect(),
+        };
+        self.is_undecided |= self.crashes.add(crash);
     }
 
     /// Records that an answer to a request with `part` was complete at `at`, which clears the part
     /// of all ends before. Returns whether that was news, so that other gateways should know.
     pub fn record_answer(&mut self, at: time::Instant, part: &str) -> bool {
         self.answers.record(at, part);
-        let mut is_news = false;
-        for crash in self.crashes.iter_mut().filter(|crash| crash.at <= at) {
-            is_news |= crash.suspects.shift_remove(part).is_some();
-        }
-        if is_news {
-            self.crashes.retain(|crash| !crash.suspects.is_empty());
-        }
+        let mut is_news = self.crashes.clear(at, part);
         let quarantine = self.quarantines.get(part);
         if quarantine.is_some_and(|quarantine| at >= quarantine.first_end) {
             self.quarantines.shift_remove(part);
@@ -178,9 +149,7 @@
 
     fn remove_expired(&mut self, now: time::Instant) {
         let is_old = |at: time::Instant| now.saturating_duration_since(at) >= QUARANTINE_TIME;
-        self.crashes.retain(|crash| !is_old(crash.at));
-        self.explained.retain(|at| !is_old(at));
-        self.unexplained.retain(|at| !is_old(at));
+        self.crashes.retain(|at| !is_old(at));
         let changes = &mut self.changes;
         self.quarantines.retain(|part, quarantine| {
             let is_over = now >= quarantine.until;
@@ -200,7 +169,7 @@
         if !self.is_undecided {
             return None;
         }
-        let mut evidence = self.evidence();
+        let mut evidence = self.crashes.evidence();
         evidence.retain(|_, evidence| self.is_enough(evidence));
         let worst = evidence.iter().max_by(|(part, evidence), (other, rest)| {
             let answered = self.answers.last_answer(part);
@@ -215,7 +184,7 @@
     /// since its first one.
     fn is_enough(&self, evidence: &part_evidence::PartEvidence) -> bool {
         let ends = evidence.ends.count_separate();
-        ends >= MIN_ENDS && ends * 2 > self.unexplained.count_separate_since(evidence.ends.first())
+        ends >= MIN_ENDS && ends * 2 > self.crashes.count_separate_since(evidence.ends.first())
     }
 
     /// Whether the part would have been answered since the first end if it was sound: some time has
@@ -252,12 +221,7 @@
         }
         let quarantine = quarantine::Quarantine { first_end, until };
         self.quarantines.insert(part.clone(), quarantine);
-        let is_caused = |crash: &&part_crash::PartCrash| crash.suspects.contains_key(&part);
-        let caused = self.crashes.iter().filter(is_caused);
-        let caused: Vec<_> = caused.map(|c| (c.backend.clone(), c.at)).collect();
-        for (backend, at) in caused {
-            self.explain(&backend, at);
-        }
+        self.crashes.explain_by(&part);
         self.changes
             .push(quarantine_change::QuarantineChange::Started {
                 part,
@@ -265,35 +229,4 @@
                 lasts: until.saturating_duration_since(now),
             });
     }
-
-    /// Records that a quarantined part explains the end of `backend`, and removes it from the
-    /// evidence.
-    fn explain(&mut self, backend: &str, at: time::Instant) {
-        self.explained.remove(backend);
-        self.explained.add(backend, at);
-        self.unexplained.remove(backend);
-        self.crashes
-            .retain(|crash| crash.backend != backend || !is_same_end(crash.at, at));
-    }
-
-    fn is_explained(&self, backend: &str, at: time::Instant) -> bool {
-        let explained = self.explained.get(backend);
-        explained.is_some_and(|explained| is_same_end(explained, at))
-    }
-
-    /// Evidence against each suspected part.
-    fn evidence(&self) -> indexmap::IndexMap<&str, part_evidence::PartEvidence> {
-        let mut parts = indexmap::IndexMap::<&str, part_evidence::PartEvidence>::new();
-        for crash in &self.crashes {
-            for (part, position) in &crash.suspects {
-                let evidence = parts.entry(part.as_str()).or_default();
-                evidence.add(&crash.backend, crash.at, *position);
-            }
-        }
-        parts
-    }
-}
-
-fn is_same_end(a: time::Instant, b: time::Instant) -> bool {
-    a.max(b).saturating_duration_since(a.min(b)) < END_SEEN_TIME
 }
--- a/crates/lift_gateway/src/lib.rs
+++ b/crates/lift_gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! An answer other than a stream is forwarded only once it is complete. An answer that carries the
 //! identifier of another request, or reports success without the seal of the backend server, is
-//! not forwarded. Streams of numbered events are forwarded event by event, and resume at another
+//! not forwarded. Requests with a part of a prompt that crashes backend servers are kept away from
+//! them. Streams of numbered events are forwarded event by event, and resume at another
 //! backend server if the route allows it. A response with status 503 guarantees that the request
 //! has not run and will not run. See `docs/platform.md`.
 
