--- /dev/null
+++ b/crates/lift_dispatch/src/part_evidence.rs
@@ -0,0 +1,39 @@
+//! Evidence against one part of prompts.
+
+use std::{cmp, time};
+
+use crate::server_ends;
+
+/// Ends of backend servers that worked on requests with one part, since that part was answered
+/// last.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PartEvidence {
+    pub(crate) ends: server_ends::ServerEnds,
+    /// Last position of the part in a prompt.
+    position: usize,
+}
+
+impl PartEvidence {
+    /// Adds the end of `backend`, which worked on a request with the part at `position`.
+    pub(crate) fn add(&mut self, backend: &str, at: time::Instant, position: usize) {
+        self.ends.add(backend, at);
+        self.position = self.position.max(position);
+    }
+
+    /// Orders two parts by how well each explains the ends; the greater one does so better. A part
+    /// that was never answered comes before one that was, then the part with more ends, then the
+    /// one that was answered longer ago, then the one that is later in the prompt.
+    pub(crate) fn cmp_with(
+        &self,
+        answered: Option<time::Instant>,
+        other: &Self,
+        other_answered: Option<time::Instant>,
+    ) -> cmp::Ordering {
+        let (count, other_count) = (self.ends.count_separate(), other.ends.count_separate());
+        let never = answered.is_none().cmp(&other_answered.is_none());
+        never
+            .then_with(|| count.cmp(&other_count))
+            .then_with(|| other_answered.cmp(&answered))
+            .then_with(|| self.position.cmp(&other.position))
+    }
+}
--- a/crates/lift_gateway/src/event_stream.rs
+++ b/crates/lift_gateway/src/event_stream.rs
@@ -100,11 +100,12 @@
         let Some(data) = frame.data_ref() else {
             return Ok(Some(bytes::Bytes::new()));
         };
-        let last_event = self.buf.last_event();
+        let events_before = self.buf.complete_events();
         let events = self.buf.push(data);
         let events = events.map_err(|_| lift_dispatch::AttemptFailure::Damaged)?;
-        if self.buf.last_event() != last_event {
-            part.record_event();
+        let new_events = self.buf.complete_events() - events_before;
+        if new_events > 0 {
+            part.record_events(new_events);
             self.stall_timer.restart(lift_clock::now());
         }
         Ok(Some(events))
@@ -119,8 +120,11 @@
     ) -> Result<(), body_error::BodyError> {
         let failed = self.part.take();
         if let Some(part) = &failed {
-            self.run
-                .record_failure(part.exchange.in_flight.backend(), failure);
+            let backend = part.exchange.in_flight.backend();
+            self.run.record_failure(backend, failure);
+            if !part.is_under_way() {
+                self.run.record_break(backend, failure).await;
+            }
         }
         let stalled = failed.filter(|_| failure == lift_dispatch::AttemptFailure::Silent);
         let found = self.find_successor(failure).await;
@@ -207,6 +211,10 @@
         let Some(part) = self.part.take() else {
             return;
         };
+        // A crash may look like the end of an answer whose end isn't marked.
+        if part.exchange.is_end_marked() || part.is_under_way() {
+            self.run.shared.parts.record_answer(&self.run.head.parts);
+        }
         let exchange = part.exchange;
         let backend = exchange.in_flight.backend();
         self.run.record_success(backend);
--- a/crates/lift_gateway/src/lib.rs
+++ b/crates/lift_gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! An answer other than a stream is forwarded only once it is complete. An answer that carries the
 //! identifier of another request, or reports success without the seal of the backend server, is
-//! not forwarded. Streams of numbered events are forwarded event by event, and resume at another
+//! not forwarded. Requests with a part of a prompt that crashes backend servers are kept away from
+//! them. Streams of numbered events are forwarded event by event, and resume at another
 //! backend server if the route allows it. A response with status 503 guarantees that the request
 //! has not run and will not run. See `docs/platform.md`.
 
@@ -40,6 +41,7 @@
 mod in_flight_request;
 mod limited_stream;
 mod load_receiver;
+mod part_guard;
 mod read_allowance;
 mod readiness;
 mod rejection;
@@ -48,7 +50,9 @@
 mod request_records;
 mod request_run;
 mod response;
+mod server_probe;
 mod shared;
+mod sighting_queue;
 mod stall_timer;
 mod stream_part;
 mod whole_stream;
--- a/crates/lift_gateway/src/stream_part.rs
+++ b/crates/lift_gateway/src/stream_part.rs
@@ -4,12 +4,17 @@
 
 use crate::exchange;
 
+/// Events at the beginning of an answer. A part of a prompt that crashes backend servers does so
+/// while they write these; an answer that is longer shows that its parts do not.
+const BEGINNING_EVENTS: u64 = 2;
+
 /// The part of a stream that one backend server sends.
 #[derive(Debug)]
 pub(crate) struct StreamPart {
     pub(crate) exchange: exchange::Exchange,
     is_continuation: bool,
-    has_events: bool,
+    /// Events that were complete.
+    events: u64,
 }
 
 impl StreamPart {
@@ -18,7 +23,7 @@
         Self {
             exchange,
             is_continuation: false,
-            has_events: false,
+            events: 0,
         }
     }
 
@@ -30,23 +35,21 @@
         }
     }
 
-    /// Records that an event was complete.
-    pub(crate) fn record_event(&mut self) {
-        self.has_events = true;
+    /// Records that `count` more events were complete.
+    pub(crate) fn record_events(&mut self, count: u64) {
+        self.events += count;
+    }
+
+    /// Whether the backend server has written more than the beginning of its answer.
+    pub(crate) fn is_under_way(&self) -> bool {
+        self.events > BEGINNING_EVENTS
     }
 
     /// Whether the end of the answer may be the end of the stream. An answer without any event may
     /// have broken off after its head if it ends with its connection, and as a continuation it
     /// shows nothing of the events that are missing.
     pub(crate) fn may_end(&self) -> bool {
-        self.has_events || (!self.is_continuation && self.has_known_end())
-    }
-
-    /// Whether the answer has a length or an end mark.
-    fn has_known_end(&self) -> bool {
-        let headers = &self.exchange.parts.headers;
-        headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING)
+        self.events > 0 || (!self.is_continuation && self.exchange.is_end_marked())
     }
 
     /// Type of the events, in lower case and without parameters.
--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -281,6 +281,18 @@
         got.map_or(0, |(status, _)| status)
     }
 
+    /// Calls with the parts of a prompt, separated by commas.
+    pub(crate) async fn call_with_parts(
+        &self,
+        route: &str,
+        id: &str,
+        parts: &str,
+    ) -> Result<(u16, String), String> {
+        let mut req = request(route, id, codec::KEY);
+        req.headers_mut().insert("x-parts", parts.parse().unwrap());
+        get(self.callers, req).await
+    }
+
     async fn send(&self, route: &str, id: &str, key: &str) -> Result<(u16, String), String> {
         get(self.callers, request(route, id, key)).await
     }
