Show that a rare part is blamed for servers that end in quick succession

Cause: a part is quarantined after three separate ends on requests with it and none answered since. Where half of the servers end at once and five more within 750 ms, that holds for a rare part by chance, and it stays refused until an answer in flight completes, or for ten minutes.

--- a/crates/lift_dispatch/tests/part_quarantine.rs
+++ b/crates/lift_dispatch/tests/part_quarantine.rs
@@ -75,6 +75,24 @@
     }
 }
 
+#[test]
+fn ordinary_crashes_in_quick_succession_quarantine_nothing() {
+    // Guards against blaming a rare part whose few requests were all at servers that ended.
+    for seed in 1..=4 {
+        let mut play = Play::new(5, 12, seed);
+        play.run(2_000, SOUND_PER_S, 0);
+        for _ in 0..6 {
+            play.end_servers(6);
+            for _ in 0..5 {
+                play.run(150, SOUND_PER_S, 0);
+                play.end_servers(1);
+            }
+            play.run(4_000, SOUND_PER_S, 0);
+        }
+        assert_eq!(play.counts.sound_refused, 0, "seed {seed}");
+    }
+}
+
 #[test]
 fn a_restarted_gateway_learns_the_quarantine_from_the_others() {
     // Guards against a gateway that lets the deadly part through again after its restart.
