--- a/crates/lift_consensus/src/lib.rs
+++ b/crates/lift_consensus/src/lib.rs
@@ -26,6 +26,7 @@
 mod progress;
 mod recovered_state;
 mod refusal;
+mod replay;
 mod replica;
 mod replica_config;
 mod replica_election;
--- a/crates/lift_consensus/src/replica.rs
+++ b/crates/lift_consensus/src/replica.rs
@@ -6,8 +6,8 @@
 use rand::rngs;
 
 use crate::{
-    action, entry, entry_log, event, hard_state, leadership_status, member_history, member_set,
-    message, message_body, progress, recovered_state, replica_config, role, snapshot, voting,
+    action, entry_log, event, hard_state, leadership_status, member_history, member_set, message,
+    message_body, progress, recovered_state, replay, replica_config, role, snapshot, voting,
     write_queue,
 };
 
@@ -30,11 +30,7 @@
     /// Index and received bytes of a snapshot that the leader is sending.
     pub(crate) incoming_snapshot: Option<(lift_types::LogIndex, bytes::BytesMut)>,
     pub(crate) commit: lift_types::LogIndex,
-    /// Term and commit index with which this member first heard from a leader, or became one.
-    /// Entries up to them are as old as the log.
-    pub(crate) first_contact: Option<(lift_types::Term, lift_types::LogIndex)>,
-    /// Whether all entries passed to the state machine may be older than this start.
-    pub(crate) is_replaying: bool,
+    pub(crate) replay: replay::Replay,
     /// Index of the last entry that was passed to the state machine.
     pub(crate) applying: lift_types::LogIndex,
     pub(crate) applied: lift_types::LogIndex,
@@ -88,8 +84,7 @@
             encoding_snapshot: false,
             incoming_snapshot: None,
             commit: snapshot_index,
-            first_contact: None,
-            is_replaying: true,
+            replay: replay::Replay::default(),
             applying: snapshot_index,
             applied: 0,
             role: role::Role::Follower,
@@ -219,35 +214,19 @@
         }
         let mut entries = self.log.slice(self.applying + 1, to, usize::MAX);
         self.applying = to;
-        if !self.is_replaying {
-            self.actions.push(action::Action::Apply(entries));
-            return;
-        }
-        let replayed = entries.iter().take_while(|entry| self.is_replayed(entry));
-        let new = entries.split_off(replayed.count());
+        let was_over = self.replay.is_over();
+        let new = self.replay.split_off_new(&mut entries);
         if !entries.is_empty() {
             self.actions.push(action::Action::Apply(entries));
         }
-        if !new.is_empty() {
-            self.is_replaying = false;
+        if !was_over && self.replay.is_over() {
             self.actions.push(action::Action::EndReplay);
+        }
+        if !new.is_empty() {
             self.actions.push(action::Action::Apply(new));
         }
     }
 
-    /// Whether an entry was in the log of the leader before this member first heard from one. After
-    /// a restart of all members the new leader may commit entries of earlier terms, which are old.
-    fn is_replayed(&self, entry: &entry::Entry) -> bool {
-        self.first_contact
-            .is_none_or(|(term, commit)| entry.term < term || entry.index <= commit)
-    }
-
-    /// Records the leader's commit index if this is the first contact with a leader.
-    pub(crate) fn record_contact(&mut self, commit: lift_types::LogIndex) {
-        let term = self.hard_state.term;
-        self.first_contact.get_or_insert((term, commit));
-    }
-
     pub(crate) fn message(
         &self,
         to: lift_types::MemberId,
--- a/crates/lift_consensus/src/replica_election.rs
+++ b/crates/lift_consensus/src/replica_election.rs
@@ -78,7 +78,7 @@
                 sent,
             } => {
                 self.on_leader_contact(now, from);
-                self.record_contact(commit);
+                self.replay.record_contact(self.hard_state.term, commit);
                 self.on_append(from, (prev_index, prev_term), entries, commit, sent);
             }
             message_body::MessageBody::SnapshotPart { .. } => {
--- a/crates/lift_consensus/src/replica_leader.rs
+++ b/crates/lift_consensus/src/replica_leader.rs
@@ -13,7 +13,8 @@
             .map(|id| (id, progress::Progress::new(next)))
             .collect();
         self.leader = Some(self.cfg.id);
-        self.record_contact(self.commit);
+        self.replay
+            .record_contact(self.hard_state.term, self.commit);
         self.incoming_snapshot = None;
         self.role = role::Role::Leader(Box::new(leader_state::LeaderState {
             progress,
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -37,20 +37,52 @@
             .await
             .map_err(attempt_error::AttemptError::Rejected)?;
         let now = lift_clock::now();
-        if now >= self.deadline {
-            return Err(attempt_error::AttemptError::Rejected(
-                self.deadline_reason(),
-            ));
-        }
-        if !self.shared.is_confirmed(now) {
-            let reason = match self.may_have_run {
-                true => lift_dispatch::RejectionReason::NoAnswer,
-                false => lift_dispatch::RejectionReason::Unconfirmed,
-            };
-            return Err(attempt_error::AttemptError::Rejected(reason));
-        }
+        self.check_still_valid(now)?;
         // The selection may have waited.
         self.check_parts()?;
+        let (call, version_held) = self.call(now, &backend, last_event);
+        self.tried.push(backend.id.clone());
+        match self.send(now, &backend, &call, version_held).await {
+            Ok(exchange) => {
+                self.servers_reached += 1;
+                self.may_have_run = true;
+                self.record_head_latency(&backend, now);
+                self.record_start(&exchange, now);
+                Ok(exchange)
+            }
+            Err(failure) => {
+                self.record_failed_attempt(&backend, failure, now);
+                self.record_break(&backend, failure).await;
+                Err(attempt_error::AttemptError::Failed(failure))
+            }
+        }
+    }
+
+    /// Checks that the deadline has not passed and that the configuration is confirmed.
+    fn check_still_valid(&self, now: time::Instant) -> Result<(), attempt_error::AttemptError> {
+        let reason = if now >= self.deadline {
+            self.deadline_reason()
+        } else if self.shared.is_confirmed(now) {
+            return Ok(());
+        } else if self.may_have_run {
+            lift_dispatch::RejectionReason::NoAnswer
+        } else {
+            lift_dispatch::RejectionReason::Unconfirmed
+        };
+        Err(attempt_error::AttemptError::Rejected(reason))
+    }
+
+    /// What a request that is sent to `backend` at `now` tells it, and the version of the weights that
+    /// it holds, if that is known.
+    fn call(
+        &self,
+        now: time::Instant,
+        backend: &lift_dispatch::Backend,
+        last_event: Option<u64>,
+    ) -> (
+        backend_call::BackendCall,
+        Option<lift_fleet::WeightsVersion>,
+    ) {
         let (weights, version_held) = self.shared.loads.read(backend.address, |load| {
             let sample = load.fresh_sample(now);
             let models = sample.map_or(&backend.models, |sample| &sample.models);
@@ -59,41 +91,38 @@
                 self.weights_requirement.version_held(models),
             )
         });
+        let work_deadline = self.work_deadline(now, version_held);
         let call = backend_call::BackendCall {
-            time_left: self
-                .work_deadline(now, version_held)
-                .saturating_duration_since(now),
+            time_left: work_deadline.saturating_duration_since(now),
             backend: backend.id.clone(),
             workspace: self.workspace.clone(),
             weights,
             last_event,
         };
-        let req = self.build_request(&call);
-        self.tried.push(backend.id.clone());
+        (call, version_held)
+    }
+
+    /// Sends the request to `backend` and waits for an answer that can be forwarded.
+    async fn send(
+        &self,
+        now: time::Instant,
+        backend: &sync::Arc<lift_dispatch::Backend>,
+        call: &backend_call::BackendCall,
+        version_held: Option<lift_fleet::WeightsVersion>,
+    ) -> Result<exchange::Exchange, lift_dispatch::AttemptFailure> {
+        let req = self.build_request(call);
         let in_flight =
-            in_flight_request::InFlightRequest::start(&self.shared, sync::Arc::clone(&backend));
+            in_flight_request::InFlightRequest::start(&self.shared, sync::Arc::clone(backend));
         let deadline = self.attempt_deadline(now, version_held);
         let is_repeatable = self.route.kind.is_repeatable();
         let id = &self.head.id;
-        let started =
+        let exchange =
             exchange::Exchange::start(&self.shared, in_flight, id, req, is_repeatable, deadline)
-                .await;
-        let failure = match started {
-            Ok(exchange) => match self.check_head(&exchange) {
-                None => {
-                    self.servers_reached += 1;
-                    self.may_have_run = true;
-                    self.record_head_latency(&backend, now);
-                    self.record_start(&exchange, now);
-                    return Ok(exchange);
-                }
-                Some(failure) => failure,
-            },
-            Err(failure) => failure,
-        };
-        self.record_failed_attempt(&backend, failure, now);
-        self.record_break(&backend, failure).await;
-        Err(attempt_error::AttemptError::Failed(failure))
+                .await?;
+        match self.check_head(&exchange) {
+            None => Ok(exchange),
+            Some(failure) => Err(failure),
+        }
     }
 
     /// Checks that no part of the prompt is quarantined.
