Date a naming by the question of the node, not by its arrival

What callers saw: a request answered on a version of the weights whose time was over (VERSION). Cause: a control member pushes a naming with its age, and a node subtracts the age from the time at which it reads the message. A gateway that stands still for up to 3 s while a version is named reads the age 0 at the end of the pause; its connections survive, and nothing corrects the time. It sends to servers with the older version, cancels and ends their work late by the length of the pause. Same class as the other VERSION faults: a time that is learned late counts as the time of the event. Change: while a naming is younger than a minute, a member sends the versions once more after its answer to a question, and the node counts their ages from the time of the question. The questions have a type of their own. Why it works: what is sent after an answer is not older than the question, however late it is read; the next question follows 0.4 s later at most at the leader.

--- a/crates/lift_feed/src/feed_link.rs
+++ b/crates/lift_feed/src/feed_link.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     ask_schedule, feed_error, feed_shared, feed_state, fleet_head, link_socket, member_message,
-    node_message, pack, server_connection, spread,
+    node_message, pack, questions, server_connection, spread,
 };
 
 /// Time without an answer after which a connection is replaced. It leaves some slack for a slow
@@ -45,9 +45,7 @@
         let mut link = Link {
             shared: sync::Arc::clone(&shared),
             address,
-            asked: Vec::new(),
-            nonce: 0,
-            schedule: ask_schedule::AskSchedule::default(),
+            questions: questions::Questions::default(),
         };
         let attempt: u32 = failures + 1;
         let timeout = match attempt.is_multiple_of(PATIENT_ATTEMPT) {
@@ -78,10 +76,7 @@
 struct Link {
     shared: sync::Arc<feed_shared::Shared>,
     address: net::SocketAddr,
-    /// Questions on their way, with the time at which they were asked.
-    asked: Vec<(u64, time::Instant)>,
-    nonce: u64,
-    schedule: ask_schedule::AskSchedule,
+    questions: questions::Questions,
 }
 
 impl Link {
@@ -123,7 +118,7 @@
                     }
                     self.measure_unanswered(now);
                     let leader_asked_at = self.shared.state.lock().leader_asked_at();
-                    if !self.schedule.is_due(now, leader_asked_at) {
+                    if !self.questions.schedule.is_due(now, leader_asked_at) {
                         continue;
                     }
                     push(&mut writer, &self.question(now))?;
@@ -138,31 +133,29 @@
 
     /// Whether nothing has been heard for too long since the oldest question without an answer.
     fn is_silent(&self, now: time::Instant, heard: time::Instant) -> bool {
-        let oldest = self.asked.first().map(|(_, at)| heard.max(*at));
+        let oldest = self.questions.oldest().map(|at| heard.max(at));
         oldest.is_some_and(|since| now.saturating_duration_since(since) > SILENCE)
     }
 
     /// Reports how long the oldest question has waited. On a congested link no answer arrives
     /// that could be measured.
     fn measure_unanswered(&self, now: time::Instant) {
-        if let Some((_, at)) = self.asked.first() {
-            let waited = now.saturating_duration_since(*at);
+        if let Some(at) = self.questions.oldest() {
+            let waited = now.saturating_duration_since(at);
             self.shared.observer.on_unanswered(self.address, waited);
         }
     }
 
     fn question(&mut self, now: time::Instant) -> node_message::NodeMessage {
-        self.schedule.record_question(now);
-        self.nonce += 1;
-        self.asked.push((self.nonce, now));
-        node_message::NodeMessage::Ask { nonce: self.nonce }
+        let nonce = self.questions.ask(now);
+        node_message::NodeMessage::Ask { nonce }
     }
 
-    /// When the question was asked that `nonce` answers. Earlier ones are dropped with it.
+    /// When the question was asked that `nonce` answers.
     fn asked_at(&mut self, nonce: u64) -> Option<time::Instant> {
-        let position = self.asked.iter().position(|(n, _)| *n == nonce)?;
-        let (_, at) = self.asked.drain(..=position).next_back()?;
-        let round_trip = lift_clock::now().saturating_duration_since(at);
+        let now = lift_clock::now();
+        let at = self.questions.answer(now, nonce)?;
+        let round_trip = now.saturating_duration_since(at);
         self.shared.observer.on_round_trip(self.address, round_trip);
         Some(at)
     }
@@ -177,7 +170,12 @@
                 shared.state.lock().members.name(lift_clock::now(), feeds);
                 observer.on_members(&members, highest);
             }
-            Message::Head(head) => return self.take_head(&head),
+            Message::Head(head) => return self.take_head(lift_clock::now(), &head),
+            Message::HeadAfter { nonce, head } => {
+                if let Some(asked_at) = self.questions.dated(nonce) {
+                    return self.take_head(asked_at, &head);
+                }
+            }
             Message::Document(document) => self.take_document(&document),
             Message::Backends(records) => observer.on_backends(records),
             Message::Nodes(nodes) => {
@@ -188,7 +186,7 @@
                 self.change_nodes(|state, link| state.node_down(link, host));
             }
             Message::Heard { nonce } => {
-                self.schedule.record_answer(false);
+                self.questions.schedule.record_answer(false);
                 self.asked_at(nonce);
             }
             Message::Confirmed { nonce, document } => {
@@ -200,9 +198,9 @@
         Next::Read
     }
 
-    fn take_head(&self, head: &fleet_head::FleetHead) -> Next {
-        let now = lift_clock::now();
-        let news = self.shared.state.lock().learn_weights(now, head);
+    /// Takes in versions that the member announced not before `at`. Their ages count from then.
+    fn take_head(&self, at: time::Instant, head: &fleet_head::FleetHead) -> Next {
+        let news = self.shared.state.lock().learn_weights(at, head);
         for (model, (version, named_at)) in news {
             let observer = &self.shared.observer;
             observer.on_weights(&model, version, named_at);
@@ -252,7 +250,7 @@
     }
 
     fn take_confirmation(&mut self, nonce: u64, version: lift_fleet::DocumentVersion) -> Next {
-        self.schedule.record_answer(true);
+        self.questions.schedule.record_answer(true);
         let Some(asked_at) = self.asked_at(nonce) else {
             return Next::Read;
         };
--- a/crates/lift_feed/src/feed_state.rs
+++ b/crates/lift_feed/src/feed_state.rs
@@ -12,6 +12,10 @@
 /// replaced have long been out of use.
 const EARLIER_MAX_AGE: time::Duration = time::Duration::from_secs(600);
 
+/// Difference from which an earlier time of a naming is news. Members apply a naming within a few
+/// milliseconds of each other.
+const MIN_CORRECTION: time::Duration = time::Duration::from_millis(50);
+
 /// Merged state of all connections of a node. It decides; the connections carry out.
 #[derive(Debug, Default)]
 pub(crate) struct FeedState {
@@ -40,25 +44,26 @@
 type Nodes = indexmap::IndexMap<lift_types::HostId, node_card::NodeCard>;
 
 impl FeedState {
-    /// Takes in versions that a member has announced. Returns the weights that are news.
+    /// Takes in versions that a member has announced at `at` or later. Returns the weights that are
+    /// news.
     ///
     /// Of one version the earliest time at which it was named counts: a member that was cut off
     /// has heard of it late. A member that can't tell is not asked while another one can.
     pub(crate) fn learn_weights(
         &mut self,
-        now: time::Instant,
+        at: time::Instant,
         head: &fleet_head::FleetHead,
     ) -> Vec<(lift_fleet::ModelName, Named)> {
         let mut news = Vec::new();
         for (model, named) in &head.weights {
             for earlier in &named.earlier {
-                news.extend(self.learn_earlier(now, model, earlier));
+                news.extend(self.learn_earlier(at, model, earlier));
             }
-            let named_at = named.named_for.and_then(|age| now.checked_sub(age));
+            let named_at = named.named_for.and_then(|age| at.checked_sub(age));
             let known = self.weights.get(model).copied();
             let is_news = match known {
                 Some((version, _)) if named.version != version => named.version > version,
-                Some((_, Some(at))) => named_at.is_some_and(|named_at| named_at < at),
+                Some((_, Some(known_at))) => named_at.is_some_and(|at| is_correction(at, known_at)),
                 Some((_, None)) => named_at.is_some(),
                 None => true,
             };
@@ -84,7 +89,7 @@
         let named_at = now.checked_sub(earlier.named_for)?;
         let key = (model.clone(), earlier.version);
         let known_at = self.earlier.get(&key);
-        if known_at.is_some_and(|known_at| *known_at <= named_at) {
+        if known_at.is_some_and(|known_at| !is_correction(named_at, *known_at)) {
             return None;
         }
         let is_recent = |at: &time::Instant| now.saturating_duration_since(*at) < EARLIER_MAX_AGE;
@@ -212,3 +217,8 @@
         self.merged.values().cloned().collect()
     }
 }
+
+/// Whether a naming at `named_at` is so much earlier than `known_at` that it is news.
+fn is_correction(named_at: time::Instant, known_at: time::Instant) -> bool {
+    named_at + MIN_CORRECTION <= known_at
+}
--- a/crates/lift_feed/src/lib.rs
+++ b/crates/lift_feed/src/lib.rs
@@ -44,6 +44,7 @@
 mod node_setup;
 mod node_setup_builder;
 mod pack;
+mod questions;
 mod server_connection;
 mod shared_sightings;
 mod sighting_cursor;
--- a/crates/lift_feed/src/member_message.rs
+++ b/crates/lift_feed/src/member_message.rs
@@ -39,6 +39,15 @@
     },
     /// Answer to a newcomer.
     Join(join_answer::JoinAnswer),
+    /// Versions in force when a question came, sent after its answer while a naming is recent. A
+    /// pushed [`Self::Head`] may lie in the socket of a node that stands still, and its ages look
+    /// younger than they are; those of this message count from the time of the question.
+    HeadAfter {
+        /// Number of the question.
+        nonce: u64,
+        /// The versions.
+        head: fleet_head::FleetHead,
+    },
     /// What gateways have observed. Only gateways receive it.
     PartSightings(Vec<lift_fleet::PartSighting>),
 }
--- a/crates/lift_feed/src/server_connection.rs
+++ b/crates/lift_feed/src/server_connection.rs
@@ -152,7 +152,15 @@
                 Some(document) => member_message::MemberMessage::Confirmed { nonce, document },
                 None => member_message::MemberMessage::Heard { nonce },
             };
-            push(writer, &answer)
+            push(writer, &answer)?;
+            let head = server.source.head();
+            match head.has_recent_weights() {
+                true => push(
+                    writer,
+                    &member_message::MemberMessage::HeadAfter { nonce, head },
+                ),
+                false => Ok(()),
+            }
         }
         node_message::NodeMessage::Fetch => {
             let Some(document) = server.source.document() else {
--- a/crates/lift_feed/tests/feed.rs
+++ b/crates/lift_feed/tests/feed.rs
@@ -254,3 +254,60 @@
     assert!(lift_feed::unpack(&bomb).is_ok());
     assert!(lift_feed::pack(&vec![0; 16 * 1024 * 1024 + 1]).is_err());
 }
+
+/// Runs a node that stands still for `pause` each time it is told, as a host that is suspended.
+fn start_pausing_node(
+    observer: sync::Arc<Observer>,
+    host: [u8; 4],
+    member: [u8; 4],
+) -> sync::mpsc::Sender<time::Duration> {
+    let (tx, rx) = sync::mpsc::channel::<time::Duration>();
+    std::thread::spawn(move || {
+        let mut runtime = tokio::runtime::Builder::new_current_thread();
+        let runtime = runtime.enable_all().build().unwrap();
+        runtime.block_on(async {
+            let _client = client(&observer, host, &[member]);
+            loop {
+                tokio::time::sleep(time::Duration::from_millis(5)).await;
+                match rx.try_recv() {
+                    Ok(pause) => std::thread::sleep(pause),
+                    Err(sync::mpsc::TryRecvError::Empty) => {}
+                    Err(sync::mpsc::TryRecvError::Disconnected) => return,
+                }
+            }
+        });
+    });
+    tx
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_stands_still_does_not_date_a_naming_by_its_arrival() {
+    let (member_host, pause) = ([127, 0, 90, 1], time::Duration::from_millis(2_150));
+    let member = Member::start(member_host).await;
+    member.source.put(1);
+    member.source.lead(true);
+    let observer = sync::Arc::new(Observer::default());
+    let seen = sync::Arc::clone(&observer);
+    let node = start_pausing_node(seen, [127, 0, 90, 9], member_host);
+    until("a confirmation", || observer.confirmed.lock().is_some()).await;
+    tokio::time::sleep(time::Duration::from_millis(1_000)).await;
+    node.send(pause).unwrap();
+    tokio::time::sleep(time::Duration::from_millis(150)).await;
+    let named_at = time::Instant::now();
+    let set_age = |age| {
+        *member.source.weights.lock() = Some(NamedWeights {
+            version: 2,
+            named_for: Some(age),
+            earlier: Vec::new(),
+        });
+    };
+    set_age(time::Duration::ZERO);
+    member.server.push_head(member.source.head());
+    while named_at.elapsed() < pause + time::Duration::from_secs(2) {
+        set_age(named_at.elapsed());
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+    let learned = observer.weights.lock().clone();
+    let late = learned.iter().map(|(_, at)| at.unwrap() - named_at).min();
+    assert!(late.unwrap() < time::Duration::from_millis(300), "{late:?}");
+}
