Take no limited commit index for the end of the replay

What callers could see: as in, an older version of the weights in use for longer. Cause: the replay ends after the commit index of the first contact with a leader, and a heartbeat limits that index to the last entry that it refers to. A member that returns while the leader probes its log sees a low one and takes the entries that it missed for new. Change: a contact counts only with a commit index below the end of its message, which was not limited. Why it works: a follower that is up to date still sees each new entry with the commit index before it. Measured: the tests of lift_consensus pass.

--- a/crates/lift_consensus/src/replay.rs
+++ b/crates/lift_consensus/src/replay.rs
@@ -12,7 +12,7 @@
 }
 
 impl Replay {
-    /// Records the term and commit index of a leader. Only the first contact counts.
+    /// Records the term and commit index of a leader. Only the first call counts.
     pub(crate) fn record_contact(&mut self, term: lift_types::Term, commit: lift_types::LogIndex) {
         self.first_contact.get_or_insert((term, commit));
     }
--- a/crates/lift_consensus/src/replica_election.rs
+++ b/crates/lift_consensus/src/replica_election.rs
@@ -78,7 +78,10 @@
                 sent,
             } => {
                 self.on_leader_contact(now, from);
-                self.replay.record_contact(self.hard_state.term, commit);
+                // A commit index that reaches the end of the message may be limited to it.
+                if commit < prev_index + entries.len() as u64 {
+                    self.replay.record_contact(self.hard_state.term, commit);
+                }
                 self.on_append(from, (prev_index, prev_term), entries, commit, sent);
             }
             message_body::MessageBody::SnapshotPart { .. } => {
--- a/crates/lift_consensus/tests/decisions.rs
+++ b/crates/lift_consensus/tests/decisions.rs
@@ -349,3 +349,13 @@
     let applied = append(&mut follower, later, vec![command(5, 3)], 5);
     assert_eq!(applied, [Some(5)]);
 }
+
+#[test]
+fn a_heartbeat_whose_commit_index_is_limited_does_not_end_the_replay() {
+    let now = time::Instant::now() + time::Duration::from_secs(1);
+    let mut follower = replica(1, 2, time::Instant::now());
+    assert_eq!(append(&mut follower, now, Vec::new(), 0), []);
+    let missed = vec![command(1, 3), command(2, 3)];
+    let applied = append(&mut follower, now, missed, 2);
+    assert_eq!(applied, [Some(1), Some(2)]);
+}
