Show that a replayed naming is lost to a gateway that starts late

Cause: a member does not know when a naming was made that it has replayed, and leaves it out of the earlier ones. A gateway that starts after the next naming then allows the version before both for the whole time of the second. Found by the reviewer. Listing the version as expired would be no fix: a gateway that hears the restarted member first would refuse servers whose time is not over, and the_head_tells_when_earlier_versions_were_named asks for the present answer. A fix needs an age that is known to be unknown, and a later correction of it.

--- a/crates/lift_registry/tests/namings.rs
+++ b/crates/lift_registry/tests/namings.rs
@@ -48,3 +48,17 @@
     name(&machine, 2, 3);
     assert!(machine.head().weights["m"].named_for.is_some());
 }
+
+#[test]
+fn a_replayed_naming_counts_for_a_gateway_that_starts_after_the_next_one() {
+    let machine = lift_registry::FleetStateMachine::new();
+    name(&machine, 1, 2);
+    machine.end_replay();
+    name(&machine, 2, 3);
+    let versions: Vec<_> = machine.head().weights["m"]
+        .earlier
+        .iter()
+        .map(|e| e.version)
+        .collect();
+    assert_eq!(versions, [2]);
+}
