Review case 2: stay clear of the excuse and of shares

Cause: the rule excuses a piece that has turned bad in the last 3 s, and a slow server is named with a share that one replica of one exceeds.

Done: the late piece is staged more than 3 s before the order, and only servers that fall silent for a second or so are used. The stand-ins write streams event by event.

--- a/review/play.sh
+++ b/review/play.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays a case: play.sh FOLDER PROGRAM [ARGUMENT]. Exit code 1: the rule was broken, 0: it held, 2: the case
+# Plays a case: play.sh FOLDER PROGRAM. Exit code 1: the rule was broken, 0: it held, 2: the case
 # could not run.
 set -u
 here=$1
@@ -14,11 +14,10 @@
       grep -qs "$folder" "/proc/$pid/cmdline" && kill -9 "$pid"
     done <"$folder/pids"
   fi
-  [ -n "${KEEP:-}" ] && cp -r "$folder" "$KEEP"
   rm -rf "$folder"
 }
 trap clean_up EXIT
 trap 'exit 2' INT TERM
-RECORD="$here/record.txt" FOLDER="$folder" timeout -k 5 110 "$program" "${@:3}"
+RECORD="$here/record.txt" FOLDER="$folder" timeout -k 5 110 "$program"
 code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/standin/src/bin/weights.rs
+++ b/review/standin/src/bin/weights.rs
@@ -1,5 +1,5 @@
 //! Case: a second version is named while the origin is silent on a piece of the first, and the
-//! replica is slow when the second one is read back.
+//! replica is silent now and then while the second one is read back.
 
 use std::{
     process::ExitCode,
@@ -24,7 +24,8 @@
 const SILENCE: Silence = Silence {
     version: 2,
     index: 2,
-    lasts: Duration::from_millis(1_700),
+    shortest: Duration::from_millis(1_200),
+    longest: Duration::from_millis(2_000),
 };
 
 fn main() -> ExitCode {
@@ -41,14 +42,16 @@
     let controls = fleet.controls();
     let (origin, replica) = ((fleet.ip(51), 8_006).into(), (fleet.ip(31), 8_744).into());
     fleet.add("agent-1", Role::Agent(replica), 31);
-    let silence_begins = Origin::start(record, origin, has_trouble.then_some(SILENCE))?;
     let replica = ModelReplica::start(
         record,
         "model",
         replica,
         controls.clone(),
         has_trouble.then_some(3),
+        None,
     )?;
+    let goes_on = replica.has_paused.clone();
+    let silence_begins = Origin::start(record, origin, has_trouble.then_some(SILENCE), goes_on)?;
     fleet.start_all()?;
     let document = Document::new(1)
         .engines(
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, BufRead as _, BufReader, Read as _},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -18,6 +18,9 @@
     pub first: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// Chunks that are sent in place of a body, each after the pause.
+    pub chunks: Vec<String>,
+    pub pause: Duration,
 }
 
 impl Message {
@@ -25,8 +28,8 @@
     pub fn answer(status: &str, body: impl Into<Vec<u8>>) -> Self {
         Self {
             first: format!("HTTP/1.1 {status}"),
-            headers: Vec::new(),
             body: body.into(),
+            ..Self::default()
         }
     }
 
@@ -78,6 +81,15 @@
         for (name, value) in &self.headers {
             text.push_str(&format!("{name}: {value}\r\n"));
         }
+        if !self.chunks.is_empty() {
+            text.push_str("Transfer-Encoding: chunked\r\n\r\n");
+            to.write_all(text.as_bytes())?;
+            for chunk in &self.chunks {
+                thread::sleep(self.pause);
+                to.write_all(format!("{:x}\r\n{chunk}\r\n", chunk.len()).as_bytes())?;
+            }
+            return to.write_all(b"0\r\n\r\n");
+        }
         text.push_str(&format!("Content-Length: {}\r\n\r\n", self.body.len()));
         let mut bytes = text.into_bytes();
         bytes.extend_from_slice(&self.body);
@@ -140,7 +152,7 @@
 const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Serves `handler` on a thread for each connection. Once `has_ended`, the listener is closed, so
-/// that new connections are refused.
+/// that new connections are refused, and then all connections, as at the end of a process.
 pub fn serve(
     listener: TcpListener,
     handler: Handler,
@@ -148,14 +160,21 @@
 ) -> io::Result<()> {
     listener.set_nonblocking(true)?;
     thread::spawn(move || {
+        let mut connections: Vec<TcpStream> = Vec::new();
         while !has_ended.load(Ordering::Acquire) {
             let Ok((stream, _)) = listener.accept() else {
                 thread::sleep(ACCEPT_INTERVAL);
                 continue;
             };
+            connections.retain(|stream| stream.peer_addr().is_ok());
+            connections.extend(stream.try_clone());
             let handler = Arc::clone(&handler);
             thread::spawn(move || serve_connection(&stream, &handler));
         }
+        drop(listener);
+        for stream in connections {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
     });
     Ok(())
 }
--- a/review/standin/src/model_replica.rs
+++ b/review/standin/src/model_replica.rs
@@ -20,12 +20,14 @@
 /// Time that a read from the staging area takes.
 const READ: Duration = Duration::from_millis(8);
 
-/// How many times as long its work takes while it is slow, and for how long it is.
-const SLOW_FACTOR: u32 = 5;
-const SLOW: Duration = Duration::from_millis(6_500);
+/// Pieces at whose read-back the replica falls silent, where it does, and for how long: less than a
+/// second each time.
+const PAUSES_AT: [u32; 4] = [10, 30, 50, 70];
+const PAUSE: Duration = Duration::from_millis(900);
 
-/// Events of a stream.
-const EVENTS: u64 = 4;
+/// Events of a stream, and the time that it takes to write a token.
+const EVENTS: u64 = 8;
+const TOKEN: Duration = Duration::from_millis(8);
 
 /// Weights of the replica.
 #[derive(Debug, Default)]
@@ -36,63 +38,91 @@
     wrong_pieces: Vec<u32>,
     loading: Option<u64>,
     orders: u64,
-    /// Version at whose first read-back it turns slow.
-    slow_at: Option<u64>,
-    slow_until: Option<Instant>,
+    /// Version during whose read-back before the order it falls silent now and then.
+    pauses_at: Option<u64>,
+}
+
+/// A part of prompts that crashes the replica when it begins to write an answer on it.
+#[derive(Clone, Debug)]
+pub struct Deadly {
+    pub part: String,
+    /// Time after which the replica is back.
+    pub down: Duration,
+    /// Whether it starts again under the identifier that it had.
+    pub keeps_id: bool,
+}
+
+/// A request that began to run.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub id: String,
+    pub is_deadly: bool,
+    pub at: Instant,
 }
 
 /// A replica with an engine, on which version 1 is loaded and staged.
 #[derive(Debug)]
 pub struct ModelReplica {
-    id: String,
+    id: Mutex<String>,
     service: String,
     address: SocketAddr,
     controls: Vec<SocketAddr>,
     record: Record,
-    born: u128,
+    born: Mutex<u128>,
     sequence: AtomicU64,
     engine: Mutex<Engine>,
+    /// Whether it has fallen silent.
+    pub has_paused: Arc<AtomicBool>,
+    /// Nothing is answered until then.
+    silent_until: Mutex<Option<Instant>>,
+    /// Whether the present start has ended.
+    has_ended: Mutex<Arc<AtomicBool>>,
+    /// Part of prompts that crashes the replica, if any.
+    deadly: Option<Deadly>,
+    /// Requests that reached the replica, with the deadly part and without it, and began to run.
+    pub runs: Mutex<Vec<Arrival>>,
+    /// When it crashed.
+    pub crashes: Mutex<Vec<Instant>>,
     /// Streams whose tokens were made with pieces of another version.
     pub mixed: Mutex<Vec<String>>,
 }
 
 impl ModelReplica {
-    /// Starts a replica. `slow_at` is the version at whose read-back before the order it turns slow.
+    /// Starts a replica. `pauses_at` is the version during whose read-back before the order it
+    /// falls silent now and then.
     pub fn start(
         record: &Record,
         service: &str,
         address: SocketAddr,
         controls: Vec<SocketAddr>,
-        slow_at: Option<u64>,
+        pauses_at: Option<u64>,
+        deadly: Option<Deadly>,
     ) -> io::Result<Arc<Self>> {
-        let born = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_err(io::Error::other)?;
         let replica = Arc::new(Self {
-            id: String::from("i-model-1"),
+            id: Mutex::new(format!("i-model-{}", address.ip())),
             service: String::from(service),
             address,
             controls,
             record: record.clone(),
-            born: born.as_millis(),
+            born: Mutex::new(since_epoch()),
             sequence: AtomicU64::new(0),
             engine: Mutex::new(Engine {
                 staged: (0..weights::PIECES)
                     .map(|i| (i, weights::piece(1, i)))
                     .collect(),
                 version: 1,
-                slow_at,
+                pauses_at,
                 ..Engine::default()
             }),
+            has_paused: Arc::default(),
+            silent_until: Mutex::default(),
+            has_ended: Mutex::default(),
+            deadly,
+            runs: Mutex::default(),
+            crashes: Mutex::default(),
             mixed: Mutex::default(),
         });
-        let serving = Arc::clone(&replica);
-        let handler: http::Handler = Arc::new(move |request| Some(serving.answer(&request)));
-        http::serve(
-            TcpListener::bind(address)?,
-            handler,
-            Arc::new(AtomicBool::new(false)),
-        )?;
+        replica.listen()?;
         let beating = Arc::clone(&replica);
         thread::spawn(move || {
             loop {
@@ -103,6 +133,67 @@
         Ok(replica)
     }
 
+    /// Serves until this start ends.
+    fn listen(self: &Arc<Self>) -> io::Result<()> {
+        let has_ended = Arc::new(AtomicBool::new(false));
+        *self.has_ended.lock().expect("end lock") = Arc::clone(&has_ended);
+        let (serving, ended) = (Arc::clone(self), Arc::clone(&has_ended));
+        let handler: http::Handler = Arc::new(move |request| {
+            let answer = serving.answer(&request, &ended);
+            answer.filter(|_| !ended.load(Ordering::Acquire))
+        });
+        http::serve(TcpListener::bind(self.address)?, handler, has_ended)
+    }
+
+    /// Ends the process, and starts it again some seconds later with empty memory. What is staged
+    /// survives.
+    fn crash(self: &Arc<Self>, deadly: &Deadly) {
+        let ended = Arc::clone(&self.has_ended.lock().expect("end lock"));
+        if ended.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        self.crashes
+            .lock()
+            .expect("crash lock")
+            .push(Instant::now());
+        self.record.line(&format!("{} crashes", self.id()));
+        {
+            let mut engine = self.engine.lock().expect("engine lock");
+            let staged = std::mem::take(&mut engine.staged);
+            *engine = Engine {
+                staged,
+                ..Engine::default()
+            };
+        }
+        let (replica, deadly) = (Arc::clone(self), deadly.clone());
+        thread::spawn(move || {
+            thread::sleep(deadly.down);
+            let born = since_epoch();
+            *replica.born.lock().expect("born lock") = born;
+            replica.sequence.store(0, Ordering::Release);
+            if !deadly.keeps_id {
+                *replica.id.lock().expect("id lock") = format!("i-model-{born}");
+            }
+            let started = replica.listen();
+            replica
+                .record
+                .line(&format!("{} is back: {started:?}", replica.id()));
+            replica.beat();
+        });
+    }
+
+    /// Its present identifier.
+    pub fn id(&self) -> String {
+        self.id.lock().expect("id lock").clone()
+    }
+
+    fn has_ended(&self) -> bool {
+        self.has_ended
+            .lock()
+            .expect("end lock")
+            .load(Ordering::Acquire)
+    }
+
     /// Version that is loaded.
     pub fn version(&self) -> u64 {
         self.engine.lock().expect("engine lock").version
@@ -117,7 +208,10 @@
     }
 
     fn beat(&self) {
-        let target = format!("/v1/replicas/{}/heartbeat", self.id);
+        if self.has_ended() {
+            return;
+        }
+        let target = format!("/v1/replicas/{}/heartbeat", self.id());
         let body = format!(
             r#"{{"service-name":"{}","address":"{}","zone":"zone-a","version":"v1","slots":16,
             "state":"ready","cold-left-ms":0,"stage":"both","models":{},"seq":{},"born":{}}}"#,
@@ -125,7 +219,7 @@
             self.address,
             self.models(),
             self.sequence.fetch_add(1, Ordering::AcqRel) + 1,
-            self.born,
+            self.born.lock().expect("born lock"),
         );
         for at in &self.controls {
             let called = fleet::call_once(*at, "POST", &target, &body);
@@ -135,20 +229,28 @@
         }
     }
 
-    fn answer(self: &Arc<Self>, request: &http::Message) -> http::Message {
+    fn answer(
+        self: &Arc<Self>,
+        request: &http::Message,
+        ended: &AtomicBool,
+    ) -> Option<http::Message> {
+        if ended.load(Ordering::Acquire) {
+            return None;
+        }
+        self.stand_still();
         let index = request
             .query("sample-count")
             .and_then(|i| i.parse::<u32>().ok());
-        match (request.method(), request.path()) {
+        Some(match (request.method(), request.path()) {
             ("GET", "/v1/report") => self.report(),
             ("GET", path) if path.starts_with("/v1/stage-get/") => self.stage_get(index),
             ("PUT", path) if path.starts_with("/v1/stage-put/") => {
                 self.stage_put(index, &request.body)
             }
             ("POST", "/v1/order") => self.order(&request.body),
-            ("GET", "/health") => http::Message::answer("200 OK", "").with("Replica-Id", &self.id),
-            _ => self.run(request),
-        }
+            ("GET", "/health") => http::Message::answer("200 OK", "").with("Replica-Id", self.id()),
+            _ => return self.run(request),
+        })
     }
 
     fn report(&self) -> http::Message {
@@ -170,7 +272,9 @@
             let body = format!(r#"{{"held":[{}]}}"#, held.join(","));
             return http::Message::answer("200 OK", body).with("Content-Type", "application/json");
         };
-        thread::sleep(self.read_time());
+        self.pause(index);
+        self.stand_still();
+        thread::sleep(READ);
         let engine = self.engine.lock().expect("engine lock");
         match engine.staged.get(&index) {
             Some(piece) => http::Message::answer("200 OK", piece.clone()),
@@ -178,27 +282,32 @@
         }
     }
 
-    /// Time that the next read takes. The replica turns slow when a version that is staged whole is
-    /// read back.
-    fn read_time(&self) -> Duration {
-        let mut engine = self.engine.lock().expect("engine lock");
-        let is_whole = |version| {
-            (0..weights::PIECES).all(|i| engine.staged.get(&i) == Some(&weights::piece(version, i)))
+    /// Falls silent at a read-back of a version that is staged whole, if it is to.
+    fn pause(&self, index: u32) {
+        let version = self.engine.lock().expect("engine lock").pauses_at;
+        let Some(version) = version.filter(|_| PAUSES_AT.contains(&index)) else {
+            return;
         };
-        if engine.slow_at.is_some_and(is_whole) {
-            engine.slow_at = None;
-            engine.slow_until = Some(Instant::now() + SLOW);
-            self.record.say(&format!(
-                "replica turns slow for {SLOW:?}: a read takes {:?}",
-                READ * SLOW_FACTOR
-            ));
+        let mut is_whole = true;
+        for i in index..weights::PIECES {
+            let engine = self.engine.lock().expect("engine lock");
+            is_whole &= engine.staged.get(&i) == Some(&weights::piece(version, i));
         }
-        match engine
-            .slow_until
-            .is_some_and(|until| Instant::now() < until)
-        {
-            true => READ * SLOW_FACTOR,
-            false => READ,
+        if is_whole {
+            self.record.say(&format!("replica is silent for {PAUSE:?} at the read-back of piece {index} of version {version}"));
+            self.has_paused.store(true, Ordering::Release);
+            *self.silent_until.lock().expect("silence lock") = Some(Instant::now() + PAUSE);
+        }
+    }
+
+    /// Waits while the replica is silent.
+    fn stand_still(&self) {
+        loop {
+            let until = *self.silent_until.lock().expect("silence lock");
+            match until.map(|until| until.saturating_duration_since(Instant::now())) {
+                Some(left) if !left.is_zero() => thread::sleep(left),
+                _ => return,
+            }
         }
     }
 
@@ -256,7 +365,16 @@
         http::Message::answer("202 Accepted", "")
     }
 
-    fn run(&self, request: &http::Message) -> http::Message {
+    /// Time between two events, from the number of tokens that the request asks for.
+    fn event_pause(&self, request: &http::Message) -> Duration {
+        let count = request
+            .header("token-count")
+            .and_then(|c| c.split(',').nth(1));
+        let tokens: u32 = count.and_then(|c| c.parse().ok()).unwrap_or_default();
+        TOKEN * tokens / EVENTS as u32
+    }
+
+    fn run(self: &Arc<Self>, request: &http::Message) -> Option<http::Message> {
         let id = String::from(request.header("request-id").unwrap_or_default());
         let engine = self.engine.lock().expect("engine lock");
         let (version, wrong, is_loading) = (
@@ -269,20 +387,38 @@
             let answer = http::Message::answer(status, "");
             answer
                 .with("Request-Id", &id)
-                .with("Replica-Id", &self.id)
+                .with("Replica-Id", self.id())
                 .with("Not-Executed", "1")
         };
         let is_other = request
             .header("expect-replica")
-            .is_some_and(|expected| expected != self.id);
+            .is_some_and(|expected| expected != self.id());
         let expected = request
             .header("expect-version")
             .and_then(|v| v.parse::<u64>().ok());
         if is_other || expected.is_some_and(|expected| expected != version) {
-            return not_run("421 Misdirected Request");
+            return Some(not_run("421 Misdirected Request"));
+        }
+        if is_loading || version == 0 {
+            return Some(not_run("503 Service Unavailable"));
         }
-        if is_loading {
-            return not_run("503 Service Unavailable");
+        let prefix = request.header("prompt-prefix").unwrap_or_default();
+        let has_part =
+            |deadly: &&Deadly| prefix.split(',').any(|part| part.starts_with(&deadly.part));
+        let deadly = self.deadly.as_ref().filter(has_part);
+        let arrival = Arrival {
+            id: id.clone(),
+            is_deadly: deadly.is_some(),
+            at: Instant::now(),
+        };
+        self.runs.lock().expect("runs lock").push(arrival);
+        if let Some(deadly) = deadly {
+            self.record.line(&format!(
+                "{} begins to write on {id}, which has the deadly part",
+                self.id()
+            ));
+            self.crash(deadly);
+            return None;
         }
         if wrong.is_empty() {
             self.record
@@ -292,14 +428,19 @@
             self.mixed.lock().expect("mixed lock").push(id.clone());
         }
         let event = |n| format!("id: {n}\ndata: {id} {n}\n\n");
-        let body: String = (1..=EVENTS).map(event).collect();
-        let answer = http::Message::answer("200 OK", body);
+        let mut answer = http::Message::answer("200 OK", "");
+        answer.chunks = (1..=EVENTS).map(event).collect();
+        answer.pause = self.event_pause(request);
         let answer = answer
             .with("Content-Type", "text/event-stream")
-            .with("Request-Id", &id);
-        let answer = answer
-            .with("Replica-Id", &self.id)
+            .with("Request-Id", &id)
+            .with("Replica-Id", self.id())
             .with("Replica-Seal", format!("seal.{id}"));
-        answer.with("Weight-Versions", version)
+        Some(answer.with("Weight-Versions", version))
     }
 }
+
+fn since_epoch() -> u128 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis())
+}
--- a/review/standin/src/origin.rs
+++ b/review/standin/src/origin.rs
@@ -3,7 +3,11 @@
 use std::{
     io,
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Mutex, atomic::AtomicBool, mpsc},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+        mpsc,
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -15,8 +19,10 @@
 pub struct Silence {
     pub version: u64,
     pub index: u32,
-    /// How long it is silent on the connection that asks for the piece.
-    pub lasts: Duration,
+    /// How long it is silent at least and at most on the connection that asks for the piece. In
+    /// between it goes on when it is told.
+    pub shortest: Duration,
+    pub longest: Duration,
 }
 
 /// Hands out manifests and pieces at the rate of its link.
@@ -27,14 +33,16 @@
     free_at: Mutex<Instant>,
     silence: Mutex<Option<Silence>>,
     has_begun: mpsc::SyncSender<()>,
+    goes_on: Arc<AtomicBool>,
 }
 
 impl Origin {
-    /// Starts the origin. The receiver is told when the silence begins.
+    /// Starts the origin. The receiver is told when the silence begins; `goes_on` ends it.
     pub fn start(
         record: &Record,
         address: SocketAddr,
         silence: Option<Silence>,
+        goes_on: Arc<AtomicBool>,
     ) -> io::Result<mpsc::Receiver<()>> {
         let (has_begun, begun) = mpsc::sync_channel(1);
         let origin = Arc::new(Self {
@@ -42,6 +50,7 @@
             free_at: Mutex::new(Instant::now()),
             silence: Mutex::new(silence),
             has_begun,
+            goes_on,
         });
         let handler: http::Handler = Arc::new(move |request| Some(origin.answer(&request)));
         http::serve(
@@ -75,11 +84,14 @@
         match silence {
             Some(silence) => {
                 self.record.say(&format!(
-                    "origin is silent for {:?} on piece {index} of version {version}",
-                    silence.lasts
+                    "origin is silent on piece {index} of version {version}"
                 ));
                 let _ = self.has_begun.try_send(());
-                thread::sleep(silence.lasts);
+                let began = Instant::now();
+                thread::sleep(silence.shortest);
+                while began.elapsed() < silence.longest && !self.goes_on.load(Ordering::Acquire) {
+                    thread::sleep(Duration::from_millis(5));
+                }
                 self.record.say(&format!(
                     "origin goes on and sends piece {index} of version {version}"
                 ));
--- a/review/standin/src/replica.rs
+++ b/review/standin/src/replica.rs
@@ -42,8 +42,6 @@
     is_draining: AtomicBool,
     /// It says that it leaves in all its answers, and sends no more heartbeats.
     pub is_leaving: AtomicBool,
-    /// It can't reach control, nor control it.
-    pub is_cut: AtomicBool,
     has_ended: Arc<AtomicBool>,
     /// When it gave its first answer that says that it leaves.
     pub left_said: Mutex<Option<Instant>>,
@@ -66,7 +64,6 @@
             sequence: AtomicU64::new(0),
             is_draining: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
-            is_cut: AtomicBool::new(false),
             has_ended: Arc::new(AtomicBool::new(false)),
             left_said: Mutex::default(),
             runs: Mutex::default(),
@@ -97,9 +94,6 @@
     }
 
     fn beat(&self, at: SocketAddr) -> bool {
-        if self.is_cut.load(Ordering::Acquire) {
-            return false;
-        }
         let target = format!("/v1/replicas/{}/heartbeat", self.settings.id);
         let state = if self.is_draining.load(Ordering::Acquire) {
             "draining"
@@ -126,10 +120,6 @@
             .say(&format!("{} leaves: it sends deregister", self.settings.id));
         let target = format!("/v1/replicas/{}/deregister", self.settings.id);
         let body = format!(r#"{{"born":{}}}"#, self.born);
-        if self.is_cut.load(Ordering::Acquire) {
-            thread::sleep(limit);
-            return None;
-        }
         fleet::call_until(&self.settings.controls, &target, &body, limit)
     }
 
