Review case 3: let the freeze last long enough for any role

Cause: with a freeze of 5 s the case failed to show the fault when the frozen member had led, since the next leader waits for 4 s from its own start.

Done: a freeze of 6.5 s; the longest one of the site file is 6.6 s.

--- a/review/standin/src/bin/replaced.rs
+++ b/review/standin/src/bin/replaced.rs
@@ -19,7 +19,7 @@
 const KEY: &str = "jnbanfqasnmgkcuyj8pj";
 
 /// How long a machine freezes.
-const FREEZE: Duration = Duration::from_secs(5);
+const FREEZE: Duration = Duration::from_millis(6_500);
 
 /// `catch-up-s` and `recovery-s` of the site.
 const CATCH_UP: Duration = Duration::from_secs(4);
