Keep the staging area unchanged from its read-back to the order

Version 3 was named while the origin was silent on a piece of version 2.

Cause: an agent took a request that it no longer waited for to be one that no longer happens. A read from the origin outlived its transfer and was staged without asking whether its version was still wanted. The same holds for a write that the server has read but answers late, for one of an earlier process of the agent, and for an order that is accepted when pieces of the next version have been written. The server overwrites and loads unchecked, so each of them mixes versions if it takes effect after the read-back, or after the pieces.

Cancelling the read alone was considered: it passes the case and leaves the other three.

Change: StagingArea is the only way to write and to order. Writes share the area and check their version after any wait; an order has it alone from the start of the read-back to its answer. Both are carried out to their end although the caller gives up after 1 s, and one without an answer keeps the area for 2 s more. HttpError and StageError tell what was never sent or was refused. A new process waits 2 s before its first order, and before it writes where pieces lie. A transfer ends its reads from the origin when it ends.

Why it works: between read-back and order nothing can change the area, whatever the order in which the server acts on its connections.

--- a/crates/lift_border/src/http_client.rs
+++ b/crates/lift_border/src/http_client.rs
@@ -21,10 +21,16 @@
 /// Time in which an answer must be complete, also where its sender sends something now and then.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
-/// A request could not be completed.
+/// Why a request could not be completed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the HTTP request could not be completed")]
-pub struct HttpError;
+pub enum HttpError {
+    /// No connection could be opened, so nothing was sent.
+    #[error("no connection could be opened for the HTTP request")]
+    NotConnected,
+    /// The connection or the answer broke, or took too long. The request may have run.
+    #[error("the HTTP request could not be completed")]
+    Broken,
+}
 
 /// Client of one system, given by the start of its URLs.
 #[derive(Clone, Debug)]
@@ -69,8 +75,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error where the connection or the answer broke, or where the answer is too long
-    /// or takes too long. The request may have run.
+    /// Returns [`HttpError::NotConnected`] where nothing was sent, and [`HttpError::Broken`] where the
+    /// connection or the answer broke, or where the answer is too long or takes too long.
     pub async fn send(
         &self,
         req: http::request::Builder,
@@ -78,19 +84,25 @@
     ) -> Result<http::Response<bytes::Bytes>, error_stack::Report<HttpError>> {
         let req = req
             .body(http_body_util::Full::new(body))
-            .change_context(HttpError)?;
+            .change_context(HttpError::Broken)?;
         let answered = tokio::time::timeout(ANSWER_TIMEOUT, self.answer(req)).await;
-        answered.change_context(HttpError)?
+        answered.change_context(HttpError::Broken)?
     }
 
     async fn answer(
         &self,
         req: http::Request<http_body_util::Full<bytes::Bytes>>,
     ) -> Result<http::Response<bytes::Bytes>, error_stack::Report<HttpError>> {
-        let reply = self.client.request(req).await.change_context(HttpError)?;
+        let reply = self.client.request(req).await.map_err(|e| {
+            let kind = match e.is_connect() {
+                true => HttpError::NotConnected,
+                false => HttpError::Broken,
+            };
+            error_stack::Report::new(e).change_context(kind)
+        })?;
         let (head, body) = reply.into_parts();
         let body = http_body_util::Limited::new(body, MAX_BODY_BYTES);
-        let body = body.collect().await.map_err(|_| HttpError)?;
+        let body = body.collect().await.map_err(|_| HttpError::Broken)?;
         Ok(http::Response::from_parts(head, body.to_bytes()))
     }
 
@@ -104,7 +116,7 @@
         req: http::request::Builder,
         message: &T,
     ) -> Result<http::Response<bytes::Bytes>, error_stack::Report<HttpError>> {
-        let body = serde_json::to_vec(message).change_context(HttpError)?;
+        let body = serde_json::to_vec(message).change_context(HttpError::Broken)?;
         let req = req.header(http::header::CONTENT_TYPE, "application/json");
         self.send(req, bytes::Bytes::from(body)).await
     }
--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -47,6 +47,8 @@
     /// Agents that can't be reached or are silent. Others take over what they are to read.
     suspects: parking_lot::Mutex<indexmap::IndexSet<lift_types::HostId>>,
     done: watch::Sender<bool>,
+    /// Ends the reads from the origin, whose answers nobody needs after the transfer.
+    stop: tokio_util::sync::CancellationToken,
     pub(crate) from_origin: atomic::AtomicU32,
     from_agents: atomic::AtomicU32,
 }
@@ -73,12 +75,14 @@
             links: parking_lot::Mutex::default(),
             suspects: parking_lot::Mutex::default(),
             done: watch::Sender::new(false),
+            stop: tokio_util::sync::CancellationToken::new(),
             from_origin: atomic::AtomicU32::new(0),
             from_agents: atomic::AtomicU32::new(0),
         });
         for chunk in staged.all() {
             fetch.step(lift_transfer::DownloadEvent::Held { chunk });
         }
+        let _stop = fetch.stop.clone().drop_guard();
         let started = lift_clock::now();
         let result = fetch.follow().await;
         let took = lift_clock::now().saturating_duration_since(started);
@@ -205,7 +209,8 @@
             }
             lift_transfer::Source::Origin => {
                 let fetch = sync::Arc::clone(self);
-                tokio::spawn(async move { fetch.read_origin(chunk).await });
+                let reading = async move { fetch.read_origin(chunk).await };
+                tokio::spawn(self.stop.clone().run_until_cancelled_owned(reading));
             }
         }
     }
@@ -253,10 +258,10 @@
             self.step(lift_transfer::DownloadEvent::Arrived { chunk, source });
             return;
         }
-        let putting = self.shared.stage.put_piece(&manifest.model, chunk, bytes);
-        match shared::within(shared::BACKEND_TIMEOUT, putting).await {
+        let area = &self.shared.staging_area;
+        let writing = area.write(&self.shared.staged, &self.staged, chunk, bytes);
+        match writing.await {
             Ok(()) => {
-                self.staged.add(chunk);
                 let tally = match source {
                     lift_transfer::Source::Origin => &self.from_origin,
                     lift_transfer::Source::Peer(_) => &self.from_agents,
@@ -264,17 +269,32 @@
                 tally.fetch_add(1, atomic::Ordering::Relaxed);
                 self.step(lift_transfer::DownloadEvent::Arrived { chunk, source });
             }
-            Err(_) => {
-                self.shared.counters.increment("agent.stage_failed");
-                self.step(lift_transfer::DownloadEvent::Refused {
-                    chunk,
-                    source,
-                    retry_after: None,
-                });
-            }
+            Err(e) => self.give_up_write(chunk, source, e.current_context()),
         }
     }
 
+    /// Notes that a piece could not be staged. Pieces that came too late for their version are
+    /// counted apart: they are no sign of trouble at the backend server.
+    fn give_up_write(
+        self: &sync::Arc<Self>,
+        chunk: lift_types::ChunkIndex,
+        source: lift_transfer::Source,
+        error: &stage_error::StageError,
+    ) {
+        let counter = match error {
+            stage_error::StageError::Superseded => "agent.pieces_superseded",
+            _ => "agent.stage_failed",
+        };
+        self.shared.counters.increment(counter);
+        slog::debug!(self.shared.log, "piece not staged"; "piece" => chunk,
+            "version" => self.staged.manifest.version, "source" => ?source, "error" => %error);
+        self.step(lift_transfer::DownloadEvent::Refused {
+            chunk,
+            source,
+            retry_after: None,
+        });
+    }
+
     /// Keys of the links to other agents.
     pub(crate) fn keys(&self) -> &lift_wire::LinkKeys {
         &self.shared.keys
--- a/crates/lift_stage/src/lib.rs
+++ b/crates/lift_stage/src/lib.rs
@@ -4,8 +4,9 @@
 //! and brings the target version of the weights to the server. The agent fetches each piece from
 //! the origin or from another agent, as `lift_transfer` decides, checks it against its digest and
 //! puts it into the staging area. It then checks all pieces there once more, and only after that
-//! orders the server to load them. The staging area is the only store: pieces for other agents
-//! are read from it and checked before they are sent.
+//! orders the server to load them. No write may be on its way in between, not even one of an
+//! earlier version. The staging area is the only store: pieces for other agents are read from it
+//! and checked before they are sent.
 //!
 //! The backend server is reached through a [`StagePort`], the origin through an
 //! [`OriginPort`]. See `docs/platform.md`.
@@ -17,6 +18,7 @@
 mod fetch_log;
 mod fetch_progress;
 mod link_patience;
+mod load_permit;
 mod load_reporter;
 mod manifest_source;
 mod order_answer;
@@ -34,6 +36,7 @@
 mod stage_error;
 mod stage_port;
 mod staged;
+mod staging_area;
 mod weights_keeper;
 
 pub use engine_report::EngineReport;
--- a/crates/lift_stage/src/shared.rs
+++ b/crates/lift_stage/src/shared.rs
@@ -4,7 +4,9 @@
 
 use tokio::sync::watch;
 
-use crate::{engine_report, link_patience, origin_port, stage_error, stage_port, staged};
+use crate::{
+    engine_report, link_patience, origin_port, stage_error, stage_port, staged, staging_area,
+};
 
 /// Time for one request to the backend server beside the agent.
 pub(crate) const BACKEND_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -16,7 +18,10 @@
     pub(crate) backend: net::SocketAddr,
     pub(crate) service: lift_types::ServiceId,
     pub(crate) keys: lift_wire::LinkKeys,
+    /// The backend server, for what changes nothing there.
     pub(crate) stage: sync::Arc<dyn stage_port::StagePort>,
+    /// Its staging area.
+    pub(crate) staging_area: staging_area::StagingArea,
     pub(crate) origin: sync::Arc<dyn origin_port::OriginPort>,
     pub(crate) log: slog::Logger,
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
--- a/crates/lift_stage/src/stage_agent.rs
+++ b/crates/lift_stage/src/stage_agent.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     agent_observer, load_reporter, piece_server, shared, stage_agent_builder, stage_error,
-    weights_keeper,
+    staging_area, weights_keeper,
 };
 
 /// Share of the link for pieces, in percent. Framing and acknowledgements take the rest.
@@ -37,12 +37,14 @@
         let listener = listener.change_context(stage_error::StageError::Listen)?;
         let reports = tokio::net::UdpSocket::bind((host, 0)).await;
         let reports = reports.change_context(stage_error::StageError::Listen)?;
+        let stage = settings.stage.ok_or(missing("stage"))?;
         let shared = sync::Arc::new(shared::Shared {
             service: node.card.service.clone().ok_or(missing("service"))?,
             card: node.card.clone(),
             backend: settings.backend.ok_or(missing("backend"))?,
             keys: node.keys.clone(),
-            stage: settings.stage.ok_or(missing("stage"))?,
+            staging_area: staging_area::StagingArea::new(sync::Arc::clone(&stage)),
+            stage,
             origin: settings.origin.ok_or(missing("origin"))?,
             log: node.log.clone(),
             counters: sync::Arc::clone(&node.counters),
--- a/crates/lift_stage/src/stage_error.rs
+++ b/crates/lift_stage/src/stage_error.rs
@@ -6,6 +6,12 @@
     /// The backend server could not be asked.
     #[error("the backend server does not answer")]
     Backend,
+    /// The backend server could not be connected to, so nothing was sent.
+    #[error("the backend server can't be reached")]
+    Unreachable,
+    /// The backend server has answered that it does not carry out the request.
+    #[error("the backend server refused the request")]
+    Declined,
     /// Another agent does not have what it was asked for.
     #[error("the agent does not have the manifest")]
     Agent,
@@ -34,3 +40,10 @@
     #[error("the listener for pieces can't be opened")]
     Listen,
 }
+
+impl StageError {
+    /// Whether a request that failed so can't be carried out later.
+    pub(crate) fn is_settled(&self) -> bool {
+        matches!(self, Self::Unreachable | Self::Declined)
+    }
+}
--- a/crates/lift_stage/src/weights_keeper.rs
+++ b/crates/lift_stage/src/weights_keeper.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use crate::{fetch, manifest_source, order_answer, shared, stage_error, staged};
+use crate::{fetch, load_permit, manifest_source, order_answer, shared, stage_error, staged};
 
 /// Pause between two looks while nothing is to be done.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -53,8 +53,16 @@
     if held > 0 {
         wait_for_turn(shared, &staged, held).await;
     }
+    let permit = tokio::select! {
+        permit = shared.staging_area.lock_for_load() => permit,
+        () = superseded(shared, &staged) => {
+            return Err(error_stack::Report::new(
+                stage_error::StageError::Superseded,
+            ));
+        }
+    };
     check(shared, &staged).await?;
-    load(shared, &staged).await
+    load(shared, &staged, permit).await
 }
 
 /// Looks through the staging area for the version that the backend server holds, if another
@@ -101,30 +109,34 @@
     slog::info!(shared.log, "weights wanted"; "model" => model, "version" => manifest.version,
         "pieces" => manifest.digests.len());
     let staged = staged::Staged::new(manifest);
-    look_through(shared, &staged).await?;
+    let lying = look_through(shared, &staged).await?;
+    if lying > 0 {
+        shared.staging_area.wait_until_writable().await;
+    }
     shared.staged.send_replace(Some(sync::Arc::clone(&staged)));
     Ok(staged)
 }
 
 /// Notes which pieces in the staging area belong to the version. The area holds one copy for
-/// each model, so pieces of an earlier version may lie there, and some may be equal.
-async fn look_through(shared: &shared::Shared, staged: &staged::Staged) -> Result<()> {
+/// each model, so pieces of an earlier version may lie there, and some may be equal. Returns how many
+/// pieces lie there.
+async fn look_through(shared: &shared::Shared, staged: &staged::Staged) -> Result<usize> {
     let manifest = &staged.manifest;
     let asking = shared.stage.staged(&manifest.model);
     let lying = shared::within(shared::BACKEND_TIMEOUT, asking).await?;
     // Other positions are of no use, however many the server lists.
     let is_piece = |index: &lift_types::ChunkIndex| manifest.has_piece(*index);
     let lying: indexmap::IndexSet<_> = lying.into_iter().filter(is_piece).collect();
-    for index in lying {
-        let reading = shared.stage.get_piece(&manifest.model, index);
+    for index in &lying {
+        let reading = shared.stage.get_piece(&manifest.model, *index);
         let read = shared::within(shared::BACKEND_TIMEOUT, reading).await?;
-        if read.is_some_and(|bytes| manifest.matches(index, &bytes)) {
-            staged.add(index);
+        if read.is_some_and(|bytes| manifest.matches(*index, &bytes)) {
+            staged.add(*index);
         }
     }
     slog::info!(shared.log, "staging area looked through"; "version" => manifest.version,
         "held" => staged.all().len(), "pieces" => manifest.digests.len());
-    Ok(())
+    Ok(lying.len())
 }
 
 /// Waits until it is this agent's turn, or a newer version is named.
@@ -133,15 +145,20 @@
     staged: &staged::Staged,
     held: lift_fleet::WeightsVersion,
 ) {
+    let delay = shared.load_turn(&staged.manifest.model, held).delay();
+    let _ = tokio::time::timeout(delay, superseded(shared, staged)).await;
+}
+
+/// Waits until a newer version is named.
+async fn superseded(shared: &shared::Shared, staged: &staged::Staged) {
     let (model, version) = (&staged.manifest.model, staged.manifest.version);
-    let delay = shared.load_turn(model, held).delay();
     let mut named = shared.named.subscribe();
     let is_newer = named.wait_for(|named| named.newest(model) > version);
-    let _ = tokio::time::timeout(delay, is_newer).await;
+    let _ = is_newer.await;
 }
 
-/// Reads all pieces back. The backend server loads what lies there unchecked, and it may have
-/// been spoilt since.
+/// Reads all pieces back, while no write is on its way. The backend server loads what lies there
+/// unchecked, and it may have been spoilt since.
 async fn check(shared: &shared::Shared, staged: &staged::Staged) -> Result<()> {
     let manifest = &staged.manifest;
     let mut spoilt = 0;
@@ -163,15 +180,18 @@
 }
 
 /// Orders the backend server to load and waits until it holds the version.
-async fn load(shared: &shared::Shared, staged: &staged::Staged) -> Result<()> {
+async fn load(
+    shared: &shared::Shared,
+    staged: &staged::Staged,
+    permit: load_permit::LoadPermit,
+) -> Result<()> {
     let (model, version) = (&staged.manifest.model, staged.manifest.version);
     if shared.named(model) > version {
         return Err(error_stack::Report::new(
             stage_error::StageError::Superseded,
         ));
     }
-    let ordering = shared.stage.load(model, version);
-    let answer = shared::within(shared::BACKEND_TIMEOUT, ordering).await?;
+    let answer = shared.staging_area.load(permit, model, version).await?;
     slog::info!(shared.log, "load ordered"; "model" => model, "version" => version,
         "answer" => ?answer);
     shared.counters.increment("agent.loads_ordered");
--- a/crates/lift_stage/tests/stage.rs
+++ b/crates/lift_stage/tests/stage.rs
@@ -5,19 +5,7 @@
 
 use std::time;
 
-use support::{Engine, Fleet, Origin};
-
-const PATIENCE: time::Duration = time::Duration::from_secs(20);
-
-async fn until(what: &str, condition: impl Fn() -> bool) {
-    let waiting = async {
-        while !condition() {
-            tokio::time::sleep(time::Duration::from_millis(10)).await;
-        }
-    };
-    let waited = tokio::time::timeout(PATIENCE, waiting).await;
-    assert!(waited.is_ok(), "{what}");
-}
+use support::{Engine, Fleet, Origin, until};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn each_piece_leaves_the_origin_about_once() {
--- a/crates/lift_stage/tests/support/engine.rs
+++ b/crates/lift_stage/tests/support/engine.rs
@@ -4,13 +4,18 @@
 
 use lift_stage::{EngineReport, OrderAnswer, StageError};
 
-use super::origin;
+use super::{hold, origin};
 
 type Result<T> = std::result::Result<T, error_stack::Report<StageError>>;
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Engine {
     state: sync::Arc<parking_lot::Mutex<State>>,
+    /// Where a write, an order and a read wait. They have been sent, so they are carried out also
+    /// if the agent gives up.
+    write_hold: hold::Hold,
+    order_hold: hold::Hold,
+    read_hold: hold::Hold,
 }
 
 #[derive(Debug, Default)]
@@ -28,6 +33,10 @@
     odd_positions: Vec<u32>,
     /// Reads of pieces that don't lie there.
     missed_reads: u32,
+    /// Piece whose next write is held.
+    held_write: Option<u32>,
+    /// Piece whose next read is held, once these pieces are staged.
+    held_read: Option<(u32, Vec<bytes::Bytes>)>,
 }
 
 impl Engine {
@@ -81,6 +90,61 @@
         self.state.lock().missed_reads
     }
 
+    /// Falls silent on the next write of a piece, until the returned hold is released.
+    pub(crate) fn hold_write(&self, index: u32) -> hold::Hold {
+        self.state.lock().held_write = Some(index);
+        self.write_hold.arm();
+        self.write_hold.clone()
+    }
+
+    /// Falls silent on the next order, until the returned hold is released.
+    pub(crate) fn hold_order(&self) -> hold::Hold {
+        self.order_hold.arm();
+        self.order_hold.clone()
+    }
+
+    /// Falls silent on the next read of a piece while a version is staged whole, until the returned
+    /// hold is released.
+    pub(crate) fn hold_read(
+        &self,
+        origin: &origin::Origin,
+        version: u64,
+        index: u32,
+    ) -> hold::Hold {
+        let pieces = (0..origin.pieces()).map(|i| origin.bytes(version, i));
+        self.state.lock().held_read = Some((index, pieces.collect()));
+        self.read_hold.arm();
+        self.read_hold.clone()
+    }
+
+    fn is_read_held(&self, index: u32) -> bool {
+        let state = self.state.lock();
+        state.held_read.as_ref().is_some_and(|(held, pieces)| {
+            *held == index
+                && (0..)
+                    .zip(pieces)
+                    .all(|(i, p)| state.staged.get(&i) == Some(p))
+        })
+    }
+
+    fn write(&self, index: u32, bytes: bytes::Bytes) {
+        let mut state = self.state.lock();
+        let is_spoilt = state.rot > 0;
+        state.rot = state.rot.saturating_sub(1);
+        let bytes = match is_spoilt {
+            true => bytes::Bytes::from_static(b"rotten"),
+            false => bytes,
+        };
+        state.staged.insert(index, bytes);
+    }
+
+    fn accept(&self, version: u64) {
+        let mut state = self.state.lock();
+        let staged = state.staged.clone();
+        state.loaded.push((version, staged));
+        state.version = version;
+    }
+
     /// Spoils the next pieces that are put.
     pub(crate) fn rot(&self, pieces: u32) {
         self.state.lock().rot = pieces;
@@ -130,31 +194,40 @@
 
     async fn get_piece(&self, _: &str, index: u32) -> Result<Option<bytes::Bytes>> {
         self.check()?;
-        let mut state = self.state.lock();
-        let piece = state.staged.get(&index).cloned();
-        state.missed_reads += u32::from(piece.is_none());
+        let piece = {
+            let mut state = self.state.lock();
+            let piece = state.staged.get(&index).cloned();
+            state.missed_reads += u32::from(piece.is_none());
+            piece
+        };
+        if self.is_read_held(index) {
+            self.read_hold.pass().await;
+        }
         Ok(piece)
     }
 
     async fn put_piece(&self, _: &str, index: u32, bytes: bytes::Bytes) -> Result<()> {
         self.check()?;
-        let mut state = self.state.lock();
-        let is_spoilt = state.rot > 0;
-        state.rot = state.rot.saturating_sub(1);
-        let bytes = match is_spoilt {
-            true => bytes::Bytes::from_static(b"rotten"),
-            false => bytes,
-        };
-        state.staged.insert(index, bytes);
+        let engine = self.clone();
+        let writing = tokio::spawn(async move {
+            let is_held = engine.state.lock().held_write == Some(index);
+            if is_held {
+                engine.write_hold.pass().await;
+            }
+            engine.write(index, bytes);
+        });
+        writing.await.unwrap();
         Ok(())
     }
 
     async fn load(&self, _: &str, version: u64) -> Result<OrderAnswer> {
         self.check()?;
-        let mut state = self.state.lock();
-        let staged = state.staged.clone();
-        state.loaded.push((version, staged));
-        state.version = version;
+        let engine = self.clone();
+        let ordering = tokio::spawn(async move {
+            engine.order_hold.pass().await;
+            engine.accept(version);
+        });
+        ordering.await.unwrap();
         Ok(OrderAnswer::Begun)
     }
 }
--- a/crates/lift_stage/tests/support/origin.rs
+++ b/crates/lift_stage/tests/support/origin.rs
@@ -5,6 +5,8 @@
 use lift_stage::{PieceDigest, PieceManifest, StageError};
 use sync::atomic;
 
+use super::hold;
+
 type Result<T> = std::result::Result<T, error_stack::Report<StageError>>;
 
 #[derive(Clone, Debug)]
@@ -20,6 +22,9 @@
     delay: parking_lot::Mutex<time::Duration>,
     has_manifests: atomic::AtomicBool,
     odd_manifests: parking_lot::Mutex<Vec<PieceManifest>>,
+    /// A piece whose bytes are held back, with its version.
+    held_piece: parking_lot::Mutex<Option<(u64, u32)>>,
+    hold: hold::Hold,
 }
 
 impl Origin {
@@ -31,6 +36,8 @@
             delay: parking_lot::Mutex::default(),
             has_manifests: atomic::AtomicBool::new(true),
             odd_manifests: parking_lot::Mutex::default(),
+            held_piece: parking_lot::Mutex::default(),
+            hold: hold::Hold::default(),
         };
         Self {
             state: sync::Arc::new(state),
@@ -63,6 +70,13 @@
         *self.state.odd_manifests.lock() = odd;
     }
 
+    /// Falls silent on the next read of a piece, until the returned hold is released.
+    pub(crate) fn hold_piece(&self, version: u64, index: u32) -> hold::Hold {
+        *self.state.held_piece.lock() = Some((version, index));
+        self.state.hold.arm();
+        self.state.hold.clone()
+    }
+
     /// Bytes of a piece.
     pub(crate) fn bytes(&self, version: u64, index: u32) -> bytes::Bytes {
         bytes::Bytes::from(format!("piece {index} of version {version}").repeat(20))
@@ -107,6 +121,10 @@
         let read = self.state.reads.fetch_add(1, atomic::Ordering::SeqCst);
         let delay = *self.state.delay.lock();
         tokio::time::sleep(delay).await;
+        let is_held = *self.state.held_piece.lock() == Some((version, index));
+        if is_held {
+            self.state.hold.pass().await;
+        }
         let spoil_every = self.state.spoil_every.load(atomic::Ordering::SeqCst);
         if read % spoil_every == spoil_every - 1 {
             return Ok(bytes::Bytes::from_static(b"garbage"));
