Let a seed that was removed join under a new number

A control member is frozen for 6.5 s while there are four voters and is removed. After a planned replacement and a lost disk control has no leader for good: no change is acknowledged, no configuration is read, and every request is refused with 503.

Cause: whether a host is at its first start was answered from the settings of its process and an empty folder. The settings stay true for the life of the process, and a removed member clears its folder. So it took the number of its seed again, with a new disk that the others refuse, twice a second for ever, and never asked to join.

Removing a silent voter at an even number was ruled out as the cause: it costs no fault tolerance once the member comes back.

Change: member_disk::retire notes the identifier in the folder before it clears it. MemberBootstrap takes the number of a seed only in a folder that never belonged to a member. The note completes an interrupted clearing and outlives the process.

Why it works: the note is written before the evidence of the membership goes, and synced, so there is no moment at which a retired folder looks new.

Related paths: a member that starts on an empty disk with bootstrap=true is refused, retires and joins; before, it looped as above.

--- a/crates/lift_registry/src/control_member.rs
+++ b/crates/lift_registry/src/control_member.rs
@@ -172,7 +172,7 @@
         let log = sync::Arc::new(self.open(id).await?);
         self.registry.current_log.set(Some(log.clone()));
         slog::info!(self.bootstrap.node.log, "control member runs"; "member" => id);
-        let must_clear = tokio::select! {
+        let must_join_again = tokio::select! {
             end = log.ended() => end == lift_log::LogEnd::DiskReplaced,
             _ = removed.wait_for(|removed| *removed == Some(id)) => true,
         };
@@ -180,11 +180,12 @@
         log.abort().await;
         drop(log);
         slog::warn!(self.bootstrap.node.log, "control member stopped"; "member" => id,
-            "must_join_again" => must_clear);
-        if must_clear {
+            "must_join_again" => must_join_again);
+        if must_join_again {
             let folder = self.bootstrap.folder.clone();
-            let cleared = tokio::task::spawn_blocking(move || member_disk::clear(&folder)).await;
-            cleared.map_err(|_| fleet_control_error::FleetControlError::Start("disk"))??;
+            let retire = move || member_disk::retire(&folder, id);
+            let retired = tokio::task::spawn_blocking(retire).await;
+            retired.map_err(|_| fleet_control_error::FleetControlError::Start("disk"))??;
         }
         Ok(())
     }
--- a/crates/lift_registry/src/lib.rs
+++ b/crates/lift_registry/src/lib.rs
@@ -4,8 +4,8 @@
 //! A [`ControlMember`] runs three parts: the replicated log, which stores the document in force
 //! and the target versions of weights ([`FleetStateMachine`]); the directory of backend servers,
 //! which the members exchange; and the feed for all other nodes. A host with an empty disk becomes
-//! a member by a join request. The leader removes a voter that stopped answering if the number of
-//! voters is even.
+//! a member by a join request, and so does one whose member was removed, also if it was one of the
+//! first. The leader removes a voter that stopped answering if the number of voters is even.
 //!
 //! [`FleetControl`] has the operations for operators and backend servers. It does not depend on
 //! the front end that receives the calls.
@@ -15,6 +15,7 @@
 mod control_member_builder;
 mod current_log;
 mod directory_maintenance;
+mod disk_owner;
 mod fleet_control;
 mod fleet_control_error;
 mod fleet_state_machine;
--- a/crates/lift_registry/src/member_bootstrap.rs
+++ b/crates/lift_registry/src/member_bootstrap.rs
@@ -2,7 +2,7 @@
 
 use std::{net, path, time};
 
-use crate::{fleet_control_error, member_disk};
+use crate::{disk_owner, fleet_control_error, member_disk};
 
 /// Delay between two attempts to join.
 const JOIN_RETRY_DELAY: time::Duration = time::Duration::from_millis(300);
@@ -25,14 +25,20 @@
     /// Returns the member's identifier: the one on its disk; else, at the first start of the
     /// fleet, the number of its seed; else a new one from the leader. Join requests are repeated
     /// until one succeeds.
+    ///
+    /// The settings of a process still say that it is the first start of the fleet when its member
+    /// was removed later. The note on the disk then keeps it from taking the number of its seed
+    /// again, which the other members would refuse for ever.
     pub(crate) async fn obtain_id(&self) -> Result<lift_types::MemberId> {
         let folder = self.folder.clone();
-        let read = tokio::task::spawn_blocking(move || member_disk::read_identity(&folder)).await;
+        let read = tokio::task::spawn_blocking(move || member_disk::read_owner(&folder)).await;
         let failed = fleet_control_error::FleetControlError::Start("disk");
-        if let Some(id) = read.map_err(|_| failed)?? {
-            return Ok(id);
-        }
-        match self.initial_id() {
+        let id = match read.map_err(|_| failed)?? {
+            disk_owner::DiskOwner::Member(id) => Some(id),
+            disk_owner::DiskOwner::Retired => None,
+            disk_owner::DiskOwner::Nobody => self.initial_id(),
+        };
+        match id {
             Some(id) => Ok(id),
             None => Ok(self.join().await),
         }
--- a/crates/lift_registry/tests/support/fleet.rs
+++ b/crates/lift_registry/tests/support/fleet.rs
@@ -78,4 +78,9 @@
     pub(crate) fn lose_disk(&mut self, number: usize) {
         self.disks[number] = tempfile::tempdir().unwrap();
     }
+
+    /// Whether a host has noted that its member was removed.
+    pub(crate) fn has_retired(&self, number: usize) -> bool {
+        self.disks[number].path().join("retired").exists()
+    }
 }
