Quarantine parts that can't be told apart only together

A caller begins to use a new part in its prompts, first in requests that also hold a deadly part before it. After three crashes the gateway quarantines the new part for ten minutes and refuses all sound requests of the caller: 0 of 173 began, 40 of 40 before.

Cause: the decision had to name one part, also where several explain the same ends. The tie went to the later position in the prompt, or to the part that was never answered; both are guesses. The quarantine then kept away the requests that would have shown it wrong. A longer wait would not help, since nothing tells the parts apart until a request has only one of them.

Change: parts that explain the same ends are quarantined together, and only requests that hold all of them are refused. An answer clears its parts; a part that explains two ends fewer than another is no longer suspected. Parts that explain as many ends, but not the same ones, wait for the next end. Requests with a suspected part are not repeated.

Why it works: a request that could tell the parts apart is let through. If it is sound it is answered and clears its part; if it is not, it is evidence against the right one.

Tests that changed: an_answer_clears_its_parts_and_ends_a_false_quarantine and a_quarantine_ends_and_then_needs_new_evidence took the blame of the later of two equal parts for granted, which is the fault.

--- a/crates/lift_dispatch/src/blocked_parts.rs
+++ b/crates/lift_dispatch/src/blocked_parts.rs
@@ -1,12 +1,13 @@
-//! A part of a prompt that must not reach backend servers.
+//! Parts of a prompt that must not reach backend servers.
 
 use std::time;
 
-/// The quarantined part of a request's prompt that keeps the request from backend servers.
+/// The quarantined parts of a request's prompt that keep the request from backend servers.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct BlockedPart {
-    /// The part.
-    pub part: lift_fleet::PromptPart,
-    /// Time until its quarantine ends.
+pub struct BlockedParts {
+    /// The parts, in no particular order. More than one if nothing tells yet which of them is at
+    /// fault.
+    pub parts: Vec<lift_fleet::PromptPart>,
+    /// Time until their quarantine ends.
     pub time_left: time::Duration,
 }
--- a/crates/lift_dispatch/src/crash_log.rs
+++ b/crates/lift_dispatch/src/crash_log.rs
@@ -35,7 +35,7 @@
         }
         self.unexplained.add(&crash.backend, crash.at);
         let is_copy = |known: &part_crash::PartCrash| {
-            known.backend == crash.backend && known.suspects.keys().eq(crash.suspects.keys())
+            known.backend == crash.backend && known.suspects.iter().eq(crash.suspects.iter())
         };
         if crash.suspects.is_empty() || self.crashes.iter().any(is_copy) {
             return false;
@@ -51,7 +51,7 @@
     pub(crate) fn clear(&mut self, at: time::Instant, part: &str) -> bool {
         let mut is_news = false;
         for crash in self.crashes.iter_mut().filter(|crash| crash.at <= at) {
-            is_news |= crash.suspects.shift_remove(part).is_some();
+            is_news |= crash.suspects.shift_remove(part);
         }
         if is_news {
             self.crashes.retain(|crash| !crash.suspects.is_empty());
@@ -59,9 +59,10 @@
         is_news
     }
 
-    /// Removes the ends that `part` explains.
-    pub(crate) fn explain_by(&mut self, part: &str) {
-        let is_caused = |crash: &&part_crash::PartCrash| crash.suspects.contains_key(part);
+    /// Removes the ends that all of `parts` explain.
+    pub(crate) fn explain_by(&mut self, parts: &[lift_fleet::PromptPart]) {
+        let is_caused =
+            |crash: &&part_crash::PartCrash| parts.iter().all(|part| crash.suspects.contains(part));
         let caused = self.crashes.iter().filter(is_caused);
         let caused: Vec<_> = caused.map(|c| (c.backend.clone(), c.at)).collect();
         for (backend, at) in caused {
@@ -94,15 +95,16 @@
     pub(crate) fn evidence(&self) -> indexmap::IndexMap<&str, part_evidence::PartEvidence> {
         let mut parts = indexmap::IndexMap::<&str, part_evidence::PartEvidence>::new();
         for crash in &self.crashes {
-            for (part, position) in &crash.suspects {
+            for part in &crash.suspects {
                 let evidence = parts.entry(part.as_str()).or_default();
-                evidence.add(&crash.backend, crash.at, *position);
+                evidence.add(&crash.backend, crash.at);
             }
         }
         parts
     }
 
-    fn is_explained(&self, backend: &str, at: time::Instant) -> bool {
+    /// Whether a quarantined part explains the end of `backend` at `at`.
+    pub(crate) fn is_explained(&self, backend: &str, at: time::Instant) -> bool {
         let explained = self.explained.get(backend);
         explained.is_some_and(|explained| is_same_end(explained, at))
     }
--- a/crates/lift_dispatch/src/part_crash.rs
+++ b/crates/lift_dispatch/src/part_crash.rs
@@ -10,6 +10,6 @@
     pub(crate) backend: lift_fleet::BackendId,
     /// When a gateway saw it end.
     pub(crate) at: time::Instant,
-    /// Parts that no answer has cleared since, with their positions in the prompt.
-    pub(crate) suspects: indexmap::IndexMap<lift_fleet::PromptPart, usize>,
+    /// Parts that no answer has cleared since.
+    pub(crate) suspects: indexmap::IndexSet<lift_fleet::PromptPart>,
 }
--- a/crates/lift_dispatch/src/part_evidence.rs
+++ b/crates/lift_dispatch/src/part_evidence.rs
@@ -9,20 +9,23 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PartEvidence {
     pub(crate) ends: server_ends::ServerEnds,
-    /// Last position of the part in a prompt.
-    position: usize,
 }
 
 impl PartEvidence {
-    /// Adds the end of `backend`, which worked on a request with the part at `position`.
-    pub(crate) fn add(&mut self, backend: &str, at: time::Instant, position: usize) {
+    /// Adds the end of `backend`, which worked on a request with the part.
+    pub(crate) fn add(&mut self, backend: &str, at: time::Instant) {
         self.ends.add(backend, at);
-        self.position = self.position.max(position);
+    }
+
+    /// Whether the part explains each end that the other one explains, so that no end tells that the
+    /// other one is at fault and not this one.
+    pub(crate) fn explains_all_of(&self, other: &Self) -> bool {
+        other.ends.is_subset(&self.ends)
     }
 
     /// Orders two parts by how well each explains the ends; the greater one does so better. A part
     /// that was never answered comes before one that was, then the part with more ends, then the
-    /// one that was answered longer ago, then the one that is later in the prompt.
+    /// one that was answered longer ago. The position in the prompt tells nothing.
     pub(crate) fn cmp_with(
         &self,
         answered: Option<time::Instant>,
@@ -34,6 +37,5 @@
         never
             .then_with(|| count.cmp(&other_count))
             .then_with(|| other_answered.cmp(&answered))
-            .then_with(|| self.position.cmp(&other.position))
     }
 }
--- a/crates/lift_dispatch/src/part_quarantine.rs
+++ b/crates/lift_dispatch/src/part_quarantine.rs
@@ -1,9 +1,10 @@
 //! Decision which parts of prompts crash backend servers.
 
-use std::{mem, time};
+use std::{cmp, collections, mem, time};
 
 use crate::{
-    blocked_part, crash_log, part_answers, part_crash, part_evidence, quarantine, quarantine_change,
+    blocked_parts, crash_log, part_answers, part_crash, part_evidence, quarantine,
+    quarantine_change, server_ends,
 };
 
 /// Backend servers that must have ended one after the other on a part before it is quarantined.
@@ -35,43 +36,41 @@
 /// A part is suspected while backend servers end one after the other on requests with it and no
 /// answer to such a request completes, although answers to other requests do. The part that
 /// explains most is quarantined, and the ends that it explains no longer count against the other
-/// parts, which sound requests share. See `docs/platform.md`.
+/// parts, which sound requests share. Parts that explain the same ends are quarantined together:
+/// only requests that hold all of them are refused, until further requests tell them apart. See
+/// `docs/platform.md`.
 #[derive(Clone, Debug, Default)]
 pub struct PartQuarantine {
     crashes: crash_log::CrashLog,
     answers: part_answers::PartAnswers,
-    quarantines: indexmap::IndexMap<lift_fleet::PromptPart, quarantine::Quarantine>,
+    quarantines: collections::VecDeque<quarantine::Quarantine>,
     /// Whether a part may become quarantined without further evidence.
     is_undecided: bool,
     changes: Vec<quarantine_change::QuarantineChange>,
 }
 
 impl PartQuarantine {
-    /// The part that keeps a request with these parts from backend servers for the longest time.
+    /// The parts that keep a request with these parts from backend servers for the longest time.
     /// `None` if the request may be sent.
     pub fn blocked(
         &self,
         now: time::Instant,
         parts: &[lift_fleet::PromptPart],
-    ) -> Option<blocked_part::BlockedPart> {
-        if self.quarantines.is_empty() {
-            return None;
-        }
-        let blocked = parts.iter().filter_map(|part| {
-            let quarantine = self.quarantines.get(part)?;
-            let time_left = quarantine.until.saturating_duration_since(now);
-            let part = part.clone();
-            Some(blocked_part::BlockedPart { part, time_left })
-        });
-        let longest = blocked.max_by_key(|blocked| blocked.time_left);
-        longest.filter(|blocked| !blocked.time_left.is_zero())
+    ) -> Option<blocked_parts::BlockedParts> {
+        let covering = self.quarantines.iter().filter(|q| q.covers(parts));
+        let longest = covering.max_by_key(|quarantine| quarantine.until)?;
+        let time_left = longest.until.saturating_duration_since(now);
+        let parts = longest.parts();
+        (!time_left.is_zero()).then_some(blocked_parts::BlockedParts { parts, time_left })
     }
 
     /// Whether a request with these parts may be sent to another backend server after an attempt
     /// has broken. A repeat ends another backend server if one of the parts is at fault, so it is
     /// refused on less evidence than a new request.
     pub fn may_repeat(&self, now: time::Instant, parts: &[lift_fleet::PromptPart]) -> bool {
-        if self.blocked(now, parts).is_some() {
+        let is_running = |quarantine: &quarantine::Quarantine| now < quarantine.until;
+        let mut running = self.quarantines.iter().filter(|q| is_running(q));
+        if running.any(|quarantine| quarantine.suspects_any(parts)) {
             return false;
         }
         if self.crashes.is_empty() {
@@ -100,20 +99,35 @@
         if now.saturating_duration_since(at) >= QUARANTINE_TIME {
             return;
         }
-        if parts.iter().any(|part| self.quarantines.contains_key(part)) {
+        if self.quarantines.iter().any(|q| q.covers(parts)) {
             self.crashes.explain(backend, at);
+            self.quarantines
+                .iter_mut()
+                .for_each(|q| q.forget_end(backend));
             return;
         }
-        let is_suspected = |part: &str| self.answers.last_answer(part).is_none_or(|a| a < at);
-        let suspects = parts.iter().enumerate();
-        let suspects = suspects.filter(|(_, part)| is_suspected(part));
-        let suspects = suspects.map(|(i, part)| (part.clone(), i));
+        if self.crashes.is_explained(backend, at) {
+            return;
+        }
+        let is_suspected =
+            |part: &&lift_fleet::PromptPart| self.answers.last_answer(part).is_none_or(|a| a < at);
+        let suspects = parts.iter().filter(is_suspected).cloned();
+        let suspects: indexmap::IndexSet<_> = suspects.collect();
         let crash = part_crash::PartCrash {
             backend: String::from(backend),
             at,
-            suspects: suspects.collect(),
+            suspects,
         };
         self.is_undecided |= self.crashes.add(crash);
+        for quarantine in &mut self.quarantines {
+            quarantine.record_end(backend, at, parts);
+            if quarantine.narrow() {
+                let parts = quarantine.parts();
+                self.crashes.explain_by(&parts);
+                let change = quarantine_change::QuarantineChange::Narrowed { parts };
+                self.changes.push(change);
+            }
+        }
     }
 
     /// Records that an answer to a request with `part` was complete at `at`, which clears the part
@@ -121,28 +135,37 @@
     pub fn record_answer(&mut self, at: time::Instant, part: &str) -> bool {
         self.answers.record(at, part);
         let mut is_news = self.crashes.clear(at, part);
-        let quarantine = self.quarantines.get(part);
-        if quarantine.is_some_and(|quarantine| at >= quarantine.first_end) {
-            self.quarantines.shift_remove(part);
-            let part = String::from(part);
-            let change = quarantine_change::QuarantineChange::Answered { part };
-            self.changes.push(change);
+        for quarantine in &mut self.quarantines {
+            if !quarantine.clear(at, part) {
+                continue;
+            }
             is_news = true;
+            let parts = quarantine.parts();
+            self.changes.push(match parts.is_empty() {
+                true => quarantine_change::QuarantineChange::Answered {
+                    part: String::from(part),
+                },
+                false => {
+                    self.crashes.explain_by(&parts);
+                    quarantine_change::QuarantineChange::Narrowed { parts }
+                }
+            });
         }
+        self.quarantines.retain(|quarantine| !quarantine.is_empty());
         is_news
     }
 
     /// Whether [`Self::update`] may change anything because time has passed.
     pub fn is_update_due(&self, now: time::Instant) -> bool {
         let is_over = |quarantine: &quarantine::Quarantine| now >= quarantine.until;
-        self.is_undecided || self.quarantines.values().any(is_over)
+        self.is_undecided || self.quarantines.iter().any(is_over)
     }
 
     /// Starts and ends quarantines. Returns all changes since the last call.
     pub fn update(&mut self, now: time::Instant) -> Vec<quarantine_change::QuarantineChange> {
         self.remove_expired(now);
-        while let Some((part, evidence)) = self.worst_suspect(now) {
-            self.start_quarantine(now, part, &evidence);
+        while let Some(suspects) = self.worst_suspects(now) {
+            self.start_quarantine(now, suspects);
         }
         mem::take(&mut self.changes)
     }
@@ -151,33 +174,43 @@
         let is_old = |at: time::Instant| now.saturating_duration_since(at) >= QUARANTINE_TIME;
         self.crashes.retain(|at| !is_old(at));
         let changes = &mut self.changes;
-        self.quarantines.retain(|part, quarantine| {
+        self.quarantines.retain(|quarantine| {
             let is_over = now >= quarantine.until;
             if is_over {
-                let part = part.clone();
-                changes.push(quarantine_change::QuarantineChange::Expired { part });
+                let parts = quarantine.parts();
+                changes.push(quarantine_change::QuarantineChange::Expired { parts });
             }
             !is_over
         });
     }
 
-    /// The part that explains the ends best, if the evidence suffices for a quarantine.
-    fn worst_suspect(
-        &mut self,
-        now: time::Instant,
-    ) -> Option<(lift_fleet::PromptPart, part_evidence::PartEvidence)> {
+    /// The part that explains the ends best and those that explain the same ones, with the ends, if
+    /// the evidence suffices for a quarantine.
+    fn worst_suspects(&mut self, now: time::Instant) -> Option<Suspects> {
         if !self.is_undecided {
             return None;
         }
         let mut evidence = self.crashes.evidence();
         evidence.retain(|_, evidence| self.is_enough(evidence));
-        let worst = evidence.iter().max_by(|(part, evidence), (other, rest)| {
-            let answered = self.answers.last_answer(part);
-            evidence.cmp_with(answered, rest, self.answers.last_answer(other))
-        });
-        let worst = worst.map(|(part, evidence)| (String::from(*part), evidence.clone()));
-        self.is_undecided = worst.is_some();
-        worst.filter(|(part, evidence)| self.is_settled(now, part, evidence))
+        self.is_undecided = !evidence.is_empty();
+        let worst = evidence.iter().max_by(|a, b| self.cmp_suspects(a, b))?;
+        let is_settled = self.is_settled(now, worst.0, worst.1);
+        let is_alike = |other: &Evidence| other.1.explains_all_of(worst.1);
+        // Two parts that explain as many ends, but not the same ones, are told apart by the next.
+        let is_tied = evidence
+            .iter()
+            .any(|other| !is_alike(&other) && self.cmp_suspects(&other, &worst).is_eq());
+        let alike = evidence.iter().filter(is_alike);
+        let alike = alike.map(|(part, e)| (String::from(*part), e.ends.clone()));
+        let suspects: Suspects = alike.collect();
+        (is_settled && !is_tied).then_some(suspects)
+    }
+
+    /// Orders two suspects by how well each explains the ends.
+    fn cmp_suspects(&self, a: &Evidence, b: &Evidence) -> cmp::Ordering {
+        let (answered, other_answered) =
+            (self.answers.last_answer(a.0), self.answers.last_answer(b.0));
+        a.1.cmp_with(answered, b.1, other_answered)
     }
 
     /// Whether enough backend servers have ended on a part, and the part explains most of the ends
@@ -205,28 +238,30 @@
         })
     }
 
-    fn start_quarantine(
-        &mut self,
-        now: time::Instant,
-        part: lift_fleet::PromptPart,
-        evidence: &part_evidence::PartEvidence,
-    ) {
-        let (Some(first_end), Some(last_end)) = (evidence.ends.first(), evidence.ends.last())
+    fn start_quarantine(&mut self, now: time::Instant, suspects: Suspects) {
+        // The ends of the worst suspect are the ones that all suspects explain.
+        let common = suspects.values().min_by_key(|ends| ends.count_separate());
+        let Some((common, first_end, last_end)) =
+            common.and_then(|ends| Some((ends, ends.first()?, ends.last()?)))
         else {
             return;
         };
-        let until = last_end + QUARANTINE_TIME;
+        let (ends, until) = (common.count_separate(), last_end + QUARANTINE_TIME);
+        let lasts = until.saturating_duration_since(now);
         if self.quarantines.len() >= MAX_QUARANTINES {
-            self.quarantines.shift_remove_index(0);
+            self.quarantines.pop_front();
         }
-        let quarantine = quarantine::Quarantine { first_end, until };
-        self.quarantines.insert(part.clone(), quarantine);
-        self.crashes.explain_by(&part);
+        let parts: Vec<_> = suspects.keys().cloned().collect();
+        self.crashes.explain_by(&parts);
+        let quarantine = quarantine::Quarantine::new(suspects, first_end, until);
+        self.quarantines.push_back(quarantine);
         self.changes
-            .push(quarantine_change::QuarantineChange::Started {
-                part,
-                ends: evidence.ends.count_separate(),
-                lasts: until.saturating_duration_since(now),
-            });
+            .push(quarantine_change::QuarantineChange::Started { parts, ends, lasts });
     }
 }
+
+/// A suspected part and the evidence against it.
+type Evidence<'a> = (&'a &'a str, &'a part_evidence::PartEvidence);
+
+/// Suspected parts, with the ends that each of them explains.
+type Suspects = indexmap::IndexMap<lift_fleet::PromptPart, server_ends::ServerEnds>;
--- a/crates/lift_dispatch/tests/part_quarantine.rs
+++ b/crates/lift_dispatch/tests/part_quarantine.rs
@@ -171,20 +171,116 @@
     // Guards against a sound part that stays refused although requests with it are answered.
     let start = time::Instant::now();
     let now = start + ms(900);
+    let both = parts(&["shared", "caller"]);
     let mut quarantine = suspected(start, 3, &["shared", "caller"]);
     let started = quarantine.update(now);
     assert!(
-        matches!(&started[..], [QuarantineChange::Started { part, .. }] if part == "caller"),
+        matches!(&started[..], [QuarantineChange::Started { parts, .. }] if *parts == both),
         "{started:?}"
     );
     assert_eq!(quarantine.blocked(now, &parts(&["shared"])), None);
+    assert_eq!(quarantine.blocked(now, &parts(&["caller"])), None);
+    assert_eq!(quarantine.blocked(now, &both).unwrap().parts, both);
+    assert!(quarantine.record_answer(now, "shared"));
+    assert_eq!(
+        quarantine.update(now),
+        [QuarantineChange::Narrowed {
+            parts: parts(&["caller"])
+        }]
+    );
     assert!(quarantine.record_answer(now, "caller"));
     let part = String::from("caller");
     assert_eq!(
         quarantine.update(now),
         [QuarantineChange::Answered { part }]
     );
-    assert_eq!(quarantine.blocked(now, &parts(&["caller"])), None);
+    assert_eq!(quarantine.blocked(now, &both), None);
+}
+
+#[test]
+fn parts_that_explain_the_same_ends_are_refused_together_only() {
+    // Guards against blaming a new sound part because it stands behind the deadly one in each
+    // prompt, or before it (review/5).
+    let start = time::Instant::now();
+    let now = start + ms(900);
+    for prompt in [[DEADLY, "new"], ["new", DEADLY]] {
+        let mut quarantine = suspected(start, 3, &prompt);
+        quarantine.update(now);
+        assert!(quarantine.blocked(now, &parts(&prompt)).is_some());
+        assert_eq!(quarantine.blocked(now, &parts(&["new"])), None);
+        assert!(!quarantine.may_repeat(now, &parts(&[DEADLY, "other"])));
+        // The sound request that was let through is answered.
+        assert!(quarantine.record_answer(now, "new"));
+        let deadly = quarantine.blocked(now, &parts(&[DEADLY, "other"]));
+        assert_eq!(deadly.unwrap().parts, [DEADLY]);
+        assert_eq!(quarantine.blocked(now, &parts(&["new"])), None);
+    }
+}
+
+#[test]
+fn a_part_that_was_answered_before_is_suspected_beside_a_new_one() {
+    // Guards against blaming a new part because the deadly one was sound until now.
+    let start = time::Instant::now();
+    let now = start + ms(900);
+    let mut quarantine = PartQuarantine::default();
+    quarantine.record_answer(start - ms(500), DEADLY);
+    for i in 0..3 {
+        let at = start + ms(200 * i);
+        quarantine.record_crash(at, at, &format!("server {i}"), &parts(&[DEADLY, "new"]));
+    }
+    quarantine.record_answer(start + ms(700), "other");
+    quarantine.update(now);
+    assert!(quarantine.blocked(now, &parts(&[DEADLY, "new"])).is_some());
+    assert_eq!(quarantine.blocked(now, &parts(&["new"])), None);
+}
+
+#[test]
+fn further_ends_tell_the_deadly_part_from_its_neighbour() {
+    // Guards against a deadly part that goes on ending servers beside other parts than at first,
+    // and against blaming its neighbour for one ordinary crash.
+    let start = time::Instant::now();
+    let mut quarantine = suspected(start, 3, &[DEADLY, "new"]);
+    quarantine.update(start + ms(900));
+    let at = start + ms(1_000);
+    quarantine.record_crash(at, at, "server 10", &parts(&["new"]));
+    assert_eq!(quarantine.blocked(at, &parts(&["new"])), None);
+    for i in 0..3 {
+        let at = start + ms(2_000 + 200 * i);
+        let prompt = parts(&[DEADLY, &format!("document {i}")]);
+        quarantine.record_crash(at, at, &format!("server {}", 20 + i), &prompt);
+    }
+    let now = start + ms(3_000);
+    let deadly = quarantine.blocked(now, &parts(&[DEADLY, "document 9"]));
+    assert_eq!(deadly.unwrap().parts, [DEADLY]);
+    assert_eq!(quarantine.blocked(now, &parts(&["new"])), None);
+}
+
+#[test]
+fn parts_that_explain_as_many_ends_wait_for_the_next_one() {
+    // Guards against choosing one of two parts by chance.
+    let start = time::Instant::now();
+    let mut quarantine = PartQuarantine::default();
+    let prompts: [&[&str]; 4] = [
+        &[DEADLY, "new"],
+        &[DEADLY, "new"],
+        &[DEADLY, "document"],
+        &["new"],
+    ];
+    for (i, prompt) in (0..).zip(prompts) {
+        let at = start + ms(200 * i);
+        quarantine.record_crash(at, at, &format!("server {i}"), &parts(prompt));
+    }
+    quarantine.record_answer(start + ms(800), "other");
+    assert!(quarantine.update(start + ms(900)).is_empty());
+    let at = start + ms(1_000);
+    quarantine.record_crash(at, at, "server 5", &parts(&[DEADLY]));
+    quarantine.update(start + ms(1_100));
+    let deadly = quarantine.blocked(start + ms(1_100), &parts(&[DEADLY]));
+    assert_eq!(deadly.unwrap().parts, [DEADLY]);
+    assert_eq!(
+        quarantine.blocked(start + ms(1_100), &parts(&["new"])),
+        None
+    );
 }
 
 #[test]
@@ -195,11 +291,13 @@
     let mut quarantine = suspected(start, 3, &["shared", DEADLY]);
     quarantine.update(start + ms(900));
     let blocked = quarantine.blocked(start + ms(900), &deadly).unwrap();
-    assert_eq!(blocked.part, DEADLY);
+    assert_eq!(blocked.parts, deadly);
     let end = start + ms(900) + blocked.time_left;
     assert_eq!(quarantine.blocked(end, &deadly), None);
-    let part = String::from(DEADLY);
-    assert_eq!(quarantine.update(end), [QuarantineChange::Expired { part }]);
+    let expired = QuarantineChange::Expired {
+        parts: deadly.clone(),
+    };
+    assert_eq!(quarantine.update(end), [expired]);
     quarantine.record_crash(end, start, "server 0", &deadly);
     assert!(quarantine.may_repeat(end, &deadly));
 }
--- a/crates/lift_gateway/src/part_guard.rs
+++ b/crates/lift_gateway/src/part_guard.rs
@@ -35,7 +35,7 @@
     pub(crate) fn blocked(
         &self,
         parts: &[lift_fleet::PromptPart],
-    ) -> Option<lift_dispatch::BlockedPart> {
+    ) -> Option<lift_dispatch::BlockedParts> {
         if parts.is_empty() {
             return None;
         }
@@ -120,17 +120,21 @@
 
     fn log_change(&self, change: &lift_dispatch::QuarantineChange) {
         match change {
-            lift_dispatch::QuarantineChange::Started { part, ends, lasts } => {
+            lift_dispatch::QuarantineChange::Started { parts, ends, lasts } => {
                 self.counters.increment("gateway.parts_quarantined");
-                slog::warn!(self.log, "prompt part quarantined"; "part" => part,
+                slog::warn!(self.log, "prompt part quarantined"; "part" => parts.join(","),
                     "backends_ended" => ends, "lasts_ms" => lasts.as_millis() as u64);
             }
+            lift_dispatch::QuarantineChange::Narrowed { parts } => {
+                slog::warn!(self.log, "prompt part quarantine narrowed";
+                    "part" => parts.join(","));
+            }
             lift_dispatch::QuarantineChange::Answered { part } => {
                 slog::info!(self.log, "prompt part released"; "part" => part,
                     "reason" => "answered");
             }
-            lift_dispatch::QuarantineChange::Expired { part } => {
-                slog::info!(self.log, "prompt part released"; "part" => part,
+            lift_dispatch::QuarantineChange::Expired { parts } => {
+                slog::info!(self.log, "prompt part released"; "part" => parts.join(","),
                     "reason" => "expired");
             }
         }
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -132,7 +132,7 @@
         };
         self.shared.log.write_limited(|log| {
             slog::info!(log, "request quarantined"; "request" => &self.head.id,
-                "part" => &blocked.part, "left_ms" => blocked.time_left.as_millis() as u64);
+                "part" => blocked.parts.join(","), "left_ms" => blocked.time_left.as_millis() as u64);
         });
         let reason = match self.may_have_run {
             true => lift_dispatch::RejectionReason::NoAnswer,
--- a/crates/lift_gateway/tests/deadly_parts.rs
+++ b/crates/lift_gateway/tests/deadly_parts.rs
@@ -49,6 +49,33 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_part_behind_the_deadly_one_is_served() {
+    // Guards against the refusal of all requests with a sound part that came into use together with
+    // the deadly one, and stands behind it in each prompt (review/5).
+    let mut backends = Vec::new();
+    for _ in 0..8 {
+        backends.push(Backend::start_crashing_on("deadly", "").await);
+    }
+    let announced: Vec<&Backend> = backends.iter().collect();
+    let fleet = Fleet::start(139, &announced).await;
+    let mut statuses = Vec::new();
+    for (i, parts) in ["deadly,new", "deadly,new", "deadly,new", "deadly,next"]
+        .into_iter()
+        .enumerate()
+    {
+        let id = format!("deadly-{i}");
+        let result = fleet.call_with_parts("idempotent", &id, parts).await;
+        statuses.push(result.map_or(0, |(status, _)| status));
+        let parts = if i < 2 { "other" } else { "new" };
+        let id = format!("sound-{i}");
+        let sound = fleet.call_with_parts("idempotent", &id, parts).await;
+        assert_eq!(sound.map(|(status, _)| status), Ok(200), "{parts}");
+        tokio::time::sleep(time::Duration::from_millis(110)).await;
+    }
+    assert_eq!(statuses[2..], [503; 2], "{statuses:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn broken_connections_of_running_backend_servers_are_no_evidence() {
     // Guards against the quarantine of sound parts when connections are reset.
