Refuse late requests that might outlast a gateway's stop, and answer the rest

In a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated.

Here: it can happen. From 2.6 s after SIGTERM on a gateway closes connections, but the first request of an open connection, or one from the backlog, was still sent on for as long as its route allows (6 s), while the process ends 7 s after SIGTERM. A request that was in progress then was closed without an answer.

Cause: requests did not know when the stop ends.

Change: once connections are being closed, a request whose deadline lies behind the end of the stop is refused with 503 (stopping): another gateway can serve it at once. 100 ms before the end, requests without an answer get 502, which promises nothing. Streams that have begun break off visibly, as before.

Why it works: what is sent on after that ends in time by its own deadline, and nobody is left without an answer.

--- a/crates/lift_gateway/src/gateway.rs
+++ b/crates/lift_gateway/src/gateway.rs
@@ -12,6 +12,9 @@
 /// Time between two removals of unused connections and records.
 const CLEANUP_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
+/// Time before the end of a graceful stop in which callers get their last answers.
+const LAST_ANSWER_TIME: time::Duration = time::Duration::from_millis(100);
+
 type Result<T> = std::result::Result<T, error_stack::Report<gateway_error::GatewayError>>;
 
 /// A gateway that serves callers until it is stopped.
@@ -83,8 +86,10 @@
 
     /// Stops gracefully within `grace`. The readiness check fails at once. New connections and
     /// requests are still accepted for the shutdown delay, which gives the load balancer time to
-    /// notice; then each connection is closed after its request in progress. Returns whether all
-    /// requests have finished in time. Any further call returns `true` after the delay.
+    /// notice; then each connection is closed after its request in progress. A request that comes
+    /// after that is refused if it might not end in time. Shortly before the end, requests without
+    /// an answer are answered that their outcome is not known. Returns whether all requests have
+    /// finished in time. Any further call returns `true` after the delay.
     pub async fn stop(&self, grace: time::Duration) -> bool {
         let started = lift_clock::now();
         self.shared
@@ -92,13 +97,19 @@
             .store(true, atomic::Ordering::Release);
         let shutdown_delay = self.shared.limits.shutdown_delay.min(grace / 2);
         tokio::time::sleep(shutdown_delay).await;
+        let end = started + grace.saturating_sub(LAST_ANSWER_TIME);
+        let _ = self.shared.stop_end.set(end);
         self.draining.cancel();
-        let Some(serving) = self.serving.lock().take() else {
+        let Some(mut serving) = self.serving.lock().take() else {
             return true;
         };
-        let spent = lift_clock::now().saturating_duration_since(started);
-        let left = grace.saturating_sub(spent);
-        tokio::time::timeout(left, serving).await.is_ok()
+        let left = end.saturating_duration_since(lift_clock::now());
+        if tokio::time::timeout(left, &mut serving).await.is_ok() {
+            return true;
+        }
+        self.shared.giving_up.cancel();
+        let _ = tokio::time::timeout(LAST_ANSWER_TIME, serving).await;
+        false
     }
 }
 
--- a/crates/lift_gateway/src/http_server.rs
+++ b/crates/lift_gateway/src/http_server.rs
@@ -41,7 +41,7 @@
     };
     let id = head.id.clone();
     match prepare(&shared, started, head, parts, body).await {
-        Ok(run) => run.run().await,
+        Ok(run) => run_until_given_up(&shared, id, run).await,
         Err(reason) => {
             let age = shared.fleet.confirmation_age(lift_clock::now());
             shared.log.write_limited(|log| {
@@ -53,6 +53,18 @@
     }
 }
 
+/// Runs a request. If a graceful stop ends first, its caller gets an answer nevertheless.
+async fn run_until_given_up(shared: &Shared, id: String, run: request_run::RequestRun) -> Response {
+    let answered = shared.giving_up.run_until_cancelled(run.run()).await;
+    answered.unwrap_or_else(|| {
+        shared.log.write_limited(|log| {
+            slog::info!(log, "request given up at the end of a stop"; "request" => &id);
+        });
+        let reason = lift_dispatch::RejectionReason::NoAnswer;
+        response::rejected(shared, reason, Some(id))
+    })
+}
+
 /// Finds the route and the workspace, reads the body and chooses the service.
 async fn prepare(
     shared: &Shared,
@@ -75,6 +87,9 @@
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = started + timeout;
     let body = read_body(&table, body, deadline).await?;
+    if !shared.can_end_before_stop(deadline) {
+        return Err(lift_dispatch::RejectionReason::Stopping);
+    }
     let draw = rand::rng().random();
     let service = route.choose_service(draw).cloned();
     let service = service.ok_or(lift_dispatch::RejectionReason::NoRoute)?;
--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -32,6 +32,10 @@
     /// report has arrived or a backend server has changed.
     pub(crate) capacity_changed: tokio::sync::Notify,
     pub(crate) is_stopping: atomic::AtomicBool,
+    /// When requests in progress are given up. Set once a graceful stop closes connections.
+    pub(crate) stop_end: sync::OnceLock<time::Instant>,
+    /// Cancelled at that time.
+    pub(crate) giving_up: tokio_util::sync::CancellationToken,
     retry_budgets:
         lift_shard::Shards<indexmap::IndexMap<lift_types::ServiceId, lift_route::RetryBudget>>,
     service_latencies: lift_shard::Shards<
@@ -63,6 +67,8 @@
             latencies,
             capacity_changed: tokio::sync::Notify::new(),
             is_stopping: atomic::AtomicBool::new(false),
+            stop_end: sync::OnceLock::new(),
+            giving_up: tokio_util::sync::CancellationToken::new(),
             retry_budgets: lift_shard::Shards::new(SERVICE_SHARDS, |_| indexmap::IndexMap::new()),
             service_latencies: lift_shard::Shards::new(SERVICE_SHARDS, |_| {
                 indexmap::IndexMap::new()
@@ -75,6 +81,12 @@
         self.is_stopping.load(atomic::Ordering::Acquire)
     }
 
+    /// Whether a request that may last until `deadline` is sure to have ended before a graceful stop
+    /// gives it up.
+    pub(crate) fn can_end_before_stop(&self, deadline: time::Instant) -> bool {
+        self.stop_end.get().is_none_or(|end| deadline <= *end)
+    }
+
     /// Whether the last confirmation of the configuration is recent enough to serve requests.
     pub(crate) fn is_confirmed(&self, now: time::Instant) -> bool {
         let age = self.fleet.confirmation_age(now);
