Answer requests that outlast the stop of an entry

An entry refuses new requests from the start of a stop, so late ones were never passed on. But a request that was in progress when the limit ran out lost its connection without an answer, so the caller of a request that must not run twice learned nothing.

Cause: the end of the stop cancelled the connections, not the requests.

Change: 100 ms before the limit, requests without an answer are told that their outcome is in doubt; a repeat under the same key gets the recorded outcome from another entry. The agent goes on with the call and records it, as before.

Why it works: only the entry knows that it will not be there for the answer, and "in doubt" is true whether the request has run or not.

--- a/crates/lift_entry/src/entry.rs
+++ b/crates/lift_entry/src/entry.rs
@@ -10,6 +10,9 @@
 /// Maximum time to wait for the heartbeat that confirms that an agent is leaving.
 const DRAIN_CONFIRM_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// Time before the end of a graceful stop in which callers get their last answers.
+const LAST_ANSWER_TIME: time::Duration = time::Duration::from_millis(100);
+
 /// Handle of a running entry. Dropping it stops the entry without a drain.
 #[derive(Debug)]
 pub struct Entry {
@@ -107,11 +110,13 @@
     }
 
     /// Drains and stops the entry: reports to the platform that it is not ready, refuses new
-    /// requests and completes those in progress. Returns the number of requests that are cut off
-    /// because they were still in progress when `limit` ran out.
+    /// requests and completes those in progress. Those without an answer shortly before `limit` runs
+    /// out are answered that their outcome is in doubt. Returns the number of requests that were
+    /// still in progress then.
     pub async fn stop(&self, limit: time::Duration) -> usize {
         let started = tokio::time::Instant::now();
         let deadline = started + limit;
+        let last_answers = deadline - LAST_ANSWER_TIME.min(limit);
         let notice_end = started + self.shared.limits.drain_notice;
         self.shared
             .is_draining
@@ -121,10 +126,11 @@
         let _ = tokio::time::timeout_at(deadline, reported).await;
         // New requests are accepted and refused with a reason until the last request in progress
         // has finished, because a closed port would leave callers in doubt.
-        while self.in_progress() > 0 && tokio::time::Instant::now() < deadline {
+        while self.in_progress() > 0 && tokio::time::Instant::now() < last_answers {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         let cut_off = self.in_progress();
+        self.shared.giving_up.cancel();
         tokio::time::sleep_until(notice_end.min(deadline)).await;
         self.closing.cancel();
         let _ = tokio::time::timeout_at(deadline, self.shared.stopped.cancelled()).await;
--- a/crates/lift_entry/src/entry_builder.rs
+++ b/crates/lift_entry/src/entry_builder.rs
@@ -157,6 +157,7 @@
             logger: self.logger,
             next_id: atomic::AtomicU64::new(first_id),
             is_draining: atomic::AtomicBool::new(false),
+            giving_up: tokio_util::sync::CancellationToken::new(),
             stopped,
         })
     }
--- a/crates/lift_entry/src/http_router.rs
+++ b/crates/lift_entry/src/http_router.rs
@@ -30,10 +30,23 @@
     let id = shared.next_id();
     let (parts, body) = req.into_parts();
     let parsed = caller_request::CallerRequest::from_head(&shared, id, &parts);
-    let mut request = match parsed {
+    let request = match parsed {
         Ok(request) => request,
         Err(reason) => return caller_reply::refused_head(&shared, id, &parts.headers, reason),
     };
+    let giving_up = shared.giving_up.clone();
+    let handling = handle(sync::Arc::clone(&shared), request, body);
+    let answered = giving_up.run_until_cancelled(handling).await;
+    // The request may have reached an agent, which goes on with it.
+    let in_doubt = || caller_reply::in_doubt(&shared, id, lift_types::RefusalReason::Draining);
+    answered.unwrap_or_else(in_doubt)
+}
+
+async fn handle(
+    shared: Shared,
+    mut request: caller_request::CallerRequest,
+    body: axum::body::Body,
+) -> response::Response {
     if let Err(reason) = shared.readiness() {
         return refuse(shared, request, reason).await;
     }
--- a/crates/lift_entry/src/shared.rs
+++ b/crates/lift_entry/src/shared.rs
@@ -39,6 +39,8 @@
     pub(crate) logger: slog::Logger,
     pub(crate) next_id: atomic::AtomicU64,
     pub(crate) is_draining: atomic::AtomicBool,
+    /// Cancelled shortly before a graceful stop ends, when requests without an answer are given up.
+    pub(crate) giving_up: tokio_util::sync::CancellationToken,
     pub(crate) stopped: tokio_util::sync::CancellationToken,
 }
 
--- a/crates/lift_entry/tests/stops_and_limits.rs
+++ b/crates/lift_entry/tests/stops_and_limits.rs
@@ -46,6 +46,27 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_lasts_longer_than_a_stop_is_answered() {
+    // Guards against a connection that is closed without an answer at the end of a stop, so that
+    // the caller of a request that must not run twice learns nothing.
+    let fleet = fleet::Fleet::start(1).await;
+    let ledger = fleet.ledger(1).await;
+    fleet.wait_for_agents(1).await;
+    let late = lift_standin::AnswerFault::Late(time::Duration::from_secs(3));
+    ledger.ledger.set_fault(late);
+    let headers = [("idempotency-key", "k"), ("x-lift-deadline-ms", "5000")];
+    let stop = async {
+        tokio::time::sleep(time::Duration::from_millis(200)).await;
+        fleet.entries[0].stop(time::Duration::from_secs(1)).await
+    };
+    let call = fleet.call(0, "/v1/ledger/release", &headers);
+    let (reply, cut_off) = tokio::join!(call, stop);
+    let expected = (String::from("in_doubt"), String::from("draining"));
+    assert_eq!(reply.outcome(), expected, "{reply:?}");
+    assert_eq!(cut_off, 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_agent_that_stops_completes_its_streams() {
     let fleet = fleet::Fleet::start(1).await;
