Limit each answer to an agent by what is asked for

What operators saw: a report of others. A faulty replica sent bytes without end in a head or a body; the machine kept them all and ran out of memory, and the requests of other clients there ended with it.

An agent kept up to 16 MiB of each answer, and it has more than a dozen requests in progress at its replica and the origin on a host of 128 MB.

Cause: one limit for all kinds of answers, far above most of them.

Change: HttpClient::with_max_body_bytes.

Why it works: what an agent holds is bounded by the number of its requests times what each may sensibly bring.

--- a/crates/lift_border/src/http_client.rs
+++ b/crates/lift_border/src/http_client.rs
@@ -12,8 +12,9 @@
 /// Time in which a connection must be open.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
-/// Largest body of an answer, in bytes. Chunks of weights and manifests are far smaller.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Largest body of an answer unless a client sets another limit, in bytes. Chunks of weights and
+/// manifests are far smaller.
+const DEFAULT_BODY_BYTES: usize = 16 * 1024 * 1024;
 
 /// Largest buffer for the head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -36,6 +37,7 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     base: String,
+    max_body_bytes: usize,
     client: legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<bytes::Bytes>>,
 }
 
@@ -57,6 +59,7 @@
         connector.set_local_address(local_ip);
         Self {
             base: String::from(base.trim_end_matches('/')),
+            max_body_bytes: DEFAULT_BODY_BYTES,
             client: legacy::Client::builder(rt::TokioExecutor::new())
                 .pool_max_idle_per_host(max_idle)
                 .http1_max_buf_size(MAX_HEAD_BYTES)
@@ -64,6 +67,16 @@
         }
     }
 
+    /// Returns a client that shares the connections of this one and reads bodies of answers of up to
+    /// `bytes` only. A server in trouble may send without end, on as many connections as there are
+    /// requests, so each kind of request needs a limit that fits its answers.
+    pub fn with_max_body_bytes(&self, bytes: usize) -> Self {
+        Self {
+            max_body_bytes: bytes,
+            ..self.clone()
+        }
+    }
+
     /// Starts a request for `path`, which begins with a slash.
     pub fn request(&self, method: http::Method, path: &str) -> http::request::Builder {
         http::Request::builder()
@@ -101,7 +114,7 @@
             error_stack::Report::new(e).change_context(kind)
         })?;
         let (head, body) = reply.into_parts();
-        let body = http_body_util::Limited::new(body, MAX_BODY_BYTES);
+        let body = http_body_util::Limited::new(body, self.max_body_bytes);
         let body = body.collect().await.map_err(|_| HttpError::Broken)?;
         Ok(http::Response::from_parts(head, body.to_bytes()))
     }
--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -218,10 +218,13 @@
     async fn read_origin(self: &sync::Arc<Self>, chunk: lift_types::ChunkIndex) {
         let source = lift_transfer::Source::Origin;
         let manifest = &self.staged.manifest;
-        let reading =
-            self.shared
-                .origin
-                .piece(self.origin, &manifest.model, manifest.version, chunk);
+        let reading = self.shared.origin.piece(
+            self.origin,
+            &manifest.model,
+            manifest.version,
+            chunk,
+            manifest.max_piece_bytes(),
+        );
         match shared::within(ORIGIN_TIMEOUT, reading).await {
             Ok(bytes) => {
                 self.shared.counters.increment("agent.pieces_from_origin");
--- a/crates/lift_stage/src/origin_port.rs
+++ b/crates/lift_stage/src/origin_port.rs
@@ -17,12 +17,13 @@
         version: Option<lift_fleet::WeightsVersion>,
     ) -> Result<piece_manifest::PieceManifest>;
 
-    /// Bytes of a piece.
+    /// Bytes of a piece, at most `max_bytes`.
     async fn piece(
         &self,
         origin: net::SocketAddr,
         model: &str,
         version: lift_fleet::WeightsVersion,
         index: lift_types::ChunkIndex,
+        max_bytes: usize,
     ) -> Result<bytes::Bytes>;
 }
--- a/crates/lift_stage/src/piece_manifest.rs
+++ b/crates/lift_stage/src/piece_manifest.rs
@@ -17,6 +17,10 @@
     pub digests: Vec<piece_digest::PieceDigest>,
 }
 
+/// Limit of a piece that is read, where the manifest names a smaller one. It leaves room for servers
+/// whose pieces are longer than they say; digests decide which are right.
+const MIN_PIECE_LIMIT_BYTES: usize = 1024 * 1024;
+
 impl PieceManifest {
     /// Whether it describes the weights that were asked for: this version, or any one without it.
     /// A manifest without pieces describes none; all its pieces would be in place at once.
@@ -25,6 +29,11 @@
         is_version && self.model == model && !self.digests.is_empty()
     }
 
+    /// Largest answer that may be read as a piece, in bytes.
+    pub fn max_piece_bytes(&self) -> usize {
+        MIN_PIECE_LIMIT_BYTES.max(self.piece_bytes as usize)
+    }
+
     /// Whether there is a piece `index`.
     pub fn has_piece(&self, index: lift_types::ChunkIndex) -> bool {
         (index as usize) < self.digests.len()
--- a/crates/lift_stage/src/piece_server.rs
+++ b/crates/lift_stage/src/piece_server.rs
@@ -237,9 +237,7 @@
         if !self.staged.holds(index) {
             return None;
         }
-        let model = &self.staged.manifest.model;
-        let reading = self.shared.stage.get_piece(model, index);
-        let read = shared::within(shared::BACKEND_TIMEOUT, reading).await;
+        let read = self.shared.staged_piece(&self.staged.manifest, index).await;
         let bytes = read.ok().flatten()?;
         if self.staged.manifest.matches(index, &bytes) {
             return Some(bytes);
--- a/crates/lift_stage/src/shared.rs
+++ b/crates/lift_stage/src/shared.rs
@@ -5,7 +5,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    engine_report, link_patience, origin_port, stage_error, stage_port, staged, staging_area,
+    engine_report, link_patience, origin_port, piece_manifest, stage_error, stage_port, staged,
+    staging_area,
 };
 
 /// Time for one request to the backend server beside the agent.
@@ -99,6 +100,17 @@
         self.named.borrow().newest(model)
     }
 
+    /// Reads what is staged as a piece, or `None` where there is nothing. It is not checked.
+    pub(crate) async fn staged_piece(
+        &self,
+        manifest: &piece_manifest::PieceManifest,
+        index: lift_types::ChunkIndex,
+    ) -> Result<Option<bytes::Bytes>, error_stack::Report<stage_error::StageError>> {
+        let (model, max_bytes) = (&manifest.model, manifest.max_piece_bytes());
+        let reading = self.stage.get_piece(model, index, max_bytes);
+        within(BACKEND_TIMEOUT, reading).await
+    }
+
     /// When this agent may let the backend server load a newer version than `held`.
     pub(crate) fn load_turn(
         &self,
--- a/crates/lift_stage/src/stage_port.rs
+++ b/crates/lift_stage/src/stage_port.rs
@@ -15,11 +15,12 @@
     /// Positions of the pieces in the staging area of a model. Their content is not known.
     async fn staged(&self, model: &str) -> Result<Vec<lift_types::ChunkIndex>>;
 
-    /// Reads a piece from the staging area, or `None` where there is none.
+    /// Reads a piece of at most `max_bytes` from the staging area, or `None` where there is none.
     async fn get_piece(
         &self,
         model: &str,
         index: lift_types::ChunkIndex,
+        max_bytes: usize,
     ) -> Result<Option<bytes::Bytes>>;
 
     /// Puts a piece into the staging area, over any earlier one.
--- a/crates/lift_stage/src/weights_keeper.rs
+++ b/crates/lift_stage/src/weights_keeper.rs
@@ -128,9 +128,11 @@
     let is_piece = |index: &lift_types::ChunkIndex| manifest.has_piece(*index);
     let lying: indexmap::IndexSet<_> = lying.into_iter().filter(is_piece).collect();
     for index in &lying {
-        let reading = shared.stage.get_piece(&manifest.model, *index);
-        let read = shared::within(shared::BACKEND_TIMEOUT, reading).await?;
-        if read.is_some_and(|bytes| manifest.matches(*index, &bytes)) {
+        let reading = shared.staged_piece(manifest, *index);
+        if reading
+            .await?
+            .is_some_and(|bytes| manifest.matches(*index, &bytes))
+        {
             staged.add(*index);
         }
     }
@@ -163,9 +165,11 @@
     let manifest = &staged.manifest;
     let mut spoilt = 0;
     for index in 0..manifest.digests.len() as lift_types::ChunkIndex {
-        let reading = shared.stage.get_piece(&manifest.model, index);
-        let read = shared::within(shared::BACKEND_TIMEOUT, reading).await?;
-        if !read.is_some_and(|bytes| manifest.matches(index, &bytes)) {
+        let reading = shared.staged_piece(manifest, index);
+        if !reading
+            .await?
+            .is_some_and(|bytes| manifest.matches(index, &bytes))
+        {
             staged.remove(index);
             spoilt += 1;
         }
--- a/crates/lift_stage/tests/support/engine.rs
+++ b/crates/lift_stage/tests/support/engine.rs
@@ -192,7 +192,7 @@
         Ok(staged.copied().collect())
     }
 
-    async fn get_piece(&self, _: &str, index: u32) -> Result<Option<bytes::Bytes>> {
+    async fn get_piece(&self, _: &str, index: u32, _: usize) -> Result<Option<bytes::Bytes>> {
         self.check()?;
         let piece = {
             let mut state = self.state.lock();
--- a/crates/lift_stage/tests/support/origin.rs
+++ b/crates/lift_stage/tests/support/origin.rs
@@ -117,6 +117,7 @@
         _: &str,
         version: u64,
         index: u32,
+        _: usize,
     ) -> Result<bytes::Bytes> {
         let read = self.state.reads.fetch_add(1, atomic::Ordering::SeqCst);
         let delay = *self.state.delay.lock();
