Guard against answers that were cut in their head

A report of other operators (MIXED, ORDER): a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

Here it does not happen.

--- a/crates/lift_border/tests/http_backend.rs
+++ b/crates/lift_border/tests/http_backend.rs
@@ -124,3 +124,23 @@
         tokio::time::sleep(time::Duration::from_millis(20)).await;
     }
 }
+
+#[tokio::test]
+async fn an_answer_that_was_cut_anywhere_in_its_head_is_an_error() {
+    // Guards against a success with an empty or short body that looks whole (a report of other
+    // operators), at agents and at the clients of engines and of the origin.
+    const HEADS: [&str; 2] = [
+        "HTTP/1.1 200 OK\r\nx-lift-request-id: 1-1-1\r\nx-lift-version: v1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx-lift-request-id: 1-1-1\r\n\r\n",
+    ];
+    for head in HEADS {
+        for length in 1..head.len() {
+            let addr = server(&head[..length]).await;
+            assert_eq!(failure(addr).await, BackendError::Broken, "{length}");
+            let client = lift_border::HttpClient::new(&format!("http://{addr}"), None);
+            let req = client.request(http::Method::GET, "/weights");
+            let sent = client.send(req, bytes::Bytes::new()).await;
+            assert!(sent.is_err(), "{length}");
+        }
+    }
+}
