Quarantine together only parts that stood in the same requests

Found by reading again: it took two parts for alike if they explain the ends of the same servers. Those may be parts of different requests at these servers. A quarantine of both refuses nothing, and update() never ended, since no request at an end held both.

Change: a part is quarantined with its companions, the parts that stood beside it in a request at each of its ends. Other parts with as many ends are told apart by the next end. The changes that a crash or an answer brings are now returned by the next update, so that they are logged at once.

--- a/crates/lift_dispatch/src/crash_log.rs
+++ b/crates/lift_dispatch/src/crash_log.rs
@@ -103,6 +103,19 @@
         parts
     }
 
+    /// The suspected parts that stood beside `part` in a request at each backend server that ended on
+    /// it, itself included. No request tells them apart.
+    pub(crate) fn companions(&self, part: &str) -> indexmap::IndexSet<&str> {
+        let mut beside = indexmap::IndexMap::<&str, indexmap::IndexSet<&str>>::new();
+        let with_part = self.crashes.iter().filter(|c| c.suspects.contains(part));
+        for crash in with_part {
+            let parts = beside.entry(crash.backend.as_str()).or_default();
+            parts.extend(crash.suspects.iter().map(String::as_str));
+        }
+        let common = beside.into_values().reduce(|a, b| &a & &b);
+        common.unwrap_or_default()
+    }
+
     /// Whether a quarantined part explains the end of `backend` at `at`.
     pub(crate) fn is_explained(&self, backend: &str, at: time::Instant) -> bool {
         let explained = self.explained.get(backend);
--- a/crates/lift_dispatch/src/part_evidence.rs
+++ b/crates/lift_dispatch/src/part_evidence.rs
@@ -17,12 +17,6 @@
         self.ends.add(backend, at);
     }
 
-    /// Whether the part explains each end that the other one explains, so that no end tells that the
-    /// other one is at fault and not this one.
-    pub(crate) fn explains_all_of(&self, other: &Self) -> bool {
-        other.ends.is_subset(&self.ends)
-    }
-
     /// Orders two parts by how well each explains the ends; the greater one does so better. A part
     /// that was never answered comes before one that was, then the part with more ends, then the
     /// one that was answered longer ago. The position in the prompt tells nothing.
--- a/crates/lift_dispatch/src/part_quarantine.rs
+++ b/crates/lift_dispatch/src/part_quarantine.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     blocked_parts, crash_log, part_answers, part_crash, part_evidence, quarantine,
-    quarantine_change, server_ends,
+    quarantine_change,
 };
 
 /// Backend servers that must have ended one after the other on a part before it is quarantined.
@@ -36,9 +36,9 @@
 /// A part is suspected while backend servers end one after the other on requests with it and no
 /// answer to such a request completes, although answers to other requests do. The part that
 /// explains most is quarantined, and the ends that it explains no longer count against the other
-/// parts, which sound requests share. Parts that explain the same ends are quarantined together:
-/// only requests that hold all of them are refused, until further requests tell them apart. See
-/// `docs/platform.md`.
+/// parts, which sound requests share. Parts that stood in one request at each of the ends are
+/// quarantined together: only requests that hold all of them are refused, until further requests
+/// tell them apart. See `docs/platform.md`.
 #[derive(Clone, Debug, Default)]
 pub struct PartQuarantine {
     crashes: crash_log::CrashLog,
@@ -155,17 +155,18 @@
         is_news
     }
 
-    /// Whether [`Self::update`] may change anything because time has passed.
+    /// Whether [`Self::update`] may change anything because time has passed, or has changes to
+    /// return.
     pub fn is_update_due(&self, now: time::Instant) -> bool {
         let is_over = |quarantine: &quarantine::Quarantine| now >= quarantine.until;
-        self.is_undecided || self.quarantines.iter().any(is_over)
+        self.is_undecided || !self.changes.is_empty() || self.quarantines.iter().any(is_over)
     }
 
     /// Starts and ends quarantines. Returns all changes since the last call.
     pub fn update(&mut self, now: time::Instant) -> Vec<quarantine_change::QuarantineChange> {
         self.remove_expired(now);
-        while let Some(suspects) = self.worst_suspects(now) {
-            self.start_quarantine(now, suspects);
+        while let Some(part) = self.worst_suspect(now) {
+            self.start_quarantine(now, &part);
         }
         mem::take(&mut self.changes)
     }
@@ -184,9 +185,8 @@
         });
     }
 
-    /// The part that explains the ends best and those that explain the same ones, with the ends, if
-    /// the evidence suffices for a quarantine.
-    fn worst_suspects(&mut self, now: time::Instant) -> Option<Suspects> {
+    /// The part that explains the ends best, if the evidence suffices for a quarantine.
+    fn worst_suspect(&mut self, now: time::Instant) -> Option<lift_fleet::PromptPart> {
         if !self.is_undecided {
             return None;
         }
@@ -194,16 +194,13 @@
         evidence.retain(|_, evidence| self.is_enough(evidence));
         self.is_undecided = !evidence.is_empty();
         let worst = evidence.iter().max_by(|a, b| self.cmp_suspects(a, b))?;
-        let is_settled = self.is_settled(now, worst.0, worst.1);
-        let is_alike = |other: &Evidence| other.1.explains_all_of(worst.1);
         // Two parts that explain as many ends, but not the same ones, are told apart by the next.
-        let is_tied = evidence
-            .iter()
-            .any(|other| !is_alike(&other) && self.cmp_suspects(&other, &worst).is_eq());
-        let alike = evidence.iter().filter(is_alike);
-        let alike = alike.map(|(part, e)| (String::from(*part), e.ends.clone()));
-        let suspects: Suspects = alike.collect();
-        (is_settled && !is_tied).then_some(suspects)
+        let companions = self.crashes.companions(worst.0);
+        let is_tied = evidence.iter().any(|other| {
+            !companions.contains(*other.0) && self.cmp_suspects(&other, &worst).is_eq()
+        });
+        let is_decided = !is_tied && self.is_settled(now, worst.0, worst.1);
+        is_decided.then(|| String::from(*worst.0))
     }
 
     /// Orders two suspects by how well each explains the ends.
@@ -238,30 +235,31 @@
         })
     }
 
-    fn start_quarantine(&mut self, now: time::Instant, suspects: Suspects) {
-        // The ends of the worst suspect are the ones that all suspects explain.
-        let common = suspects.values().min_by_key(|ends| ends.count_separate());
-        let Some((common, first_end, last_end)) =
-            common.and_then(|ends| Some((ends, ends.first()?, ends.last()?)))
-        else {
+    /// Quarantines a part together with those that no request has told apart from it.
+    fn start_quarantine(&mut self, now: time::Instant, part: &str) {
+        let evidence = self.crashes.evidence();
+        let companions = self.crashes.companions(part);
+        let ends_of = |part: &&str| Some((String::from(*part), evidence.get(part)?.ends.clone()));
+        let suspects: indexmap::IndexMap<_, _> = companions.iter().filter_map(ends_of).collect();
+        let ends = suspects.get(part).cloned().unwrap_or_default();
+        self.crashes.explain_by(&[String::from(part)]);
+        let (Some(first_end), Some(last_end)) = (ends.first(), ends.last()) else {
             return;
         };
-        let (ends, until) = (common.count_separate(), last_end + QUARANTINE_TIME);
-        let lasts = until.saturating_duration_since(now);
+        let until = last_end + QUARANTINE_TIME;
         if self.quarantines.len() >= MAX_QUARANTINES {
             self.quarantines.pop_front();
         }
-        let parts: Vec<_> = suspects.keys().cloned().collect();
-        self.crashes.explain_by(&parts);
         let quarantine = quarantine::Quarantine::new(suspects, first_end, until);
-        self.quarantines.push_back(quarantine);
         self.changes
-            .push(quarantine_change::QuarantineChange::Started { parts, ends, lasts });
+            .push(quarantine_change::QuarantineChange::Started {
+                parts: quarantine.parts(),
+                ends: ends.count_separate(),
+                lasts: until.saturating_duration_since(now),
+            });
+        self.quarantines.push_back(quarantine);
     }
 }
 
 /// A suspected part and the evidence against it.
 type Evidence<'a> = (&'a &'a str, &'a part_evidence::PartEvidence);
-
-/// Suspected parts, with the ends that each of them explains.
-type Suspects = indexmap::IndexMap<lift_fleet::PromptPart, server_ends::ServerEnds>;
--- a/crates/lift_dispatch/src/server_ends.rs
+++ b/crates/lift_dispatch/src/server_ends.rs
@@ -43,13 +43,6 @@
         self.ends.get(backend).copied()
     }
 
-    /// Whether all of these backend servers are among those of `other`.
-    pub(crate) fn is_subset(&self, other: &Self) -> bool {
-        self.ends
-            .keys()
-            .all(|backend| other.ends.contains_key(backend))
-    }
-
     /// When the first of the backend servers ended.
     pub(crate) fn first(&self) -> Option<time::Instant> {
         self.ends.values().min().copied()
