Say when the staging area waits, and split the transfer

That shows as "staging area waits for a request without an answer" and in agent.unanswered, so that a late load can be told from a slow transfer.

--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -11,9 +11,6 @@
 /// Time between two looks at requests that are late.
 const CLOCK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
-/// Time for one piece from the origin, whose link all agents share.
-const ORIGIN_TIMEOUT: time::Duration = time::Duration::from_secs(4);
-
 /// Time without a connection to an upstream after which the origin is read in its place.
 const UPSTREAM_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
@@ -41,7 +38,7 @@
 pub(crate) struct Fetch {
     pub(crate) shared: sync::Arc<shared::Shared>,
     pub(crate) staged: sync::Arc<staged::Staged>,
-    origin: net::SocketAddr,
+    pub(crate) origin: net::SocketAddr,
     download: parking_lot::Mutex<lift_transfer::Download>,
     links: parking_lot::Mutex<fetch_links::FetchLinks>,
     /// Agents that can't be reached or are silent. Others take over what they are to read.
@@ -50,7 +47,7 @@
     /// Ends the reads from the origin, whose answers nobody needs after the transfer.
     stop: tokio_util::sync::CancellationToken,
     pub(crate) from_origin: atomic::AtomicU32,
-    from_agents: atomic::AtomicU32,
+    pub(crate) from_agents: atomic::AtomicU32,
 }
 
 impl Fetch {
@@ -215,89 +212,6 @@
         }
     }
 
-    async fn read_origin(self: &sync::Arc<Self>, chunk: lift_types::ChunkIndex) {
-        let source = lift_transfer::Source::Origin;
-        let manifest = &self.staged.manifest;
-        let reading = self.shared.origin.piece(
-            self.origin,
-            &manifest.model,
-            manifest.version,
-            chunk,
-            manifest.max_piece_bytes(),
-        );
-        match shared::within(ORIGIN_TIMEOUT, reading).await {
-            Ok(bytes) => {
-                self.shared.counters.increment("agent.pieces_from_origin");
-                self.arrive(chunk, bytes, source).await;
-            }
-            Err(e) => {
-                self.shared.counters.increment("agent.origin_failed");
-                slog::debug!(self.shared.log, "origin failed"; "piece" => chunk, "error" => %e);
-                self.step(lift_transfer::DownloadEvent::Refused {
-                    chunk,
-                    source,
-                    retry_after: None,
-                });
-            }
-        }
-    }
-
-    /// Checks a piece that came and puts it into the staging area.
-    pub(crate) async fn arrive(
-        self: &sync::Arc<Self>,
-        chunk: lift_types::ChunkIndex,
-        bytes: bytes::Bytes,
-        source: lift_transfer::Source,
-    ) {
-        let manifest = &self.staged.manifest;
-        if !manifest.matches(chunk, &bytes) {
-            self.shared.counters.increment("agent.pieces_corrupt");
-            slog::warn!(self.shared.log, "piece does not match its digest";
-                "piece" => chunk, "version" => manifest.version, "source" => ?source);
-            self.step(lift_transfer::DownloadEvent::Corrupt { chunk, source });
-            return;
-        }
-        if self.staged.holds(chunk) {
-            self.step(lift_transfer::DownloadEvent::Arrived { chunk, source });
-            return;
-        }
-        let area = &self.shared.staging_area;
-        let writing = area.write(&self.shared.staged, &self.staged, chunk, bytes);
-        match writing.await {
-            Ok(()) => {
-                let tally = match source {
-                    lift_transfer::Source::Origin => &self.from_origin,
-                    lift_transfer::Source::Peer(_) => &self.from_agents,
-                };
-                tally.fetch_add(1, atomic::Ordering::Relaxed);
-                self.step(lift_transfer::DownloadEvent::Arrived { chunk, source });
-            }
-            Err(e) => self.give_up_write(chunk, source, e.current_context()),
-        }
-    }
-
-    /// Notes that a piece could not be staged. Pieces that came too late for their version are
-    /// counted apart: they are no sign of trouble at the backend server.
-    fn give_up_write(
-        self: &sync::Arc<Self>,
-        chunk: lift_types::ChunkIndex,
-        source: lift_transfer::Source,
-        error: &stage_error::StageError,
-    ) {
-        let counter = match error {
-            stage_error::StageError::Superseded => "agent.pieces_superseded",
-            _ => "agent.stage_failed",
-        };
-        self.shared.counters.increment(counter);
-        slog::debug!(self.shared.log, "piece not staged"; "piece" => chunk,
-            "version" => self.staged.manifest.version, "source" => ?source, "error" => %error);
-        self.step(lift_transfer::DownloadEvent::Refused {
-            chunk,
-            source,
-            retry_after: None,
-        });
-    }
-
     /// Keys of the links to other agents.
     pub(crate) fn keys(&self) -> &lift_wire::LinkKeys {
         &self.shared.keys
--- a/crates/lift_stage/src/lib.rs
+++ b/crates/lift_stage/src/lib.rs
@@ -12,6 +12,7 @@
 //! [`OriginPort`]. See `docs/platform.md`.
 
 mod agent_observer;
+mod arrival;
 mod engine_report;
 mod fetch;
 mod fetch_links;
--- a/crates/lift_stage/src/stage_agent.rs
+++ b/crates/lift_stage/src/stage_agent.rs
@@ -43,7 +43,11 @@
             card: node.card.clone(),
             backend: settings.backend.ok_or(missing("backend"))?,
             keys: node.keys.clone(),
-            staging_area: staging_area::StagingArea::new(sync::Arc::clone(&stage)),
+            staging_area: staging_area::StagingArea::new(
+                sync::Arc::clone(&stage),
+                node.log.clone(),
+                sync::Arc::clone(&node.counters),
+            ),
             stage,
             origin: settings.origin.ok_or(missing("origin"))?,
             log: node.log.clone(),
--- a/crates/lift_stage/src/staging_area.rs
+++ b/crates/lift_stage/src/staging_area.rs
@@ -33,16 +33,24 @@
     writes: sync::Arc<tokio_sync::Semaphore>,
     /// When nothing that an earlier process of this agent has sent can take effect any more.
     inherited_until: time::Instant,
+    log: slog::Logger,
+    counters: sync::Arc<lift_obs::Counters>,
 }
 
 impl StagingArea {
     /// Takes over the staging area from an earlier process, which may have left requests behind.
-    pub(crate) fn new(stage: sync::Arc<dyn stage_port::StagePort>) -> Self {
+    pub(crate) fn new(
+        stage: sync::Arc<dyn stage_port::StagePort>,
+        log: slog::Logger,
+        counters: sync::Arc<lift_obs::Counters>,
+    ) -> Self {
         Self {
             stage,
             access: sync::Arc::default(),
             writes: sync::Arc::new(tokio_sync::Semaphore::new(MAX_WRITES)),
             inherited_until: lift_clock::now() + SETTLE_TIME,
+            log,
+            counters,
         }
     }
 
@@ -79,13 +87,13 @@
             }
             let stage = sync::Arc::clone(&self.stage);
             let version = sync::Arc::clone(version);
-            carry_out((access, slot), async move {
+            let putting = async move {
                 let model = &version.manifest.model;
                 stage.put_piece(model, index, bytes).await?;
                 version.add(index);
                 Ok(())
-            })
-            .await
+            };
+            self.carry_out("write", (access, slot), putting).await
         };
         shared::within(shared::BACKEND_TIMEOUT, writing).await
     }
@@ -110,7 +118,8 @@
     ) -> Result<order_answer::OrderAnswer> {
         let stage = sync::Arc::clone(&self.stage);
         let model = String::from(model);
-        let ordering = carry_out(permit, async move { stage.load(&model, version).await });
+        let ordering = async move { stage.load(&model, version).await };
+        let ordering = self.carry_out("order", permit, ordering);
         shared::within(shared::BACKEND_TIMEOUT, ordering).await
     }
 
@@ -119,28 +128,35 @@
         let left = left.saturating_duration_since(lift_clock::now());
         tokio::time::sleep(left).await;
     }
-}
 
-/// Carries out a request to its end, also if nobody waits for it any more, and keeps `access` for
-/// as long as the backend server may act on it.
-async fn carry_out<T: Send + 'static>(
-    access: impl Send + 'static,
-    req: impl Future<Output = Result<T>> + Send + 'static,
-) -> Result<T> {
-    let (tx, rx) = tokio_sync::oneshot::channel();
-    tokio::spawn(async move {
-        let result = req.await;
-        let is_settled = match &result {
-            Ok(_) => true,
-            Err(e) => e.current_context().is_settled(),
-        };
-        // The receiver is gone if the caller has given up waiting.
-        let _ = tx.send(result);
-        if !is_settled {
-            tokio::time::sleep(SETTLE_TIME).await;
-        }
-        drop(access);
-    });
-    let unanswered = |_| error_stack::Report::new(stage_error::StageError::Backend);
-    rx.await.map_err(unanswered)?
+    /// Carries out a request to its end, also if nobody waits for it any more, and keeps `access`
+    /// for as long as the backend server may act on it.
+    async fn carry_out<T: Send + 'static>(
+        &self,
+        what: &'static str,
+        access: impl Send + 'static,
+        req: impl Future<Output = Result<T>> + Send + 'static,
+    ) -> Result<T> {
+        let (tx, rx) = tokio_sync::oneshot::channel();
+        let (log, counters) = (self.log.clone(), sync::Arc::clone(&self.counters));
+        tokio::spawn(async move {
+            let result = req.await;
+            let error = result
+                .as_ref()
+                .err()
+                .map(error_stack::Report::current_context);
+            let is_settled = error.is_none_or(stage_error::StageError::is_settled);
+            // The receiver is gone if the caller has given up waiting.
+            let _ = tx.send(result);
+            if !is_settled {
+                counters.increment("agent.unanswered");
+                slog::info!(log, "staging area waits for a request without an answer";
+                    "request" => what, "wait_ms" => SETTLE_TIME.as_millis() as u64);
+                tokio::time::sleep(SETTLE_TIME).await;
+            }
+            drop(access);
+        });
+        let unanswered = |_| error_stack::Report::new(stage_error::StageError::Backend);
+        rx.await.map_err(unanswered)?
+    }
 }
