--- a/crates/lift_border/src/http_client.rs
+++ b/crates/lift_border/src/http_client.rs
@@ -6,6 +6,8 @@
 use http_body_util::BodyExt as _;
 use hyper_util::{client::legacy, rt};
 
+use crate::http_error;
+
 /// Idle connections kept to one system. More than two are seldom in use at once.
 const MAX_IDLE: usize = 2;
 
@@ -22,17 +24,6 @@
 /// Time in which an answer must be complete, also where its sender sends something now and then.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
-/// Why a request could not be completed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum HttpError {
-    /// No connection could be opened, so nothing was sent.
-    #[error("no connection could be opened for the HTTP request")]
-    NotConnected,
-    /// The connection or the answer broke, or took too long. The request may have run.
-    #[error("the HTTP request could not be completed")]
-    Broken,
-}
-
 /// Client of one system, given by the start of its URLs.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -88,34 +79,37 @@
     ///
     /// # Errors
     ///
-    /// Returns [`HttpError::NotConnected`] where nothing was sent, and [`HttpError::Broken`] where the
+    /// Returns [`http_error::HttpError::NotConnected`] where nothing was sent, and [`http_error::HttpError::Broken`] where the
     /// connection or the answer broke, or where the answer is too long or takes too long.
     pub async fn send(
         &self,
         req: http::request::Builder,
         body: bytes::Bytes,
-    ) -> Result<http::Response<bytes::Bytes>, error_stack::Report<HttpError>> {
+    ) -> Result<http::Response<bytes::Bytes>, error_stack::Report<http_error::HttpError>> {
         let req = req
             .body(http_body_util::Full::new(body))
-            .change_context(HttpError::Broken)?;
+            .change_context(http_error::HttpError::Broken)?;
         let answered = tokio::time::timeout(ANSWER_TIMEOUT, self.answer(req)).await;
-        answered.change_context(HttpError::Broken)?
+        answered.change_context(http_error::HttpError::Broken)?
     }
 
     async fn answer(
         &self,
         req: http::Request<http_body_util::Full<bytes::Bytes>>,
-    ) -> Result<http::Response<bytes::Bytes>, error_stack::Report<HttpError>> {
+    ) -> Result<http::Response<bytes::Bytes>, error_stack::Report<http_error::HttpError>> {
         let reply = self.client.request(req).await.map_err(|e| {
             let kind = match e.is_connect() {
-                true => HttpError::NotConnected,
-                false => HttpError::Broken,
+                true => http_error::HttpError::NotConnected,
+                false => http_error::HttpError::Broken,
             };
             error_stack::Report::new(e).change_context(kind)
         })?;
         let (head, body) = reply.into_parts();
         let body = http_body_util::Limited::new(body, self.max_body_bytes);
-        let body = body.collect().await.map_err(|_| HttpError::Broken)?;
+        let body = body
+            .collect()
+            .await
+            .map_err(|_| http_error::HttpError::Broken)?;
         Ok(http::Response::from_parts(head, body.to_bytes()))
     }
 
@@ -128,8 +122,8 @@
         &self,
         req: http::request::Builder,
         message: &T,
-    ) -> Result<http::Response<bytes::Bytes>, error_stack::Report<HttpError>> {
-        let body = serde_json::to_vec(message).change_context(HttpError::Broken)?;
+    ) -> Result<http::Response<bytes::Bytes>, error_stack::Report<http_error::HttpError>> {
+        let body = serde_json::to_vec(message).change_context(http_error::HttpError::Broken)?;
         let req = req.header(http::header::CONTENT_TYPE, "application/json");
         self.send(req, bytes::Bytes::from(body)).await
     }
--- a/crates/lift_border/src/lib.rs
+++ b/crates/lift_border/src/lib.rs
@@ -22,6 +22,7 @@
 mod http_backend;
 mod http_client;
 mod http_engine;
+mod http_error;
 mod http_origin;
 mod http_platform;
 mod http_status;
@@ -48,8 +49,9 @@
     HttpBackend, PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER, TIME_LEFT_HEADER,
     VERSION_HEADER,
 };
-pub use http_client::{HttpClient, HttpError, segment};
+pub use http_client::{HttpClient, segment};
 pub use http_engine::HttpEngine;
+pub use http_error::HttpError;
 pub use http_origin::HttpOrigin;
 pub use http_platform::HttpPlatform;
 pub use http_weight_store::HttpWeightStore;
--- a/crates/lift_dispatch/src/rejection_reason.rs
+++ b/crates/lift_dispatch/src/rejection_reason.rs
@@ -41,7 +41,7 @@
     Late,
     /// A part of the request's prompt crashes backend servers.
     Quarantined,
-    /// The gateway is stopping.
+    /// The gateway is stopping, and the request might outlast the stop.
     Stopping,
 }
 
--- a/crates/lift_log/src/lib.rs
+++ b/crates/lift_log/src/lib.rs
@@ -8,6 +8,7 @@
 mod apply_thread;
 mod bindings;
 mod change_error;
+mod company;
 mod disk_thread;
 mod leadership;
 mod link_switch;
@@ -16,6 +17,7 @@
 mod log_end;
 mod log_status;
 mod member_files;
+mod member_place;
 mod member_start;
 mod node;
 mod peer_frame;
--- a/crates/lift_log/src/log_driver_builder.rs
+++ b/crates/lift_log/src/log_driver_builder.rs
@@ -4,7 +4,10 @@
 
 use error_stack::ResultExt as _;
 
-use crate::{link_switch, log_driver, member_files, member_start, start_error, state_machine};
+use crate::{
+    company, link_switch, log_driver, member_files, member_place, member_start, start_error,
+    state_machine,
+};
 
 type Result<T> = std::result::Result<T, error_stack::Report<start_error::StartError>>;
 
@@ -12,7 +15,7 @@
 #[derive(Debug)]
 pub struct LogDriverBuilder {
     replica: lift_consensus::ReplicaConfig,
-    files: Option<member_files::Place>,
+    files: Option<member_place::MemberPlace>,
     listener: Option<net::TcpListener>,
     address: Option<net::SocketAddr>,
     keys: Option<lift_wire::LinkKeys>,
@@ -61,13 +64,13 @@
 
     /// Keeps all files in `folder`.
     pub fn folder(mut self, folder: impl Into<path::PathBuf>) -> Self {
-        self.files = Some(member_files::Place::Folder(folder.into()));
+        self.files = Some(member_place::MemberPlace::Folder(folder.into()));
         self
     }
 
     /// Keeps all files on `disk` instead of a folder.
     pub fn disk(mut self, disk: sync::Arc<dyn lift_disk::Disk>) -> Self {
-        self.files = Some(member_files::Place::Disk(disk));
+        self.files = Some(member_place::MemberPlace::Disk(disk));
         self
     }
 
@@ -165,8 +168,8 @@
         let id = self.replica.id;
         let alone = self.replica.members.len() == 1 && self.replica.members.get(id).is_some();
         let company = match alone {
-            true => member_files::Company::Alone,
-            false => member_files::Company::Others,
+            true => company::Company::Alone,
+            false => company::Company::Others,
         };
         let open = move || member_files::MemberFiles::open(place, id, company);
         let opened = tokio::task::spawn_blocking(open).await;
--- a/crates/lift_log/src/member_files.rs
+++ b/crates/lift_log/src/member_files.rs
@@ -1,11 +1,11 @@
 //! What a member finds on its disk when it starts.
 
-use std::{path, sync};
+use std::sync;
 
 use error_stack::ResultExt as _;
 use rand::RngExt as _;
 
-use crate::start_error;
+use crate::{company, member_place, start_error};
 
 type Result<T> = std::result::Result<T, error_stack::Report<start_error::StartError>>;
 
@@ -19,19 +19,16 @@
     pub(crate) restored: lift_consensus::RecoveredState,
 }
 
-/// Where the files of a member are.
-#[derive(Clone, Debug)]
-pub(crate) enum Place {
-    Disk(sync::Arc<dyn lift_disk::Disk>),
-    Folder(path::PathBuf),
-}
-
 impl MemberFiles {
     /// Reads the files of a member. An empty disk is bound to the member.
-    pub(crate) fn open(place: Place, id: lift_types::MemberId, company: Company) -> Result<Self> {
+    pub(crate) fn open(
+        place: member_place::MemberPlace,
+        id: lift_types::MemberId,
+        company: company::Company,
+    ) -> Result<Self> {
         let disk: sync::Arc<dyn lift_disk::Disk> = match place {
-            Place::Disk(disk) => disk,
-            Place::Folder(folder) => {
+            member_place::MemberPlace::Disk(disk) => disk,
+            member_place::MemberPlace::Folder(folder) => {
                 let opened = lift_disk::FileDisk::open(folder);
                 sync::Arc::new(opened.change_context(start_error::StartError::Disk)?)
             }
@@ -64,23 +61,15 @@
     }
 }
 
-/// Whether other members can know an earlier disk of a member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Company {
-    /// The member is the only one of a new cluster.
-    Alone,
-    Others,
-}
-
 fn bind_empty(
     identities: &lift_disk::IdentityStore,
     id: lift_types::MemberId,
-    company: Company,
+    company: company::Company,
 ) -> Result<lift_disk::Identity> {
     let identity = lift_disk::Identity {
         member: id,
         disk: rand::rng().random(),
-        confirmed: company == Company::Alone,
+        confirmed: company == company::Company::Alone,
         peers: indexmap::IndexMap::new(),
     };
     let saved = identities.save(&identity);
--- a/crates/lift_registry/src/control_member.rs
+++ b/crates/lift_registry/src/control_member.rs
@@ -7,22 +7,12 @@
 
 use crate::{
     control_member_builder, directory_maintenance, fleet_control, fleet_control_error,
-    member_bootstrap, member_disk, member_observer, membership_maintenance, registry,
+    log_supervisor, member_bootstrap, member_observer, membership_maintenance, registry,
 };
 
 /// Default time without a heartbeat after which a backend server is marked as silent.
 const DEFAULT_HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
-/// Delay before the log is started again after it stopped or failed to start.
-const RESTART_DELAY: time::Duration = time::Duration::from_millis(500);
-
-/// Number of entries applied since the last snapshot that triggers a new one. Low, because each
-/// entry may hold a complete document that the next one makes obsolete.
-const SNAPSHOT_AFTER_ENTRIES: u64 = 256;
-
-/// Number of entries covered by the snapshot that stay in memory for slow members.
-const KEEP_ENTRIES: u64 = 64;
-
 type Result<T> =
     std::result::Result<T, error_stack::Report<fleet_control_error::FleetControlError>>;
 
@@ -75,7 +65,7 @@
         let heartbeat_timeout = settings
             .heartbeat_timeout
             .unwrap_or(DEFAULT_HEARTBEAT_TIMEOUT);
-        let supervisor = LogSupervisor {
+        let supervisor = log_supervisor::LogSupervisor {
             registry: sync::Arc::clone(&registry),
             bootstrap,
             timing: settings.timing,
@@ -141,83 +131,3 @@
         feed.push_head(registry.state_machine.head());
     }
 }
-
-/// Runs the log and restarts it when it stops, for instance after a disk failure or the removal
-/// of this member.
-struct LogSupervisor {
-    registry: sync::Arc<registry::Registry>,
-    bootstrap: member_bootstrap::MemberBootstrap,
-    timing: lift_consensus::Timing,
-}
-
-impl LogSupervisor {
-    async fn run(self, mut removed: watch::Receiver<Option<lift_types::MemberId>>) {
-        loop {
-            if let Err(e) = self.run_once(&mut removed).await {
-                slog::error!(self.bootstrap.node.log, "control member failed"; "error" => %e);
-                self.bootstrap
-                    .node
-                    .counters
-                    .increment("control.member_ended");
-            }
-            tokio::time::sleep(RESTART_DELAY).await;
-        }
-    }
-
-    async fn run_once(
-        &self,
-        removed: &mut watch::Receiver<Option<lift_types::MemberId>>,
-    ) -> Result<()> {
-        let id = self.bootstrap.obtain_id().await?;
-        let log = sync::Arc::new(self.open(id).await?);
-        self.registry.current_log.set(Some(log.clone()));
-        slog::info!(self.bootstrap.node.log, "control member runs"; "member" => id);
-        let must_join_again = tokio::select! {
-            end = log.ended() => end == lift_log::LogEnd::DiskReplaced,
-            _ = removed.wait_for(|removed| *removed == Some(id)) => true,
-        };
-        self.registry.current_log.set(None);
-        log.abort().await;
-        drop(log);
-        slog::warn!(self.bootstrap.node.log, "control member stopped"; "member" => id,
-            "must_join_again" => must_join_again);
-        if must_join_again {
-            let folder = self.bootstrap.folder.clone();
-            let retire = move || member_disk::retire(&folder, id);
-            let retired = tokio::task::spawn_blocking(retire).await;
-            retired.map_err(|_| fleet_control_error::FleetControlError::Start("disk"))??;
-        }
-        Ok(())
-    }
-
-    async fn open(&self, id: lift_types::MemberId) -> Result<lift_log::LogDriver> {
-        let bootstrap = &self.bootstrap;
-        let limits = lift_consensus::Limits {
-            snapshot_after_entries: SNAPSHOT_AFTER_ENTRIES,
-            keep_entries: KEEP_ENTRIES,
-            ..lift_consensus::Limits::default()
-        };
-        let mut builder = lift_log::LogDriver::builder()
-            .id(id)
-            .folder(&bootstrap.folder)
-            .keys(bootstrap.node.keys.clone())
-            .peer_address(bootstrap.node.ports.peer(bootstrap.node.listen_host()))
-            .advertise(bootstrap.node.ports.peer(bootstrap.node.host()))
-            .state_machine(self.registry.state_machine.clone())
-            .timing(self.timing)
-            .limits(limits)
-            .logger(bootstrap.node.log.clone())
-            .counters(sync::Arc::clone(&self.bootstrap.node.counters));
-        let initial = bootstrap.initial_members();
-        if initial.iter().any(|(member, _)| *member == id) {
-            for (id, control) in initial {
-                builder =
-                    builder.initial_member(id, bootstrap.node.ports.peer(control.ip()), control);
-            }
-        }
-        let opened = builder.start().await;
-        opened.change_context(fleet_control_error::FleetControlError::Start(
-            "replicated log",
-        ))
-    }
-}
--- a/crates/lift_registry/src/lib.rs
+++ b/crates/lift_registry/src/lib.rs
@@ -19,6 +19,7 @@
 mod fleet_control;
 mod fleet_control_error;
 mod fleet_state_machine;
+mod log_supervisor;
 mod member_bootstrap;
 mod member_disk;
 mod member_observer;
