--- a/crates/lift_border/src/http_client.rs
+++ b/crates/lift_border/src/http_client.rs
@@ -79,8 +79,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`http_error::HttpError::NotConnected`] where nothing was sent, and [`http_error::HttpError::Broken`] where the
-    /// connection or the answer broke, or where the answer is too long or takes too long.
+    /// Returns [`http_error::HttpError::NotConnected`] where nothing was sent, and
+    /// [`http_error::HttpError::Broken`] where the connection or the answer broke, or where the
+    /// answer is too long or takes too long.
     pub async fn send(
         &self,
         req: http::request::Builder,
