Hold leases back while a test looks at a restarted agent

Cause: the test was wrong. It looked at the status right after start() had returned, while the tasks of the agent were running on the other threads. An agent may serve as soon as it has a lease, the engine has reported the version and the host has verified its chunks, and nothing made those wait for the test. There is no fault in the agent: it serves only what advertise_loaded allows.

Replacement, stricter than the old check: control answers neither renewals nor requests for grants while the new incarnation starts. The host then has all chunks again and the engine reports the version, and for 300 ms more nothing may be served. Once control answers, the rest of the test goes on as before: served without a read from the origin and without an order.

--- a/crates/lift_standin/src/control_standin.rs
+++ b/crates/lift_standin/src/control_standin.rs
@@ -28,6 +28,8 @@
     homes: indexmap::IndexMap<lift_types::VersionId, sync::Arc<lift_transfer::HomeTable>>,
     fencing: lift_types::FencingToken,
     incarnation: lift_types::Incarnation,
+    /// Whether renewals and grants fail, as without a leader.
+    withholds_leases: bool,
 }
 
 #[derive(Debug)]
@@ -76,6 +78,12 @@
         state.homes.clear();
     }
 
+    /// Sets whether renewals of leases and grants fail, as while control has no leader. Agents still
+    /// register, and the policy stays confirmed.
+    pub fn withhold_leases(&self, withholds: bool) {
+        self.state.lock().withholds_leases = withholds;
+    }
+
     /// Homes among the agents whose policy asks for `version`. A region that is held at
     /// another version would never pass its chunks on.
     fn homes(&self, version: &str) -> sync::Arc<lift_transfer::HomeTable> {
@@ -196,6 +204,9 @@
 
     async fn renew(&self, renewal: lift_state::LeaseRenewal) -> Result<lift_state::LeaseReply> {
         let mut state = self.state.lock();
+        if state.withholds_leases {
+            return unavailable();
+        }
         let Some(host) = state.hosts.get_mut(&renewal.location.host) else {
             return unavailable();
         };
@@ -214,6 +225,9 @@
         &self,
         req: lift_state::ActivationRequest,
     ) -> Result<lift_state::ActivationReply> {
+        if self.state.lock().withholds_leases {
+            return unavailable();
+        }
         Ok(self.grant(&req))
     }
 
--- a/crates/lift_swarm/tests/faults.rs
+++ b/crates/lift_swarm/tests/faults.rs
@@ -111,8 +111,17 @@
     wait_serving(&agent, "v1").await;
     agent.stop().await;
     let (read, orders) = (fleet.origin.bytes_read(), hosts[0].engine.orders());
+    // The engine still holds the version and the host all of its chunks, but a new incarnation
+    // serves nothing until it has a lease of its own.
+    fleet.control.withhold_leases(true);
     let agent = fleet.start_agent(&hosts[0]).await;
+    wait_for(&agent, |status| {
+        status.chunks > 0 && status.chunks_held == status.chunks
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(agent.status().borrow().serving, None);
+    fleet.control.withhold_leases(false);
     wait_serving(&agent, "v1").await;
     assert_eq!(fleet.origin.bytes_read(), read);
     assert_eq!(hosts[0].engine.orders(), orders);
