Limit the answers that liftctl reads

A server in trouble that goes on sending made it keep the whole body until 15 s had passed.

Cause: Client::send collected the body without a limit, the only client of ours that still did. The head was limited by the HTTP library.

Fix: a body of more than 64 MiB ends the attempt like any other broken answer, so the next server is asked, and the exit code is that of a server that has not answered. The message says that the answer can't be read.

--- a/crates/liftctl/src/client.rs
+++ b/crates/liftctl/src/client.rs
@@ -15,6 +15,9 @@
 /// Longest time to an answer. A server gives up on control before that.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(15);
 
+/// Largest body of an answer, in bytes. The view of a fleet of thousands of hosts is far smaller.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
 /// Calls one server after the other until one answers.
 pub(crate) struct Client {
     servers: Vec<server::Server>,
@@ -151,10 +154,12 @@
     let conn = tokio::spawn(conn);
     let answer = sender.send_request(req).await.map_err(|e| e.to_string())?;
     let status = answer.status();
-    let body = answer.into_body().collect().await;
+    let body = http_body_util::Limited::new(answer.into_body(), MAX_BODY_BYTES);
+    let body = body.collect().await;
     conn.abort();
+    let body = body.map_err(|e| format!("the answer can't be read: {e}"))?;
     Ok(reply::Reply {
         status,
-        body: body.map_err(|e| e.to_string())?.to_bytes(),
+        body: body.to_bytes(),
     })
 }
