Limit the head of a backend server's answer at an agent

Cause: HttpBackend left the limit to the HTTP library, which buffers some 400 KB a connection. An agent takes 512 calls at once by default.

Fix: the same 64 KiB as for the other clients. The attempt counts as broken, which proves nothing about the request, as before.

Guard: a_backend_server_may_not_send_a_head_of_any_length. It sends a head of 128 KiB that ends, so that it does not depend on memory; the old code took it for an answer. The test failed before the change and passes now.

--- a/crates/lift_border/src/http_backend.rs
+++ b/crates/lift_border/src/http_backend.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt as _;
 use hyper_util::{client::legacy, rt};
 
-use crate::{answer, answer_head, backend, backend_call, backend_error, echo_check};
+use crate::{answer, answer_head, backend, backend_call, backend_error, echo_check, http_client};
 
 /// Header that carries the identifier of a request and is echoed in the answer.
 pub const REQUEST_ID_HEADER: &str = "x-lift-request-id";
@@ -67,6 +67,7 @@
         // it wrote the first byte, so a request that may have run is never sent twice.
         let mut client = legacy::Client::builder(rt::TokioExecutor::new());
         client.retry_canceled_requests(true);
+        client.http1_max_buf_size(http_client::MAX_HEAD_BYTES);
         if echo == echo_check::EchoCheck::WhenPresent {
             client.pool_max_idle_per_host(IDLE_WITHOUT_ECHO);
         }
--- a/crates/lift_border/src/http_client.rs
+++ b/crates/lift_border/src/http_client.rs
@@ -19,7 +19,7 @@
 const DEFAULT_BODY_BYTES: usize = 16 * 1024 * 1024;
 
 /// Largest buffer for the head of an answer, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Time in which an answer must be complete, also where its sender sends something now and then.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(30);
--- a/crates/lift_border/tests/endless_answers.rs
+++ b/crates/lift_border/tests/endless_answers.rs
@@ -1,9 +1,10 @@
-//! Answers of engines and origins that don't end. Guards against a server in trouble that uses up
+//! Answers of backend servers, engines and origins that don't end. Guards against a server in trouble that uses up
 //! the memory of the host.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use std::{net, time};
 
+use lift_border::Backend as _;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 /// Time in which a call must have ended. The bound of bytes is reached long before.
@@ -46,3 +47,26 @@
     let part = String::from("x-more: 0123456789012345678901234567890123456789\r\n");
     assert!(is_refused("HTTP/1.1 200 X\r\n", part).await);
 }
+
+#[tokio::test]
+async fn a_backend_server_may_not_send_a_head_of_any_length() {
+    // Guards against heads of some 250 KiB that were kept for each of hundreds of calls at once.
+    let call = lift_border::BackendCall {
+        id: String::from("1-1-1"),
+        method: String::from("POST"),
+        path: String::from("/chat"),
+        headers: Vec::new(),
+        body: bytes::Bytes::new(),
+        version: None,
+        priority: lift_types::Priority::Normal,
+        time_left: LIMIT,
+        resume_from: 0,
+    };
+    let start = "HTTP/1.1 200 X\r\nx-lift-request-id: 1-1-1\r\nx-more: ";
+    let rest = format!("{}\r\ncontent-length: 0\r\n\r\n", "x".repeat(0x20000));
+    let addr = endless_server(start, rest).await;
+    let backend = lift_border::HttpBackend::new(addr, lift_border::EchoCheck::Required);
+    let error = backend.submit(call).await.unwrap_err();
+    let broken = lift_border::BackendError::Broken;
+    assert_eq!(*error.current_context(), broken);
+}
