Refuse requests whose body is incomplete at the end of a stop

Cause: requests are given up shortly before the end, but only once they run. One whose body is still read waited for its own deadline, which may lie after the end.

Evidence: with the old code a_request_whose_body_is_incomplete_at_the_end_of_a_stop_is_refused failed: the answer came at the deadline of the request, 3 s after the stop had returned, when the process would have been gone.

Fix: reading the body ends when requests are given up. Nothing was sent on, so the caller gets 503 with the reason "stopping" and may repeat the request at another gateway at once.

--- a/crates/lift_gateway/src/http_server.rs
+++ b/crates/lift_gateway/src/http_server.rs
@@ -86,7 +86,9 @@
     let workspace = workspace(&table, &route, &head).map_err(denial)?;
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = started + timeout;
-    let body = read_body(&table, body, deadline).await?;
+    let reading = read_body(&table, body, deadline);
+    let body = shared.giving_up.run_until_cancelled(reading).await;
+    let body = body.unwrap_or(Err(lift_dispatch::RejectionReason::Stopping))?;
     if !shared.can_end_before_stop(deadline) {
         return Err(lift_dispatch::RejectionReason::Stopping);
     }
--- a/crates/lift_gateway/tests/planned_stop.rs
+++ b/crates/lift_gateway/tests/planned_stop.rs
@@ -112,3 +112,22 @@
     assert!(matches!(answer, Ok((502, _))), "{answer:?}");
     assert!(!all_finished);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_body_is_incomplete_at_the_end_of_a_stop_is_refused() {
+    // Guards against a connection that is closed without an answer while the caller still sends, so
+    // that the caller can't know that the request has not run.
+    let backend = Backend::start(&[]).await;
+    let fleet = Fleet::start(103, &[&backend]).await;
+    let start = "POST /non_idempotent/x HTTP/1.1\r\nhost: h\r\nx-id: r1\r\nx-key: k1\r\n\
+                 content-length: 9\r\n\r\nhalf";
+    let call = support::send_raw(fleet.callers(), start);
+    let stopping = async {
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+        fleet.gateway.stop(time::Duration::from_secs(1)).await
+    };
+    let (answer, _) = tokio::join!(call, stopping);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("x-reason: stopping"), "{answer}");
+    assert!(backend.received().is_empty());
+}
--- a/crates/lift_gateway/tests/support/mod.rs
+++ b/crates/lift_gateway/tests/support/mod.rs
@@ -16,4 +16,4 @@
 pub(crate) use fleet::{Fleet, MODEL, limits};
 pub(crate) use old_caller::{call_as_old_caller, call_as_old_caller_after};
 pub(crate) use pausing_backend::PausingBackend;
-pub(crate) use raw_caller::call_raw;
+pub(crate) use raw_caller::{call_raw, send_raw};
