Play the suspicion against new parts that explain fewer ends

Played with five ends on the deadly part, three of them beside the new one: the new part is indeed chosen first, but the two stood in one request at each of its ends, so they are refused together only. Sound requests with the new part pass, and the next end on the deadly part alone leaves only that one in quarantine. So no caller of sound requests is refused.

Naming the deadly part at once would save one server, but would rest on ends that may be ordinary crashes of servers that work on a part that many callers share; nothing was changed for that.

--- a/crates/lift_dispatch/tests/alike_parts.rs
+++ b/crates/lift_dispatch/tests/alike_parts.rs
@@ -67,6 +67,27 @@
     }
 }
 
+#[test]
+fn a_new_part_that_explains_fewer_ends_is_refused_beside_the_deadly_one_only() {
+    // Guards against refusing sound requests with a new part that stood beside a deadly one, which
+    // explains clearly more ends but was answered before.
+    let start = time::Instant::now();
+    let both = [DEADLY, "new"];
+    let mut quarantine = PartQuarantine::default();
+    quarantine.record_answer(start - ms(500), DEADLY);
+    let prompts: [&[&str]; 5] = [&[DEADLY, "a"], &[DEADLY, "b"], &both, &both, &both];
+    record(&mut quarantine, start, &prompts);
+    let now = start + ms(1_100);
+    quarantine.update(now);
+    assert!(quarantine.blocked(now, &parts(&both)).is_some());
+    assert_eq!(quarantine.blocked(now, &parts(&["new"])), None);
+    record(&mut quarantine, start + ms(1_200), &[&[DEADLY, "c"]]);
+    let now = start + ms(1_500);
+    let deadly = quarantine.blocked(now, &parts(&[DEADLY, "d"]));
+    assert_eq!(deadly.unwrap().parts, [DEADLY]);
+    assert_eq!(quarantine.blocked(now, &parts(&["new"])), None);
+}
+
 #[test]
 fn further_ends_tell_the_deadly_part_from_its_neighbour() {
     // Guards against a deadly part that goes on ending servers beside other parts than at first,
