Say why reading a body ends with a graceful stop

Read as a newcomer: the three lines in prepare() did not say that a refusal is true there, and the field stop_end did not say that it lies before the end of the process. Comments only, no code changed.

--- a/crates/lift_gateway/src/http_server.rs
+++ b/crates/lift_gateway/src/http_server.rs
@@ -87,6 +87,7 @@
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = started + timeout;
     let reading = read_body(&table, body, deadline);
+    // A stop that ends meanwhile refuses the request, of which nothing was sent on.
     let body = shared.giving_up.run_until_cancelled(reading).await;
     let body = body.unwrap_or(Err(lift_dispatch::RejectionReason::Stopping))?;
     if !shared.can_end_before_stop(deadline) {
--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -32,7 +32,8 @@
     /// report has arrived or a backend server has changed.
     pub(crate) capacity_changed: tokio::sync::Notify,
     pub(crate) is_stopping: atomic::AtomicBool,
-    /// When requests in progress are given up. Set once a graceful stop closes connections.
+    /// When requests in progress are given up, shortly before the process ends. Set once a graceful
+    /// stop closes connections.
     pub(crate) stop_end: sync::OnceLock<time::Instant>,
     /// Cancelled at that time.
     pub(crate) giving_up: tokio_util::sync::CancellationToken,
