A member that ends without a stop keeps its disk

What callers would see: a control process that ends with an error after its member has started (its control listener or another role can't start) comes back with an empty disk and a new identifier. If several do so, an acknowledged document is gone.

Cause: the supervisor of the log waits for a note that the member was removed. `watch::Receiver::wait_for` also returns, with an error, when the sender is dropped, and that was taken for a removal: the member retired and cleared its folder. The sender belongs to the feed client, so it is dropped with the handle of the member. Class: the absence of a sign is taken for the sign, and what follows can't be undone.

Why this works: the supervisor acts on the note only, and a handle that is dropped ends its tasks, so none is left that could act.

--- a/crates/lift_registry/src/control_member.rs
+++ b/crates/lift_registry/src/control_member.rs
@@ -17,7 +17,7 @@
     std::result::Result<T, error_stack::Report<fleet_control_error::FleetControlError>>;
 
 /// Runs the replicated log, the directory of backend servers and the feed of one member until
-/// [`ControlMember::stop`] is called.
+/// [`ControlMember::stop`] is called. Dropping it ends the member as a crash would.
 #[derive(Debug)]
 pub struct ControlMember {
     registry: sync::Arc<registry::Registry>,
@@ -114,6 +114,13 @@
     }
 }
 
+impl Drop for ControlMember {
+    /// Ends all tasks at once, as a crash would, so that none outlives the handle.
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
 type Task = std::pin::Pin<Box<dyn Future<Output = ()> + Send>>;
 
 fn boxed(task: impl Future<Output = ()> + Send + 'static) -> Task {
--- a/crates/lift_registry/src/log_supervisor.rs
+++ b/crates/lift_registry/src/log_supervisor.rs
@@ -54,7 +54,7 @@
         slog::info!(self.bootstrap.node.log, "control member runs"; "member" => id);
         let must_join_again = tokio::select! {
             end = log.ended() => end == lift_log::LogEnd::DiskReplaced,
-            _ = removed.wait_for(|removed| *removed == Some(id)) => true,
+            () = wait_for_removal(removed, id) => true,
         };
         self.registry.current_log.set(None);
         log.abort().await;
@@ -101,3 +101,18 @@
         ))
     }
 }
+
+/// Waits until `member` is known to be removed. The end of the feed is no removal: it also ends
+/// when the process does, and the disk must then stay as it is.
+async fn wait_for_removal(
+    removed: &mut watch::Receiver<Option<lift_types::MemberId>>,
+    member: lift_types::MemberId,
+) {
+    if removed
+        .wait_for(|removed| *removed == Some(member))
+        .await
+        .is_err()
+    {
+        std::future::pending::<()>().await;
+    }
+}
