Only a committed removal lets a member clear its disk

What callers would see: after an ordinary crash of the leader, a voter in good order clears its disk and joins as a new member. If one more disk is lost, as many copies of an acknowledged document are gone as if two were lost, and the document is gone, or no quorum is left to read it.

Cause: members tell each other who the members are, and one that is not listed retires. The list was the newest one in the log, committed or not. A leader that appends the removal of a voter that does not answer (the number of voters is even) and loses power, or is cut off, before it commits that keeps the entry. When it is back it tells the list to the voter, which by now answers, before the leader in force has replaced the entry. Class: a step that can't be undone follows from a state that may be undone.

Why this works: `LogStatus` says whether the members are committed, and the highest identifier, which a member needs to tell that it was removed, is told only then. A committed list without a member stays true for ever, since identifiers are never used twice. Nodes still learn of new members at once.

--- a/crates/lift_consensus/src/replica.rs
+++ b/crates/lift_consensus/src/replica.rs
@@ -155,6 +155,12 @@
         self.members.current()
     }
 
+    /// Returns whether the member set in effect is known to be committed. An uncommitted one may
+    /// still be replaced by the set before it.
+    pub fn has_committed_members(&self) -> bool {
+        self.members.current_index() <= self.commit
+    }
+
     /// Returns, for each other member that has replied to this leader, the sending time of the
     /// newest message to which it replied. Empty if this member is not the leader.
     pub fn last_contacts(&self) -> indexmap::IndexMap<lift_types::MemberId, time::Instant> {
--- a/crates/lift_feed/src/feed_source.rs
+++ b/crates/lift_feed/src/feed_source.rs
@@ -7,7 +7,9 @@
 /// State of a control member, as its feed server needs it.
 #[async_trait::async_trait]
 pub trait FeedSource: fmt::Debug + Send + Sync {
-    /// All control members and the highest identifier that was ever used.
+    /// All control members and the highest identifier that was ever used. The latter is 0 as long
+    /// as these members may not stay in force, so that no member clears its disk for a removal
+    /// that is undone.
     fn members(&self) -> (Vec<member_card::MemberCard>, lift_types::MemberId);
 
     /// Versions in force.
--- a/crates/lift_feed/src/fleet_observer.rs
+++ b/crates/lift_feed/src/fleet_observer.rs
@@ -51,7 +51,8 @@
         let _ = (member, waited);
     }
 
-    /// The control members as one of them knows them, and the highest identifier in use.
+    /// The control members as one of them knows them, and the highest identifier that was ever
+    /// used, or 0 as long as these members may not stay in force.
     fn on_members(&self, members: &[member_card::MemberCard], highest: lift_types::MemberId) {
         let _ = (members, highest);
     }
--- a/crates/lift_feed/src/member_message.rs
+++ b/crates/lift_feed/src/member_message.rs
@@ -9,8 +9,8 @@
     Members {
         /// All members.
         members: Vec<member_card::MemberCard>,
-        /// Highest identifier that was ever used. A member with a lower one that is not
-        /// listed was removed.
+        /// Highest identifier that was ever used, or 0 as long as these members may not stay in
+        /// force. A member whose identifier is not above it and that is not listed was removed.
         highest: lift_types::MemberId,
     },
     /// Versions in force.
--- a/crates/lift_log/src/log_driver.rs
+++ b/crates/lift_log/src/log_driver.rs
@@ -136,6 +136,7 @@
             commit: replica.commit_index(),
             last: replica.last_index(),
             members: replica.members().clone(),
+            is_committed: replica.has_committed_members(),
             answers: replica.last_contacts(),
         }
     }
--- a/crates/lift_log/src/log_status.rs
+++ b/crates/lift_log/src/log_status.rs
@@ -15,6 +15,9 @@
     pub last: lift_types::LogIndex,
     /// Members in force.
     pub members: lift_consensus::MemberSet,
+    /// Whether `members` is known to be committed. If not, it may not stay in force, so nothing
+    /// that can't be undone may follow from it.
+    pub is_committed: bool,
     /// For each other member when a message was sent that it has answered. Only a leader
     /// knows this.
     pub answers: indexmap::IndexMap<lift_types::MemberId, time::Instant>,
--- a/crates/lift_registry/src/registry_source.rs
+++ b/crates/lift_registry/src/registry_source.rs
@@ -13,14 +13,19 @@
         let Some(log) = self.current_log.get() else {
             return (Vec::new(), 0);
         };
-        let members = log.members().members;
+        let status = log.members();
+        let members = status.members;
         let card =
             |(id, member): (lift_types::MemberId, &lift_consensus::Member)| lift_feed::MemberCard {
                 id,
                 feed: self.node.ports.feed(member.peer.ip()),
                 control: member.client,
             };
-        (members.iter().map(card).collect(), members.highest_id())
+        let highest = match status.is_committed {
+            true => members.highest_id(),
+            false => 0,
+        };
+        (members.iter().map(card).collect(), highest)
     }
 
     fn head(&self) -> lift_feed::FleetHead {
--- a/crates/lift_registry/tests/support/fleet.rs
+++ b/crates/lift_registry/tests/support/fleet.rs
@@ -1,6 +1,6 @@
 //! Hosts of control members.
 
-use std::{net, sync};
+use std::{net, path, sync};
 
 use lift_registry::ControlMember;
 
@@ -74,6 +74,11 @@
         builder.start().await.unwrap()
     }
 
+    /// Folder with the files of a host. Its member must not run while they are changed.
+    pub(crate) fn folder(&self, number: usize) -> &path::Path {
+        self.disks[number].path()
+    }
+
     /// Replaces the disk of a host by an empty one. Its member must not run.
     pub(crate) fn lose_disk(&mut self, number: usize) {
         self.disks[number] = tempfile::tempdir().unwrap();
--- a/crates/lift_standin/src/memory_log.rs
+++ b/crates/lift_standin/src/memory_log.rs
@@ -138,6 +138,7 @@
             commit: last,
             last,
             members: lift_consensus::MemberSet::new(),
+            is_committed: true,
             answers: indexmap::IndexMap::new(),
         }
     }
