A failing disk tells no other member that its disk was replaced

What callers would see: while the disk of one control member is full or fails, other members in good order clear their disks and join again under new identifiers. Two such disks are more than a fleet of three may lose, and an acknowledged document goes with them.

Cause: a member that accepts a connection binds the other one to its disk and saves that. `bind` returned `false` both if the other member is bound to another disk and if the binding could not be saved, and both were answered with `WrongDisk`. The receiver takes that as proof that its disk was replaced, and retires. All members that connect while the save is outstanding get the answer. Class: the failure of the one who says it is taken for a fact about the one who hears it, and what follows can't be undone.

--- a/crates/lift_log/src/bindings.rs
+++ b/crates/lift_log/src/bindings.rs
@@ -5,7 +5,7 @@
 use sync::atomic;
 use tokio::sync::oneshot;
 
-use crate::{disk_thread, node};
+use crate::{binding, disk_thread, node};
 
 /// Bindings of members to disks, as this member first saw them. A member whose disk was lost
 /// has another disk, and is refused under its old identifier.
@@ -83,8 +83,8 @@
 }
 
 impl node::Node {
-    /// Binds `member` to `disk` durably. Returns `false` where it is bound to another one.
-    pub(crate) async fn bind(&self, member: lift_types::MemberId, disk: u64) -> bool {
+    /// Binds `member` to `disk` durably, unless it is bound to another one.
+    pub(crate) async fn bind(&self, member: lift_types::MemberId, disk: u64) -> binding::Binding {
         let (outcome, saved) =
             self.bindings
                 .change(self, |state| match state.identity.peers.get(&member) {
@@ -95,11 +95,17 @@
                         Outcome::Changed
                     }
                 });
-        let durable = match saved {
+        if outcome == Outcome::Refused {
+            return binding::Binding::OtherDisk;
+        }
+        let is_durable = match saved {
             Some(saved) => saved.await.is_ok(),
             None => true,
         };
-        outcome != Outcome::Refused && durable
+        match is_durable {
+            true => binding::Binding::Bound,
+            false => binding::Binding::NotSaved,
+        }
     }
 
     /// Notes that `member` has bound this member to its disk. Once so many of `voters` have
--- a/crates/lift_log/src/lib.rs
+++ b/crates/lift_log/src/lib.rs
@@ -6,6 +6,7 @@
 //! of `lift_wire`. See `docs/design.md`, section 9, and `docs/decisions/replicated-log.md`.
 
 mod apply_thread;
+mod binding;
 mod bindings;
 mod change_error;
 mod company;
--- a/crates/lift_log/src/peer_link.rs
+++ b/crates/lift_log/src/peer_link.rs
@@ -5,7 +5,7 @@
 use error_stack::ResultExt as _;
 use tokio::sync::mpsc;
 
-use crate::{node, peer_frame, peer_links};
+use crate::{binding, node, peer_frame, peer_links};
 
 /// Heartbeats without an answer after which a connection is replaced. Short against the
 /// failover target, since all connections of a leader may stop delivering at once. Pings are
@@ -110,9 +110,13 @@
             disk,
             voters,
         } if member == link.to => {
-            if !cx.node.bind(member, disk).await {
-                slog::warn!(cx.node.log, "a member has another disk"; "from" => member);
-                return Err(closed());
+            match cx.node.bind(member, disk).await {
+                binding::Binding::Bound => {}
+                binding::Binding::OtherDisk => {
+                    slog::warn!(cx.node.log, "a member has another disk"; "from" => member);
+                    return Err(closed());
+                }
+                binding::Binding::NotSaved => return Err(closed()),
             }
             cx.node.bound_by(member, &voters).await;
             Ok((reader, writer))
--- a/crates/lift_log/src/peer_port.rs
+++ b/crates/lift_log/src/peer_port.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{node, peer_frame, peer_link};
+use crate::{binding, node, peer_frame, peer_link};
 
 /// Time for the handshake of a connection.
 const HANDSHAKE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -56,10 +56,14 @@
     if generation.is_none() {
         return Err(closed());
     }
-    if !cx.node.bind(member, disk).await {
-        slog::warn!(cx.node.log, "a member came with another disk"; "from" => member);
-        cx.node.counters.increment("log.wrong_disk");
-        return writer.send(&peer_frame::PeerFrame::WrongDisk).await;
+    match cx.node.bind(member, disk).await {
+        binding::Binding::Bound => {}
+        binding::Binding::OtherDisk => {
+            slog::warn!(cx.node.log, "a member came with another disk"; "from" => member);
+            cx.node.counters.increment("log.wrong_disk");
+            return writer.send(&peer_frame::PeerFrame::WrongDisk).await;
+        }
+        binding::Binding::NotSaved => return Err(closed()),
     }
     let welcome = peer_frame::PeerFrame::Welcome {
         member: cx.node.id,
