A repeated SIGTERM cuts off no request

Callers saw requests end without an answer while a gateway stopped as planned: whatever was in progress, at the same moment.

Cause: a node that was stopping took any second signal as an order to end at once, with 130. Whoever wants a process to end at once has SIGKILL. The class: a signal that asks for something twice was read as a request for something else.

Now only SIGINT during a stop ends a node at once, as at a terminal.

The soak could not see it: a process that was stopping got no further signal, servers were never silent, and a cut request counted only if a server had run it. Callers go to the gateways without a forwarder, keep each connection until its end, and no request may end without an answer unless it crossed the close of its connection (200 ms, and no server has run it).

--- a/crates/lift_node/src/fleet_run.rs
+++ b/crates/lift_node/src/fleet_run.rs
@@ -9,8 +9,8 @@
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// Starts a node and stops it gracefully on SIGTERM or SIGINT. A second signal ends it at once.
-/// Seeds are read again after SIGHUP and when the file changes.
+/// Starts a node and stops it gracefully on SIGTERM or SIGINT. A SIGINT during the stop ends it
+/// at once. Seeds are read again after SIGHUP and when the file changes.
 ///
 /// # Errors
 ///
@@ -49,8 +49,8 @@
     }
     let is_drained = tokio::select! {
         is_drained = node.stop(settings.grace()) => is_drained,
-        () = signals.next() => {
-            slog::warn!(log, "second signal, ending at once");
+        () = signals.insist() => {
+            slog::warn!(log, "interrupted, ending at once");
             return Ok(run::RunEnd::Killed);
         }
     };
--- a/crates/lift_node/src/run.rs
+++ b/crates/lift_node/src/run.rs
@@ -13,12 +13,12 @@
     Drained,
     /// Requests were cut off at the end of the grace time.
     CutOff,
-    /// A second signal asked to end at once.
+    /// An interrupt during the stop asked to end at once.
     Killed,
 }
 
-/// Starts a node and stops it gracefully on SIGTERM or SIGINT. A second signal ends the wait
-/// for requests in progress at once.
+/// Starts a node and stops it gracefully on SIGTERM or SIGINT. A SIGINT during the stop ends the
+/// wait for requests in progress at once; see [`Signals::insist`].
 ///
 /// # Errors
 ///
@@ -35,8 +35,8 @@
     signals.next().await;
     let report = tokio::select! {
         report = node.stop(settings.grace()) => report,
-        () = signals.next() => {
-            slog::warn!(log, "second signal, ending at once");
+        () = signals.insist() => {
+            slog::warn!(log, "interrupted, ending at once");
             return Ok(RunEnd::Killed);
         }
     };
@@ -52,7 +52,7 @@
 /// Time for the last lines of the log.
 pub(crate) const LOG_FLUSH: time::Duration = time::Duration::from_millis(20);
 
-/// Signals that ask a node to stop.
+/// Signals that ask a node to stop, see `docs/operate/first-run.md`.
 pub(crate) struct Signals {
     terminate: unix::Signal,
     interrupt: unix::Signal,
@@ -66,12 +66,19 @@
         })
     }
 
+    /// Waits until the node is to stop.
     pub(crate) async fn next(&mut self) {
         tokio::select! {
             _ = self.terminate.recv() => {}
             _ = self.interrupt.recv() => {}
         }
     }
+
+    /// Waits until a node that stops is to end at once. Only an interrupt means that: supervisors
+    /// may repeat SIGTERM, and have SIGKILL for a process that takes too long.
+    pub(crate) async fn insist(&mut self) {
+        let _ = self.interrupt.recv().await;
+    }
 }
 
 /// Listens for a signal.
--- a/crates/lift_soak/src/callers.rs
+++ b/crates/lift_soak/src/callers.rs
@@ -1,16 +1,18 @@
 //! What all callers share.
 
-use std::{net, sync, time};
+use std::{sync, time};
 
 use sync::atomic;
 
-use crate::{answer_text, call_end, counts, oracle, request_kind};
+use crate::{answer_text, call_end, counts, oracle, request_kind, soak_caller};
 
-/// The book, the gateways and the counts of all callers.
+/// Time after which a request that is still unanswered did not cross the close of its connection.
+const CROSSING: time::Duration = time::Duration::from_millis(200);
+
+/// The book and the counts of all callers.
 #[derive(Debug)]
 pub(crate) struct Callers {
     pub(crate) oracle: sync::Arc<oracle::Oracle>,
-    pub(crate) gateways: Vec<net::SocketAddr>,
     /// Keys that are used. One may have been taken away.
     pub(crate) keys: parking_lot::Mutex<Vec<String>>,
     /// Requests with the lasting key, which nothing but a fault keeps from being served.
@@ -69,7 +71,8 @@
             call_end::CallEnd::Cut => {
                 self.oracle.failed.fetch_add(1, atomic::Ordering::Relaxed);
                 // A request that crosses the close of its connection was not read.
-                if was_calm && self.oracle.has_run(id) {
+                let was_read = took > CROSSING && took < soak_caller::PATIENCE;
+                if was_calm && (was_read || self.oracle.runs(id) > 0) {
                     let took = took.as_millis();
                     self.oracle
                         .violate(format!("{id} was cut after {took} ms by a planned stop"));
--- a/crates/lift_soak/src/cast.rs
+++ b/crates/lift_soak/src/cast.rs
@@ -72,6 +72,11 @@
         FIRST_GATEWAY + i
     }
 
+    /// Where callers reach the gateways.
+    pub(crate) fn gateways(self) -> impl Iterator<Item = ends::Ends> {
+        (0..GATEWAYS).map(move |i| self.service(Self::gateway(i)))
+    }
+
     /// Host of agent `i` and of the backend server beside it.
     pub(crate) fn agent(i: u8) -> u8 {
         FIRST_AGENT + i
--- a/crates/lift_soak/src/fault.rs
+++ b/crates/lift_soak/src/fault.rs
@@ -11,10 +11,12 @@
     KillAll,
     /// A process stands still for a while.
     Pause(u8),
-    /// A process is stopped as planned and started again.
+    /// A process is told to stop as planned, even if it does so already, and is started again.
     Stop(u8),
     /// A process is told to read its settings again.
     Reload(u8),
+    /// The settings of a process change.
+    Resettle(u8),
     /// A control member is killed, loses its disk and is started again.
     Wipe(u8),
     /// A link is harmed for a while.
--- a/crates/lift_soak/src/lib.rs
+++ b/crates/lift_soak/src/lib.rs
@@ -13,6 +13,10 @@
 //! back.
 //! After the last fault the fleet must serve again, and a graceful stop must interrupt no request
 //! that runs.
+//!
+//! [`run_planned`] plays nothing but planned work: stops, some of them ordered twice, changes of
+//! settings and of the configuration, in series and overlapping, while sound backend servers fall
+//! silent amid their answers. No request may end without an answer then.
 
 mod answer_text;
 mod call_end;
@@ -28,11 +32,13 @@
 mod link_fault;
 mod operator_order;
 mod oracle;
+mod planned_run;
 mod process_settings;
 mod query;
 mod request_kind;
 mod server_calls;
 mod server_engine;
+mod silence;
 mod soak_caller;
 mod soak_error;
 mod soak_fleet;
@@ -45,9 +51,11 @@
 mod soak_run;
 mod soak_server;
 mod soak_weights;
+mod work_plan;
 
 pub use fault::Fault;
 pub use link_fault::LinkFault;
+pub use planned_run::run_planned;
 pub use soak_error::SoakError;
 pub use soak_options::SoakOptions;
 pub use soak_report::SoakReport;
--- a/crates/lift_soak/src/oracle.rs
+++ b/crates/lift_soak/src/oracle.rs
@@ -109,10 +109,10 @@
         }
     }
 
-    /// Whether a backend server has run the request `id`.
-    pub(crate) fn has_run(&self, id: &str) -> bool {
+    /// How often backend servers have run the request `id`.
+    pub(crate) fn runs(&self, id: &str) -> u32 {
         self.requests
-            .with(id, |requests| requests.get(id).is_some_and(|n| n.runs > 0))
+            .with(id, |requests| requests.get(id).map_or(0, |note| note.runs))
     }
 
     /// A configuration was acknowledged that no longer has `revoked`.
--- a/crates/lift_soak/src/process_settings.rs
+++ b/crates/lift_soak/src/process_settings.rs
@@ -56,10 +56,28 @@
             "backend": service.public, "service": ENGINE_SERVICE, "link_mbps": 100.0,
         });
     }
-    let failed = |e| soak_error::SoakError::Io("settings", e);
     fs::create_dir_all(folder).map_err(failed)?;
-    // The file changes at one moment, since the process reads it whenever it does.
-    let next = folder.join("settings.next");
+    replace(&folder.join("settings.json"), &settings)
+}
+
+/// Lists the seeds in the settings in `file` in another order.
+pub(crate) fn rotate_seeds(file: &path::Path) -> Result<(), soak_error::SoakError> {
+    let text = fs::read(file).map_err(failed)?;
+    let read: Result<serde_json::Value, _> = serde_json::from_slice(&text);
+    let mut settings = read.map_err(|e| failed(e.into()))?;
+    if let Some(seeds) = settings["seeds"].as_array_mut() {
+        seeds.rotate_left(1);
+    }
+    replace(file, &settings)
+}
+
+/// Replaces `file` at one moment, since the process reads it whenever it changes.
+fn replace(file: &path::Path, settings: &serde_json::Value) -> Result<(), soak_error::SoakError> {
+    let next = file.with_extension("next");
     fs::write(&next, settings.to_string()).map_err(failed)?;
-    fs::rename(&next, folder.join("settings.json")).map_err(failed)
+    fs::rename(&next, file).map_err(failed)
+}
+
+fn failed(error: std::io::Error) -> soak_error::SoakError {
+    soak_error::SoakError::Io("settings", error)
 }
--- a/crates/lift_soak/src/soak_caller.rs
+++ b/crates/lift_soak/src/soak_caller.rs
@@ -18,7 +18,7 @@
 pub(crate) const LASTING_KEY: &str = "lasting";
 
 /// Time for which a caller waits.
-const PATIENCE: time::Duration = time::Duration::from_secs(3);
+pub(crate) const PATIENCE: time::Duration = time::Duration::from_secs(3);
 
 /// Time to open a connection.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -30,7 +30,12 @@
 type Sender = hyper::client::conn::http1::SendRequest<Body>;
 
 /// Sends requests for ever, on connections that it keeps.
-pub(crate) async fn run(callers: sync::Arc<callers::Callers>, number: u64, seed: u64) {
+pub(crate) async fn run(
+    callers: sync::Arc<callers::Callers>,
+    gateways: Vec<net::SocketAddr>,
+    number: u64,
+    seed: u64,
+) {
     let mut rng = rand::rngs::StdRng::seed_from_u64(seed ^ (number << 32));
     let kinds: Vec<_> = request_kind::RequestKind::iter().collect();
     let mut kept: Option<Sender> = None;
@@ -41,7 +46,7 @@
         .await;
         let kind = kinds[rng.random_range(0..kinds.len())];
         let key = callers.keys.lock().choose(&mut rng).cloned();
-        let gateway = callers.gateways.choose(&mut rng).copied();
+        let gateway = gateways.choose(&mut rng).copied();
         let (Some(key), Some(gateway)) = (key, gateway) else {
             continue;
         };
@@ -67,8 +72,8 @@
             callers.count(kind, &end);
         }
         kept = match end {
-            call_end::CallEnd::Answered => sender,
-            call_end::CallEnd::Declined(_) | call_end::CallEnd::Cut => None,
+            call_end::CallEnd::Answered | call_end::CallEnd::Declined(_) => sender,
+            call_end::CallEnd::Cut => None,
         };
     }
 }
--- a/crates/lift_soak/src/soak_fleet.rs
+++ b/crates/lift_soak/src/soak_fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet with all that is around it.
 
-use std::{path, sync, time};
+use std::{net, path, sync, time};
 
 use nix::sys::signal;
 use sync::atomic;
@@ -44,10 +44,8 @@
     ) -> Result<Self> {
         let oracle = sync::Arc::new(oracle::Oracle::new());
         let calls = sync::Arc::new(control_calls::ControlCalls::new(cast));
-        let gateways = (0..cast::GATEWAYS).map(|i| cast.service(cast::Cast::gateway(i)).public);
         let callers = sync::Arc::new(callers::Callers {
             oracle: sync::Arc::clone(&oracle),
-            gateways: gateways.collect(),
             keys: parking_lot::Mutex::default(),
             counts: parking_lot::Mutex::default(),
             is_calm: atomic::AtomicBool::new(false),
@@ -127,11 +125,12 @@
         Ok(())
     }
 
-    /// Starts the callers. They stop with the runtime.
-    pub(crate) fn start_callers(&self, seed: u64) {
+    /// Starts the callers, which reach the gateways at `gateways`. They stop with the runtime.
+    pub(crate) fn start_callers(&self, seed: u64, gateways: &[net::SocketAddr]) {
         for number in 0..CALLERS {
             let callers = sync::Arc::clone(&self.callers);
-            tokio::spawn(soak_caller::run(callers, number, seed));
+            let gateways = gateways.to_vec();
+            tokio::spawn(soak_caller::run(callers, gateways, number, seed));
         }
     }
 
@@ -148,7 +147,12 @@
             fault::Fault::KillAll => self.hosts.values_mut().for_each(soak_host::SoakHost::kill),
             fault::Fault::Pause(host) => self.signal(host, signal::Signal::SIGSTOP),
             fault::Fault::Stop(host) => self.each(host, soak_host::SoakHost::stop),
-            fault::Fault::Reload(host) => self.signal(host, signal::Signal::SIGHUP),
+            fault::Fault::Reload(host) => self.each(host, soak_host::SoakHost::reload),
+            fault::Fault::Resettle(host) => {
+                if let Some(started) = self.hosts.get(&host) {
+                    process_settings::rotate_seeds(&started.process.settings())?;
+                }
+            }
             fault::Fault::Wipe(host) => {
                 if let Some(started) = self.hosts.get_mut(&host) {
                     started.kill();
--- a/crates/lift_soak/src/soak_host.rs
+++ b/crates/lift_soak/src/soak_host.rs
@@ -1,6 +1,6 @@
 //! A host with a process of the fleet.
 
-use std::time;
+use std::{os::unix::process::ExitStatusExt as _, process, time};
 
 use nix::sys::signal;
 
@@ -9,6 +9,9 @@
 /// Time over the grace time after which a process that does not stop is killed.
 const STOP_SLACK: time::Duration = time::Duration::from_secs(1);
 
+/// Time in which a process that was started may not handle signals yet.
+const START_TIME: time::Duration = time::Duration::from_millis(500);
+
 /// What the process on a host is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -24,6 +27,9 @@
 pub(crate) struct SoakHost {
     pub(crate) process: soak_process::SoakProcess,
     state: State,
+    started_at: time::Instant,
+    /// Whether it got a signal when it may not have handled signals yet.
+    was_starting: bool,
 }
 
 impl SoakHost {
@@ -31,6 +37,8 @@
         Self {
             process,
             state: State::Down,
+            started_at: time::Instant::now(),
+            was_starting: false,
         }
     }
 
@@ -38,6 +46,8 @@
         if self.state == State::Down {
             self.process.start()?;
             self.state = State::Runs;
+            self.started_at = time::Instant::now();
+            self.was_starting = false;
         }
         Ok(())
     }
@@ -47,18 +57,40 @@
         self.state = State::Down;
     }
 
-    /// Tells the process to stop, if it does not do so already.
+    /// Tells the process to stop, even if it does so already.
     pub(crate) fn stop(&mut self) {
+        self.signal(signal::Signal::SIGTERM);
         if self.state == State::Runs {
-            self.process.signal(signal::Signal::SIGTERM);
             self.state = State::Stops(time::Instant::now());
         }
     }
 
+    /// Tells the process that its settings have changed.
+    pub(crate) fn reload(&mut self) {
+        self.signal(signal::Signal::SIGHUP);
+    }
+
+    fn signal(&mut self, signal: signal::Signal) {
+        self.process.signal(signal);
+        self.was_starting |= self.started_at.elapsed() < START_TIME;
+    }
+
+    /// Whether a signal ended the process that came before it handled any.
+    fn is_unhandled(&self, status: process::ExitStatus) -> bool {
+        let signals = [signal::Signal::SIGTERM, signal::Signal::SIGHUP];
+        let is_one = signals.iter().any(|s| status.signal() == Some(*s as i32));
+        self.was_starting && is_one
+    }
+
     /// Looks after the process, and starts it again after a planned stop. Returns what is wrong
     /// with its end.
     pub(crate) fn look(&mut self) -> Result<Option<String>, soak_error::SoakError> {
         let ended = self.process.ended();
+        if ended.is_some_and(|status| self.is_unhandled(status)) {
+            self.state = State::Down;
+            self.start()?;
+            return Ok(None);
+        }
         let State::Stops(since) = self.state else {
             if ended.is_some() {
                 self.state = State::Down;
--- a/crates/lift_soak/src/soak_run.rs
+++ b/crates/lift_soak/src/soak_run.rs
@@ -47,38 +47,55 @@
 ) -> Result<soak_report::SoakReport> {
     let folder = tempfile::tempdir().map_err(|e| soak_error::SoakError::Io("folder", e))?;
     let cast = cast::Cast::new(network);
-    let fleet = soak_fleet::SoakFleet::start(cast, &options.program, folder.path()).await?;
-    let mut run = SoakRun {
-        fleet,
-        faults: Vec::new(),
-    };
-    run.come_up(cast, folder.path()).await?;
-    run.fleet.start_callers(options.seed);
+    let mut run = SoakRun::start(cast, options, folder.path()).await?;
+    let gateways: Vec<_> = cast.gateways().map(|ends| ends.public).collect();
+    run.fleet.start_callers(options.seed, &gateways);
     run.suffer(options).await?;
     run.recover().await?;
     run.stop_in_series(options.seed).await?;
     run.leave().await?;
-    let oracle = std::sync::Arc::clone(&run.fleet.oracle);
-    let faults = run.faults;
-    drop(run.fleet);
-    let violations = oracle.violations();
-    let count = |count: &atomic::AtomicU64| count.load(atomic::Ordering::Relaxed);
-    Ok(soak_report::SoakReport {
-        faults,
-        served: count(&oracle.served),
-        refused: count(&oracle.refused),
-        failed: count(&oracle.failed),
-        logs: (!violations.is_empty()).then(|| folder.keep()),
-        violations,
-    })
+    Ok(run.report(folder))
 }
 
-struct SoakRun {
-    fleet: soak_fleet::SoakFleet,
-    faults: Vec<(u64, fault::Fault)>,
+/// A soak that is played.
+pub(crate) struct SoakRun {
+    pub(crate) fleet: soak_fleet::SoakFleet,
+    /// Faults so far, with their time in milliseconds.
+    pub(crate) faults: Vec<(u64, fault::Fault)>,
 }
 
 impl SoakRun {
+    /// Starts a fleet and waits until it can serve.
+    pub(crate) async fn start(
+        cast: cast::Cast,
+        options: &soak_options::SoakOptions,
+        folder: &path::Path,
+    ) -> Result<Self> {
+        let fleet = soak_fleet::SoakFleet::start(cast, &options.program, folder).await?;
+        let mut run = Self {
+            fleet,
+            faults: Vec::new(),
+        };
+        run.come_up(cast, folder).await?;
+        Ok(run)
+    }
+
+    /// Ends the fleet and reports what was seen. The logs in `folder` stay if a promise was broken.
+    pub(crate) fn report(self, folder: tempfile::TempDir) -> soak_report::SoakReport {
+        let oracle = std::sync::Arc::clone(&self.fleet.oracle);
+        drop(self.fleet);
+        let violations = oracle.violations();
+        let count = |count: &atomic::AtomicU64| count.load(atomic::Ordering::Relaxed);
+        soak_report::SoakReport {
+            faults: self.faults,
+            served: count(&oracle.served),
+            refused: count(&oracle.refused),
+            failed: count(&oracle.failed),
+            logs: (!violations.is_empty()).then(|| folder.keep()),
+            violations,
+        }
+    }
+
     /// Waits until a first configuration and first weights are in place.
     async fn come_up(&mut self, cast: cast::Cast, folder: &path::Path) -> Result<()> {
         self.fleet.order(operator_order::OperatorOrder::Change);
@@ -189,7 +206,7 @@
     }
 
     /// Looks after the fleet until `is_done` or `limit`. Returns whether it is done.
-    async fn until(
+    pub(crate) async fn until(
         &mut self,
         limit: time::Duration,
         is_done: impl Fn(&Self) -> bool,
--- a/crates/lift_soak/src/soak_server.rs
+++ b/crates/lift_soak/src/soak_server.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     answer_text, cast, oracle, process_settings, request_kind, server_calls, server_engine,
-    soak_error,
+    silence, soak_error,
 };
 
 /// Requests that one server runs at once.
@@ -36,6 +36,8 @@
     /// Whether it has left and has not come back yet.
     pub(crate) is_gone: atomic::AtomicBool,
     pub(crate) is_leaving: atomic::AtomicBool,
+    /// Whether it pauses amid some of its answers.
+    pub(crate) may_be_silent: atomic::AtomicBool,
     /// When its leave was acknowledged.
     pub(crate) released_at: parking_lot::Mutex<Option<time::Instant>>,
 }
@@ -70,6 +72,7 @@
             starts: atomic::AtomicU64::new(0),
             is_gone: atomic::AtomicBool::new(false),
             is_leaving: atomic::AtomicBool::new(false),
+            may_be_silent: atomic::AtomicBool::new(false),
             released_at: parking_lot::Mutex::default(),
         });
         listen(ends.own, server_calls::router(sync::Arc::clone(&server))).await?;
@@ -152,6 +155,9 @@
         }
         self.oracle.run(&id, kind);
         let place = Place::take(sync::Arc::clone(&self));
+        // Only its first run pauses, so that each answer is complete in time.
+        let is_steady =
+            !self.may_be_silent.load(atomic::Ordering::Relaxed) || self.oracle.runs(&id) > 1;
         let weights = is_stream.then_some(version);
         let reply = text.answer(
             &id,
@@ -160,18 +166,20 @@
             http::Response::builder(),
         );
         if !is_stream {
-            tokio::time::sleep(WORK).await;
+            let silence = silence::before(&id, 1).filter(|_| !is_steady);
+            tokio::time::sleep(WORK + silence.unwrap_or_default()).await;
             drop(place);
             return whole(reply, answer_text::body(&id));
         }
         let first = head.last_event + 1;
         let events = stream::unfold((first, place), move |(n, place)| {
             let event = answer_text::event(&id, n, version);
+            let silence = silence::before(&id, n).filter(|_| !is_steady);
             async move {
                 if n > answer_text::EVENTS {
                     return None;
                 }
-                tokio::time::sleep(PACE).await;
+                tokio::time::sleep(PACE + silence.unwrap_or_default()).await;
                 Some((Ok::<_, std::convert::Infallible>(event), (n + 1, place)))
             }
         });
