SIGHUP ends neither a node of our own path nor its requests

Callers of `marjoramlift run` saw every request in progress end without an answer when the node got SIGHUP, which tells a process that its settings have changed. `marjoramlift fleet` handles SIGHUP; `run` did not, so that the system's default ended it.

`run` now handles SIGHUP by doing nothing, since it reads its settings only when it starts. The new test got an end of file amid the answer on the code before, and passes now, with the three others of signals.rs.

--- a/crates/lift_node/src/run.rs
+++ b/crates/lift_node/src/run.rs
@@ -28,6 +28,8 @@
     log: slog::Logger,
 ) -> Result<RunEnd, error_stack::Report<node_error::NodeError>> {
     let mut signals = Signals::new()?;
+    // Keeps SIGHUP from ending the process. Settings are read only when it starts.
+    let _hangup = listen(unix::SignalKind::hangup())?;
     let node = tokio::select! {
         node = node::Node::start(settings, log.clone()) => node?,
         () = signals.next() => return Ok(RunEnd::Drained),
--- a/crates/marjoramlift/tests/signals.rs
+++ b/crates/marjoramlift/tests/signals.rs
@@ -72,6 +72,18 @@
     assert_eq!(exit_code(&mut node.child), Some(0));
 }
 
+#[test]
+fn a_hangup_ends_neither_a_node_nor_its_requests() {
+    let mut node = support::Node::start(time::Duration::from_millis(1_000));
+    let caller = node.caller;
+    let slow = thread::spawn(move || support::try_get(caller, "/v1/ledger/slow", "slow"));
+    thread::sleep(time::Duration::from_millis(300));
+    signal(&node.child, "-HUP");
+    let (status, body) = slow.join().unwrap().unwrap();
+    assert_eq!((status, body.as_str()), (200, "answer to slow"));
+    assert!(node.child.try_wait().unwrap().is_none(), "still runs");
+}
+
 #[test]
 fn an_interrupt_during_a_stop_ends_at_once() {
     for first in ["-INT", "-TERM"] {
