Gateways that start in series have no burst of repeats each

What callers saw: backend servers that fail got more arrivals beyond the first of each request than 0.2 x the requests + the burst within 10 s, while gateways were killed and started again in series.

Cause: `RetryBudget` began with a full burst in each process, though the process before it had spent its own within the same window.

Evidence: `crates/lift_soak` plays retry storms of real processes (five gateways, three control members, ten backend servers, 60 idempotent requests a second) and counts repeats over all gateways in each window of 10 s, as the rule does.

Why it works: a new process starts with 2% of its part of the burst and is granted the rest over 50 s. What requests earn can be used at once, and a service that is new at a gateway which runs for long has its whole part.

--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -37,6 +37,7 @@
     pub(crate) stop_end: sync::OnceLock<time::Instant>,
     /// Cancelled at that time.
     pub(crate) giving_up: tokio_util::sync::CancellationToken,
+    started_at: time::Instant,
     retry_budgets:
         lift_shard::Shards<indexmap::IndexMap<lift_types::ServiceId, lift_route::RetryBudget>>,
     service_latencies: lift_shard::Shards<
@@ -70,6 +71,7 @@
             is_stopping: atomic::AtomicBool::new(false),
             stop_end: sync::OnceLock::new(),
             giving_up: tokio_util::sync::CancellationToken::new(),
+            started_at: lift_clock::now(),
             retry_budgets: lift_shard::Shards::new(SERVICE_SHARDS, |_| indexmap::IndexMap::new()),
             service_latencies: lift_shard::Shards::new(SERVICE_SHARDS, |_| {
                 indexmap::IndexMap::new()
@@ -136,12 +138,16 @@
         update: impl FnOnce(&mut lift_route::RetryBudget) -> R,
     ) -> R {
         let gateways = f64::from(self.fleet.gateways().total());
+        let uptime = lift_clock::now().saturating_duration_since(self.started_at);
         self.retry_budgets.with(service, |budgets| {
             let budget = match budgets.get_mut(service) {
                 Some(budget) => budget,
-                None => budgets.entry(String::from(service)).or_default(),
+                None => budgets
+                    .entry(String::from(service))
+                    .or_insert_with(lift_route::RetryBudget::empty),
             };
             budget.configure(self.limits.retry_ratio, self.limits.retry_burst / gateways);
+            budget.grant(uptime);
             update(budget)
         })
     }
--- a/crates/lift_route/src/retry_budget.rs
+++ b/crates/lift_route/src/retry_budget.rs
@@ -1,5 +1,7 @@
 //! Limit on the share of retries in the traffic.
 
+use std::time;
+
 /// Retries allowed for each request. A higher ratio would add load to a fleet that fails
 /// because of load.
 const DEFAULT_RATIO: f64 = 0.2;
@@ -8,12 +10,23 @@
 /// progress at a host that fails.
 const DEFAULT_BURST: f64 = 64.0;
 
+/// Part of the burst that a process may use from its start.
+const START_PART: f64 = 0.02;
+
+/// Time after the start of a process from which it may use the whole burst.
+const FULL_BURST_UPTIME: time::Duration = time::Duration::from_secs(50);
+
 /// Budget of retries: each request adds a fraction of a retry, each retry takes one.
+///
+/// The process before this one may just have spent the burst, so a new process starts with a small
+/// part of it and is granted the rest over time. See `docs/platform.md`.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
     balance: f64,
     ratio: f64,
     burst: f64,
+    /// Part of the burst that was granted since the process started.
+    granted_part: f64,
 }
 
 impl RetryBudget {
@@ -21,8 +34,18 @@
     pub fn new() -> Self {
         Self {
             balance: DEFAULT_BURST,
+            granted_part: 1.0,
+            ..Self::empty()
+        }
+    }
+
+    /// Creates a budget with the default ratio and burst from which nothing may be taken yet.
+    pub fn empty() -> Self {
+        Self {
+            balance: 0.0,
             ratio: DEFAULT_RATIO,
             burst: DEFAULT_BURST,
+            granted_part: 0.0,
         }
     }
 
@@ -34,6 +57,16 @@
         self.balance = self.balance.min(burst);
     }
 
+    /// Adds the part of the burst that a process which runs for `uptime` may use, as far as it was
+    /// not added before.
+    pub fn grant(&mut self, uptime: time::Duration) {
+        let progress = uptime.div_duration_f64(FULL_BURST_UPTIME).min(1.0);
+        let part = START_PART + (1.0 - START_PART) * progress;
+        let new_part = (part - self.granted_part).max(0.0);
+        self.granted_part += new_part;
+        self.balance = (self.balance + new_part * self.burst).min(self.burst);
+    }
+
     /// Adds the fraction of a retry that each request earns, up to the burst.
     pub fn deposit(&mut self) {
         self.balance = (self.balance + self.ratio).min(self.burst);
--- a/crates/lift_soak/src/lib.rs
+++ b/crates/lift_soak/src/lib.rs
@@ -13,6 +13,9 @@
 //! back.
 //! After the last fault the fleet must serve again, and a graceful stop must interrupt no request
 //! that runs.
+//!
+//! [`run_retry_storm`] plays one thing at length: backend servers fail while processes start anew
+//! in series, and the arrivals beyond the first of each request are counted over all gateways.
 
 mod answer_text;
 mod call_end;
@@ -31,8 +34,11 @@
 mod process_settings;
 mod query;
 mod request_kind;
+mod retry_book;
+mod retry_window;
 mod server_calls;
 mod server_engine;
+mod server_fault;
 mod soak_caller;
 mod soak_error;
 mod soak_fleet;
@@ -45,10 +51,25 @@
 mod soak_run;
 mod soak_server;
 mod soak_weights;
+mod storm_caller;
+mod storm_fleet;
+mod storm_options;
+mod storm_options_builder;
+mod storm_report;
+mod storm_restart;
+mod storm_run;
+mod storm_server;
 
 pub use fault::Fault;
 pub use link_fault::LinkFault;
+pub use retry_window::RetryWindow;
+pub use server_fault::ServerFault;
 pub use soak_error::SoakError;
 pub use soak_options::SoakOptions;
 pub use soak_report::SoakReport;
 pub use soak_run::run;
+pub use storm_options::StormOptions;
+pub use storm_options_builder::StormOptionsBuilder;
+pub use storm_report::StormReport;
+pub use storm_restart::StormRestart;
+pub use storm_run::run as run_retry_storm;
--- a/crates/lift_soak/src/process_settings.rs
+++ b/crates/lift_soak/src/process_settings.rs
@@ -16,6 +16,12 @@
 /// Longest time of a planned stop, in seconds.
 pub(crate) const GRACE_S: u64 = 8;
 
+/// Further attempts that each request pays for.
+pub(crate) const REPEAT_SHARE: f64 = 0.2;
+
+/// Further attempts that may come at once.
+pub(crate) const REPEAT_BURST: f64 = 100.0;
+
 /// Service of the backend servers with engines.
 pub(crate) const ENGINE_SERVICE: &str = "llm";
 
@@ -36,7 +42,7 @@
         "first_start": is_first_start, "links": "open", "log_level": "info",
         "bounds": {
             "grace_s": GRACE_S, "heartbeat_ms": HEARTBEAT_MS, "revoke_ms": REVOKE_MS,
-            "weights_ms": WEIGHTS_MS, "repeat_share": 0.2, "repeat_burst": 100.0,
+            "weights_ms": WEIGHTS_MS, "repeat_share": REPEAT_SHARE, "repeat_burst": REPEAT_BURST,
         },
     });
     let service = cast.service(host);
--- a/crates/lift_soak/src/soak_caller.rs
+++ b/crates/lift_soak/src/soak_caller.rs
@@ -26,8 +26,8 @@
 /// Longest pause between two requests, in milliseconds.
 const MAX_PAUSE_MS: u64 = 40;
 
-type Body = http_body_util::Full<bytes::Bytes>;
-type Sender = hyper::client::conn::http1::SendRequest<Body>;
+pub(crate) type Body = http_body_util::Full<bytes::Bytes>;
+pub(crate) type Sender = hyper::client::conn::http1::SendRequest<Body>;
 
 /// Sends requests for ever, on connections that it keeps.
 pub(crate) async fn run(callers: sync::Arc<callers::Callers>, number: u64, seed: u64) {
@@ -73,7 +73,7 @@
     }
 }
 
-async fn connect(gateway: net::SocketAddr) -> Option<Sender> {
+pub(crate) async fn connect(gateway: net::SocketAddr) -> Option<Sender> {
     let connecting = tokio::net::TcpStream::connect(gateway);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
         .await
--- a/crates/lift_soak/src/soak_error.rs
+++ b/crates/lift_soak/src/soak_error.rs
@@ -9,4 +9,7 @@
     /// The fleet did not come up.
     #[error("the fleet does not serve {0} s after its start")]
     Start(u64),
+    /// A required option is missing.
+    #[error("option {0} is missing")]
+    Missing(&'static str),
 }
--- a/crates/lift_soak/src/soak_server.rs
+++ b/crates/lift_soak/src/soak_server.rs
@@ -210,7 +210,7 @@
     (status, error.to_string()).into_response()
 }
 
-fn since_epoch() -> time::Duration {
+pub(crate) fn since_epoch() -> time::Duration {
     let since = time::SystemTime::now().duration_since(time::SystemTime::UNIX_EPOCH);
     since.unwrap_or_default()
 }
