The burst of repeats is divided by all gateways that may use it

Cause: the burst was divided by the number of gateways that control knows at the moment. A gateway that is cut off, stands still or starts again is missing from it for a while, has used its part, and may still use it; meanwhile each other one may save up and use a larger part. Before a first list it was 1, so a gateway had the whole burst.

Why it works: a number that was known counts for 20 s more, two windows in which repeats are counted, and without any number there is no burst.

`gateways known` logs the number and the one by which the burst is divided, so that the two causes can be told apart at an operator's.

--- a/crates/lift_dispatch/src/lib.rs
+++ b/crates/lift_dispatch/src/lib.rs
@@ -5,7 +5,8 @@
 //! from its delayed load reports and from what this gateway has sent since. [`GatewayShares`]
 //! divides the free places of a report between the gateways that all get it. [`BackendSelector`]
 //! selects the one with the lowest cost that can accept the request. [`RetryContext`] decides
-//! whether to retry after an attempt has failed ([`AttemptFailure`]). [`TargetVersions`]
+//! whether to retry after an attempt has failed ([`AttemptFailure`]), and [`GatewayCount`] how many
+//! gateways share the burst of retries. [`TargetVersions`]
 //! determines on which versions of the weights a request may start. [`ConfirmationLimits`] tells
 //! how long a gateway may rely on its configuration, [`ServiceLatency`] how many requests may
 //! wait at a server. [`PartQuarantine`] finds the part of a prompt that crashes the backend servers
@@ -28,6 +29,7 @@
 mod considered_load;
 mod considered_loads;
 mod crash_log;
+mod gateway_count;
 mod gateway_shares;
 mod load_sample;
 mod lowest_cost;
@@ -58,6 +60,7 @@
 pub use confirmation_limits::ConfirmationLimits;
 pub use considered_load::ConsideredLoad;
 pub use considered_loads::ConsideredLoads;
+pub use gateway_count::GatewayCount;
 pub use gateway_shares::GatewayShares;
 pub use load_sample::LoadSample;
 pub use part_quarantine::PartQuarantine;
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -12,6 +12,7 @@
     backends: parking_lot::RwLock<sync::Arc<lift_dispatch::ServiceBackends>>,
     target_versions: parking_lot::Mutex<lift_dispatch::TargetVersions>,
     gateways: parking_lot::RwLock<sync::Arc<lift_dispatch::GatewayShares>>,
+    gateway_count: parking_lot::Mutex<lift_dispatch::GatewayCount>,
     regions: indexmap::IndexMap<lift_types::FailureDomainId, lift_types::RegionId>,
 }
 
@@ -30,6 +31,7 @@
                 weights_grace,
             )),
             gateways: parking_lot::RwLock::default(),
+            gateway_count: parking_lot::Mutex::default(),
             regions,
         }
     }
@@ -117,6 +119,11 @@
         sync::Arc::clone(&self.gateways.read())
     }
 
+    /// Number of gateways that may use a limit over all of them. `None` before any are known.
+    pub(crate) fn gateway_count(&self, now: time::Instant) -> Option<u32> {
+        self.gateway_count.lock().largest(now)
+    }
+
     pub(crate) fn set_table(&self, table: sync::Arc<lift_fleet::RoutingTable>) {
         *self.table.write() = Some(table);
     }
@@ -125,7 +132,8 @@
         *self.confirmed_at.write() = Some(at);
     }
 
-    pub(crate) fn set_gateways(&self, gateways: lift_dispatch::GatewayShares) {
+    pub(crate) fn set_gateways(&self, now: time::Instant, gateways: lift_dispatch::GatewayShares) {
+        self.gateway_count.lock().record(now, gateways.total());
         *self.gateways.write() = sync::Arc::new(gateways);
     }
 
--- a/crates/lift_gateway/src/gateway_observer.rs
+++ b/crates/lift_gateway/src/gateway_observer.rs
@@ -59,6 +59,12 @@
             .map(|card| card.location.clone());
         let gateways: Vec<lift_types::Location> = gateways.collect();
         let shares = lift_dispatch::GatewayShares::new(&self.shared.location, &gateways);
-        self.shared.fleet.set_gateways(shares);
+        let now = lift_clock::now();
+        let (before, known) = (self.shared.fleet.gateways().total(), shares.total());
+        self.shared.fleet.set_gateways(now, shares);
+        if known != before {
+            slog::info!(self.shared.log.logger(), "gateways known"; "gateways" => known,
+                "before" => before, "budget_for" => self.shared.fleet.gateway_count(now));
+        }
     }
 }
--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -131,14 +131,16 @@
     }
 
     /// Calls `update` with the retry budget of a service. The burst of all gateways is divided
-    /// evenly between them.
+    /// evenly between them, and there is none before any are known.
     pub(crate) fn with_retry_budget<R>(
         &self,
         service: &str,
         update: impl FnOnce(&mut lift_route::RetryBudget) -> R,
     ) -> R {
-        let gateways = f64::from(self.fleet.gateways().total());
-        let uptime = lift_clock::now().saturating_duration_since(self.started_at);
+        let now = lift_clock::now();
+        let uptime = now.saturating_duration_since(self.started_at);
+        let gateways = self.fleet.gateway_count(now);
+        let burst = gateways.map_or(0.0, |count| self.limits.retry_burst / f64::from(count));
         self.retry_budgets.with(service, |budgets| {
             let budget = match budgets.get_mut(service) {
                 Some(budget) => budget,
@@ -146,8 +148,10 @@
                     .entry(String::from(service))
                     .or_insert_with(lift_route::RetryBudget::empty),
             };
-            budget.configure(self.limits.retry_ratio, self.limits.retry_burst / gateways);
-            budget.grant(uptime);
+            budget.configure(self.limits.retry_ratio, burst);
+            if gateways.is_some() {
+                budget.grant(uptime);
+            }
             update(budget)
         })
     }
