A member votes once its confirmation is saved, whoever waits for it

What callers saw: control without a leader for good after a first start or a join beside a busy disk: no change is acknowledged and none can be read. Three members whose syncs of the identity take 400 ms never elect a leader.

Cause: the connection on which the last confirmation arrives saved the identity and then let the member vote. Opening a connection may take 250 ms. If the sync took longer the task was dropped in between: the identity said that the member may vote, so no later connection said so again, and the replica ignored all messages until its process was started anew. Class: a step that must follow from a durable state was left to a task that may be cancelled.

Why this works: the disk thread, which can't be cancelled between the two, lets the member vote as soon as the identity is saved.

--- a/crates/lift_log/src/bindings.rs
+++ b/crates/lift_log/src/bindings.rs
@@ -14,6 +14,8 @@
     state: parking_lot::Mutex<State>,
     /// Number of the last saved change.
     saved: atomic::AtomicU64,
+    /// Whether it is saved that the member may vote.
+    may_vote: atomic::AtomicBool,
 }
 
 #[derive(Debug)]
@@ -28,6 +30,7 @@
 impl Bindings {
     /// Starts from a saved identity.
     pub(crate) fn new(identity: lift_disk::Identity) -> Self {
+        let may_vote = atomic::AtomicBool::new(identity.confirmed);
         let state = State {
             identity,
             changes: 0,
@@ -36,6 +39,7 @@
         Self {
             state: parking_lot::Mutex::new(state),
             saved: atomic::AtomicU64::new(0),
+            may_vote,
         }
     }
 
@@ -49,6 +53,11 @@
         self.saved.fetch_max(change, atomic::Ordering::AcqRel);
     }
 
+    /// Notes that it is saved that the member may vote. Returns whether this is new.
+    pub(crate) fn allow_voting(&self) -> bool {
+        !self.may_vote.swap(true, atomic::Ordering::AcqRel)
+    }
+
     /// Changes the identity, and has all changes so far saved where they are not.
     fn change(
         &self,
@@ -116,7 +125,7 @@
         member: lift_types::MemberId,
         voters: &[lift_types::MemberId],
     ) {
-        let (outcome, saved) = self.bindings.change(self, |state| {
+        let (_, saved) = self.bindings.change(self, |state| {
             state.bound_by.insert(member);
             let others = voters.iter().filter(|id| **id != self.id);
             let confirming = others.clone().filter(|id| state.bound_by.contains(*id));
@@ -128,10 +137,9 @@
             state.identity.confirmed = true;
             Outcome::Changed
         });
-        let Some(saved) = saved else { return };
-        if saved.await.is_ok() && outcome == Outcome::Changed {
-            slog::info!(self.log, "the member may vote");
-            self.step(lift_consensus::Event::VotingAllowed);
+        if let Some(saved) = saved {
+            // The disk thread lets the member vote once this is saved.
+            let _ = saved.await;
         }
     }
 }
--- a/crates/lift_log/src/disk_thread.rs
+++ b/crates/lift_log/src/disk_thread.rs
@@ -50,6 +50,9 @@
                 let saved = identities.save(&identity);
                 if saved.is_ok() {
                     node.bindings.saved(number);
+                    if identity.confirmed {
+                        allow_voting(node);
+                    }
                     // The connection that asked may have ended.
                     let _ = done.send(());
                 }
@@ -66,6 +69,15 @@
     }
 }
 
+/// Lets the member vote. This follows from the save alone: the connection that confirmed the member
+/// may have ended while it waited for a slow disk.
+fn allow_voting(node: &node::Node) {
+    if node.bindings.allow_voting() {
+        slog::info!(node.log, "the member may vote");
+        node.step(lift_consensus::Event::VotingAllowed);
+    }
+}
+
 fn write(
     node: &node::Node,
     store: &mut lift_disk::LogStore,
