--- a/crates/lift_node/src/run.rs
+++ b/crates/lift_node/src/run.rs
@@ -18,7 +18,8 @@
 }
 
 /// Starts a node and stops it gracefully on SIGTERM or SIGINT. A SIGINT during the stop ends the
-/// wait for requests in progress at once; see [`Signals::insist`].
+/// wait for requests in progress at once, but a repeated SIGTERM does not, see
+/// `docs/operate/first-run.md`.
 ///
 /// # Errors
 ///
