Count the repeats that the budget does not allow

An operator could not tell a spent budget from other reasons for which a request ends with its first failure: `repeat.NAME` counts the repeats that were made, and `decline.NAME` only the answers. `gateway.repeats_denied` counts those that the budget denied.

--- a/crates/lift_gateway/src/request_run.rs
+++ b/crates/lift_gateway/src/request_run.rs
@@ -163,9 +163,14 @@
             may_have_run: self.may_have_run,
             time_left: self.deadline.saturating_duration_since(now),
         };
-        let decision = self
-            .shared
-            .with_retry_budget(&self.service, |budget| context.decide(failure, budget));
+        let (decision, is_over_budget) = self.shared.with_retry_budget(&self.service, |budget| {
+            let denied = budget.denied();
+            let decision = context.decide(failure, budget);
+            (decision, budget.denied() > denied)
+        });
+        if is_over_budget {
+            self.shared.counters.increment("gateway.repeats_denied");
+        }
         if decision == lift_dispatch::RetryDecision::Retry {
             self.shared
                 .counters
--- a/crates/lift_route/src/retry_budget.rs
+++ b/crates/lift_route/src/retry_budget.rs
@@ -27,6 +27,8 @@
     burst: f64,
     /// Part of the burst that was granted since the process started.
     granted_part: f64,
+    /// Retries that the budget has not allowed.
+    denied: u64,
 }
 
 impl RetryBudget {
@@ -46,6 +48,7 @@
             ratio: DEFAULT_RATIO,
             burst: DEFAULT_BURST,
             granted_part: 0.0,
+            denied: 0,
         }
     }
 
@@ -75,11 +78,17 @@
     /// Takes one retry from the balance and returns whether the budget allowed it.
     pub fn try_withdraw(&mut self) -> bool {
         if self.balance < 1.0 {
+            self.denied += 1;
             return false;
         }
         self.balance -= 1.0;
         true
     }
+
+    /// Number of retries that the budget has not allowed so far.
+    pub fn denied(&self) -> u64 {
+        self.denied
+    }
 }
 
 impl Default for RetryBudget {
