Start the log of marjoramlift run again after its disk was full

What callers saw: the disks of three control members were full for a few seconds, one after another.

Hypotheses: (1) a member whose write failed ends for good in marjoramlift run, so that two of three are gone after the second disk; (2) it starts again but its torn record keeps it from reading its log; (3) the entry keeps asking a member that can't answer.

The fleet has a supervisor that starts the log again from its files; marjoramlift run had none. Class: a recovery that only one of two paths has.

Fix: the restart loop moves from lift_registry to lift_log (LogSupervisor). What differs, the number of the member and its files, is behind the trait LogOwner. marjoramlift run holds a SupervisedLog, which stays the same log to its users across restarts and publishes one leadership. Each run reads the files again, repairs a torn tail, and resets the state machine before it applies the log again, as the start of a process does; without the reset commands would be applied twice. Watchers keep the newest policy while that goes on. Commands that were under way are answered as unknown. A member that finds its disk full at the start of its process waits for room; other errors still end the start.

--- a/crates/lift_control/src/control_machine.rs
+++ b/crates/lift_control/src/control_machine.rs
@@ -50,7 +50,8 @@
     fn notify_watchers(&self) {
         let policy = self.state.policy();
         self.policy_view.send_if_modified(|view| {
-            if view.policy.revision == policy.revision {
+            // While the log is applied again after a restart, the newest policy stays in force.
+            if view.policy.revision >= policy.revision {
                 return false;
             }
             view.policy = policy;
@@ -74,6 +75,14 @@
 }
 
 impl lift_log::StateMachine for ControlMachine {
+    fn reset(&self) {
+        let empty = encoding::encode_state(&lift_state::State::new());
+        if let Some(parts) = encoding::decode_state(&empty) {
+            self.state.import(parts);
+        }
+        self.unreadable_entries.store(0, atomic::Ordering::Release);
+    }
+
     fn apply(&self, _index: lift_types::LogIndex, command: &[u8]) -> bytes::Bytes {
         let Some(commands) = encoding::decode_batch(command) else {
             self.unreadable_entries
--- a/crates/lift_log/src/apply_thread.rs
+++ b/crates/lift_log/src/apply_thread.rs
@@ -23,6 +23,7 @@
     jobs: &mpsc::Receiver<Job>,
 ) {
     let mut applied = 0;
+    machine.reset();
     while let Ok(job) = jobs.recv() {
         match job {
             Job::Apply(entries) => {
--- a/crates/lift_log/src/lib.rs
+++ b/crates/lift_log/src/lib.rs
@@ -15,7 +15,9 @@
 mod log_driver;
 mod log_driver_builder;
 mod log_end;
+mod log_owner;
 mod log_status;
+mod log_supervisor;
 mod member_files;
 mod member_place;
 mod member_start;
@@ -30,6 +32,7 @@
 mod snapshot_thread;
 mod start_error;
 mod state_machine;
+mod supervised_log;
 mod timer_thread;
 mod waiters;
 
@@ -39,11 +42,14 @@
 pub use log_driver::LogDriver;
 pub use log_driver_builder::LogDriverBuilder;
 pub use log_end::LogEnd;
+pub use log_owner::LogOwner;
 pub use log_status::LogStatus;
+pub use log_supervisor::LogSupervisor;
 pub use propose_error::ProposeError;
 pub use replicated_log::ReplicatedLog;
 pub use start_error::StartError;
 pub use state_machine::StateMachine;
+pub use supervised_log::SupervisedLog;
 
 /// Longest command, in bytes. It fits into a frame together with the head of its message.
 pub const MAX_COMMAND_BYTES: usize = 4 * 1024 * 1024;
--- a/crates/lift_log/src/log_driver_builder.rs
+++ b/crates/lift_log/src/log_driver_builder.rs
@@ -3,20 +3,21 @@
 use std::{net, path, sync};
 
 use error_stack::ResultExt as _;
+use tokio::sync::watch;
 
 use crate::{
-    company, link_switch, log_driver, member_files, member_place, member_start, start_error,
-    state_machine,
+    company, leadership, link_switch, log_driver, member_files, member_place, member_start,
+    start_error, state_machine, supervised_log,
 };
 
 type Result<T> = std::result::Result<T, error_stack::Report<start_error::StartError>>;
 
 /// Builds a [`log_driver::LogDriver`].
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct LogDriverBuilder {
     replica: lift_consensus::ReplicaConfig,
     files: Option<member_place::MemberPlace>,
-    listener: Option<net::TcpListener>,
+    listener: Option<sync::Arc<net::TcpListener>>,
     address: Option<net::SocketAddr>,
     keys: Option<lift_wire::LinkKeys>,
     machine: Option<sync::Arc<dyn state_machine::StateMachine>>,
@@ -24,6 +25,7 @@
     log: slog::Logger,
     counters: Option<sync::Arc<lift_obs::Counters>>,
     switch: Option<sync::Arc<link_switch::LinkSwitch>>,
+    leadership: Option<sync::Arc<watch::Sender<leadership::Leadership>>>,
 }
 
 impl LogDriverBuilder {
@@ -39,6 +41,7 @@
             log: lift_obs::LogConfig::discard(),
             counters: None,
             switch: None,
+            leadership: None,
         }
     }
 
@@ -88,7 +91,7 @@
 
     /// Accepts other members at a port that is open already.
     pub fn peer_listener(mut self, listener: net::TcpListener) -> Self {
-        self.listener = Some(listener);
+        self.listener = Some(sync::Arc::new(listener));
         self
     }
 
@@ -134,6 +137,40 @@
         self
     }
 
+    /// Publishes who leads at `leadership`, which outlives this start of the member.
+    pub(crate) fn leadership(
+        mut self,
+        leadership: sync::Arc<watch::Sender<leadership::Leadership>>,
+    ) -> Self {
+        self.leadership = Some(leadership);
+        self
+    }
+
+    /// Starts the member as [`Self::start`] does, and again on its files whenever it ends, for
+    /// instance after its disk was full. A full disk at the first start is waited for.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of the first start, but that of a full disk.
+    pub async fn start_supervised(self) -> Result<supervised_log::SupervisedLog> {
+        supervised_log::SupervisedLog::start(self).await
+    }
+
+    /// Identifier of this member.
+    pub(crate) fn member(&self) -> lift_types::MemberId {
+        self.replica.id
+    }
+
+    /// Logger of the member.
+    pub(crate) fn log(&self) -> &slog::Logger {
+        &self.log
+    }
+
+    /// Counters of all starts of the member.
+    pub(crate) fn shared_counters(&mut self) -> sync::Arc<lift_obs::Counters> {
+        sync::Arc::clone(self.counters.get_or_insert_default())
+    }
+
     /// Reads the disk, opens the port and starts the member.
     ///
     /// # Errors
@@ -159,6 +196,7 @@
             machine,
             listener,
             advertised: self.advertised,
+            leadership: self.leadership.unwrap_or_else(follows_nobody),
         };
         parts.start(files)
     }
@@ -189,6 +227,12 @@
     }
 }
 
+/// Leadership of a member that has not started yet.
+pub(crate) fn follows_nobody() -> sync::Arc<watch::Sender<leadership::Leadership>> {
+    let (tx, _) = watch::channel(leadership::Leadership::Follower { leader: None });
+    sync::Arc::new(tx)
+}
+
 fn missing(setting: &'static str) -> start_error::StartError {
     start_error::StartError::Missing(setting)
 }
--- a/crates/lift_log/src/log_end.rs
+++ b/crates/lift_log/src/log_end.rs
@@ -8,4 +8,7 @@
     /// The other members know another disk under its identifier. It needs a new identifier
     /// and an empty disk.
     DiskReplaced,
+    /// Its owner ended it, because the member was removed. It needs a new identifier and an
+    /// empty disk.
+    Removed,
 }
--- a/crates/lift_log/src/log_status.rs
+++ b/crates/lift_log/src/log_status.rs
@@ -19,3 +19,17 @@
     /// knows this.
     pub answers: indexmap::IndexMap<lift_types::MemberId, time::Instant>,
 }
+
+impl LogStatus {
+    /// Status of a member that has not read its files yet.
+    pub(crate) fn not_started(id: lift_types::MemberId) -> Self {
+        Self {
+            id,
+            term: 0,
+            commit: 0,
+            last: 0,
+            members: lift_consensus::MemberSet::default(),
+            answers: indexmap::IndexMap::new(),
+        }
+    }
+}
--- a/crates/lift_log/src/member_start.rs
+++ b/crates/lift_log/src/member_start.rs
@@ -26,6 +26,7 @@
     pub(crate) machine: sync::Arc<dyn state_machine::StateMachine>,
     pub(crate) listener: tokio::net::TcpListener,
     pub(crate) advertised: Option<net::SocketAddr>,
+    pub(crate) leadership: sync::Arc<watch::Sender<leadership::Leadership>>,
 }
 
 /// Receiving ends of the channels of a member.
@@ -88,7 +89,6 @@
         let (to_apply, apply) = mpsc::channel();
         let (to_snapshot, snapshot) = mpsc::channel();
         let (new_links, links) = tokio::sync::mpsc::unbounded_channel();
-        let (leadership, _) = watch::channel(leadership::Leadership::Follower { leader: None });
         let rng = rand::rngs::StdRng::from_rng(&mut rand::rng());
         let (id, cfg) = (self.replica.id, self.replica.clone());
         let replica = lift_consensus::Replica::new(cfg, restored, lift_clock::now(), rng);
@@ -100,7 +100,7 @@
             queue: parking_lot::Mutex::new(Vec::new()),
             waiters: waiters::Waiters::new(),
             bindings: bindings::Bindings::new(identity),
-            leadership,
+            leadership: sync::Arc::clone(&self.leadership),
             links: peer_links::PeerLinks::new(id, sync::Arc::clone(&counters), new_links),
             counters,
             switch: self.switch.clone(),
--- a/crates/lift_log/src/node.rs
+++ b/crates/lift_log/src/node.rs
@@ -22,7 +22,7 @@
     pub(crate) queue: parking_lot::Mutex<Vec<proposal::Proposal>>,
     pub(crate) waiters: waiters::Waiters,
     pub(crate) bindings: bindings::Bindings,
-    pub(crate) leadership: watch::Sender<leadership::Leadership>,
+    pub(crate) leadership: sync::Arc<watch::Sender<leadership::Leadership>>,
     pub(crate) links: peer_links::PeerLinks,
     pub(crate) switch: Option<sync::Arc<link_switch::LinkSwitch>>,
     pub(crate) timer: timer_thread::Timer,
--- a/crates/lift_log/src/start_error.rs
+++ b/crates/lift_log/src/start_error.rs
@@ -9,6 +9,9 @@
     /// The disk can't be read, or what it holds is damaged.
     #[error("the state on the disk can't be used")]
     Disk,
+    /// The member has no identifier, or its files can't be given up.
+    #[error("the owner of the replicated log failed")]
+    Owner,
     /// The port for other members can't be opened.
     #[error("the port for other members can't be opened")]
     Port,
--- a/crates/lift_log/src/state_machine.rs
+++ b/crates/lift_log/src/state_machine.rs
@@ -5,6 +5,11 @@
 /// State that committed commands change. Equal logs must give equal states: no clock and
 /// no random numbers.
 pub trait StateMachine: fmt::Debug + Send + Sync {
+    /// Returns to the state before the first command. Called at each start of the log, which then
+    /// applies its commands again. A state that is the same when commands are applied twice may
+    /// be kept.
+    fn reset(&self);
+
     /// Applies one committed command and returns its reply. Called in order of `index`.
     fn apply(&self, index: lift_types::LogIndex, command: &[u8]) -> bytes::Bytes;
 
--- a/crates/lift_log/tests/common/mod.rs
+++ b/crates/lift_log/tests/common/mod.rs
@@ -23,6 +23,10 @@
 }
 
 impl lift_log::StateMachine for Ledger {
+    fn reset(&self) {
+        *self.state.lock().unwrap() = Default::default();
+    }
+
     fn apply(&self, _: lift_types::LogIndex, command: &[u8]) -> bytes::Bytes {
         let mut state = self.state.lock().unwrap();
         state.0 += 1;
--- a/crates/lift_node/src/control_role.rs
+++ b/crates/lift_node/src/control_role.rs
@@ -3,7 +3,6 @@
 use std::{net, sync, time};
 
 use error_stack::ResultExt as _;
-use lift_log::ReplicatedLog as _;
 
 use crate::{log_members, node_context, node_error};
 
@@ -13,7 +12,7 @@
 /// A control member: replicated log, state machine and server for entries.
 #[derive(Debug)]
 pub(crate) struct ControlRole {
-    log: sync::Arc<lift_log::LogDriver>,
+    log: sync::Arc<dyn lift_log::ReplicatedLog>,
     node: sync::Arc<lift_control::ControlNode>,
     server: lift_rpc::ControlServer,
     admin: Option<lift_admin::Admin>,
@@ -49,8 +48,9 @@
             }
             builder = builder.initial_member(member.id, peer, client);
         }
-        let driver = builder.peer_listener(peers).start().await;
-        let log = sync::Arc::new(driver.change_context(failed)?);
+        let supervised = builder.peer_listener(peers).start_supervised().await;
+        let log: sync::Arc<dyn lift_log::ReplicatedLog> =
+            sync::Arc::new(supervised.change_context(failed)?);
         let node = lift_control::ControlNode::builder()
             .log(log.clone())
             .machine(machine)
@@ -103,7 +103,7 @@
 async fn start_admin(
     cx: &node_context::NodeContext,
     cfg: &lift_settings::ControlSettings,
-    log: &sync::Arc<lift_log::LogDriver>,
+    log: &sync::Arc<dyn lift_log::ReplicatedLog>,
     node: &sync::Arc<lift_control::ControlNode>,
 ) -> Result<Option<lift_admin::Admin>, error_stack::Report<node_error::NodeError>> {
     let Some(addr) = cfg.admin_listener else {
--- a/crates/lift_node/src/log_members.rs
+++ b/crates/lift_node/src/log_members.rs
@@ -2,17 +2,15 @@
 
 use std::sync;
 
-use lift_log::ReplicatedLog as _;
-
 /// Shows and changes the members of the log of this process.
 #[derive(Debug)]
 pub(crate) struct LogMembers {
-    log: sync::Arc<lift_log::LogDriver>,
+    log: sync::Arc<dyn lift_log::ReplicatedLog>,
 }
 
 impl LogMembers {
     /// Reads `log`.
-    pub(crate) fn new(log: sync::Arc<lift_log::LogDriver>) -> Self {
+    pub(crate) fn new(log: sync::Arc<dyn lift_log::ReplicatedLog>) -> Self {
         Self { log }
     }
 
--- a/crates/lift_registry/src/control_member.rs
+++ b/crates/lift_registry/src/control_member.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     control_member_builder, directory_maintenance, fleet_control, fleet_control_error,
-    log_supervisor, member_bootstrap, member_observer, membership_maintenance, registry,
+    fleet_log_owner, member_bootstrap, member_observer, membership_maintenance, registry,
 };
 
 /// Default time without a heartbeat after which a backend server is marked as silent.
@@ -65,10 +65,15 @@
         let heartbeat_timeout = settings
             .heartbeat_timeout
             .unwrap_or(DEFAULT_HEARTBEAT_TIMEOUT);
-        let supervisor = log_supervisor::LogSupervisor {
-            registry: sync::Arc::clone(&registry),
-            bootstrap,
-            timing: settings.timing,
+        let supervisor = lift_log::LogSupervisor {
+            log: bootstrap.node.log.clone(),
+            counters: sync::Arc::clone(&bootstrap.node.counters),
+            owner: sync::Arc::new(fleet_log_owner::FleetLogOwner {
+                registry: sync::Arc::clone(&registry),
+                bootstrap,
+                timing: settings.timing,
+                removed: removal,
+            }),
         };
         tokio::spawn(sync::Arc::clone(&feed).run(listener, stop.clone()));
         let spawn = |task| tokio::spawn(stop.clone().run_until_cancelled_owned(task));
@@ -83,7 +88,7 @@
             sync::Arc::clone(&registry),
             sync::Arc::clone(&feed),
         )));
-        spawn(boxed(supervisor.run(removal)));
+        spawn(boxed(supervisor.run()));
         Ok(Self {
             registry,
             _feed: feed,
--- a/crates/lift_registry/src/fleet_state_machine.rs
+++ b/crates/lift_registry/src/fleet_state_machine.rs
@@ -135,6 +135,9 @@
 }
 
 impl lift_log::StateMachine for FleetStateMachine {
+    /// Keeps the state: only newer versions are applied, so commands may be applied again.
+    fn reset(&self) {}
+
     fn apply(&self, _index: lift_types::LogIndex, command: &[u8]) -> bytes::Bytes {
         let Ok(command) = postcard::from_bytes::<lift_fleet::FleetCommand>(command) else {
             self.unreadable_commands
--- a/crates/marjoramlift/tests/support/mod.rs
+++ b/crates/marjoramlift/tests/support/mod.rs
@@ -2,7 +2,8 @@
 #![allow(dead_code, clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 #[path = "../../../lift_node/tests/support/mod.rs"]
-mod ports;
+pub mod ports;
+pub mod trio;
 
 use std::{
     fs,
@@ -66,7 +67,9 @@
             "edits": [{"set_default": default}]
         });
         let body = body.to_string();
-        wait(|| request(self.admin, "POST", "/v1/changes", &body).is_ok_and(|r| r.0 == 200));
+        wait(|| {
+            request(self.admin, "POST", "/v1/changes", &body, START_LIMIT).is_ok_and(|r| r.0 == 200)
+        });
     }
 
     fn wait_until_answers(&self) {
@@ -88,17 +91,19 @@
 
 /// Sends a request with a body. An answer that is cut short is an error.
 pub fn try_get(addr: net::SocketAddr, path: &str, body: &str) -> io::Result<(u16, String)> {
-    request(addr, "GET", path, body)
+    request(addr, "GET", path, body, START_LIMIT)
 }
 
-fn request(
+/// Sends a request whose answer must come within `limit`.
+pub fn request(
     addr: net::SocketAddr,
     method: &str,
     path: &str,
     body: &str,
+    limit: time::Duration,
 ) -> io::Result<(u16, String)> {
     let mut stream = net::TcpStream::connect(addr)?;
-    stream.set_read_timeout(Some(START_LIMIT))?;
+    stream.set_read_timeout(Some(limit))?;
     let length = body.len();
     write!(
         stream,
