Retry storms can begin after a calm time

A storm from the start of a fleet meets gateways that have no burst saved. With `--warm-up 55` nothing fails for that long, all gateways have their whole part of the burst, and the storm begins then: the worst case for the limit.

--- a/crates/lift_soak/src/storm_fleet.rs
+++ b/crates/lift_soak/src/storm_fleet.rs
@@ -26,6 +26,7 @@
     cast: cast::Cast,
     folder: path::PathBuf,
     hosts: indexmap::IndexMap<u8, soak_host::SoakHost>,
+    servers: Vec<sync::Arc<storm_server::StormServer>>,
     gateways: u8,
     paused: Option<u8>,
     calls: sync::Arc<control_calls::ControlCalls>,
@@ -41,17 +42,20 @@
         book: &sync::Arc<retry_book::RetryBook>,
     ) -> Result<Self> {
         let calls = sync::Arc::new(control_calls::ControlCalls::new(cast));
+        let mut servers = Vec::new();
         for i in 0..SERVERS {
             let fault = (i >= options.sound_servers).then_some(options.server_fault);
             let book = sync::Arc::clone(book);
             let server =
                 storm_server::StormServer::start(cast, cast::Cast::plain(i), fault, book).await?;
-            tokio::spawn(server.announce(sync::Arc::clone(&calls)));
+            tokio::spawn(sync::Arc::clone(&server).announce(sync::Arc::clone(&calls)));
+            servers.push(server);
         }
         let mut fleet = Self {
             cast,
             folder: path::PathBuf::from(folder),
             hosts: indexmap::IndexMap::new(),
+            servers,
             gateways: options.gateways,
             paused: None,
             calls,
@@ -133,6 +137,13 @@
         true
     }
 
+    /// Lets backend servers with a fault fail from now on.
+    pub(crate) fn fail_servers(&self) {
+        for server in &self.servers {
+            server.fail();
+        }
+    }
+
     /// Carries out restart number `number`. Returns how many processes start anew.
     pub(crate) fn restart(
         &mut self,
--- a/crates/lift_soak/src/storm_options.rs
+++ b/crates/lift_soak/src/storm_options.rs
@@ -9,6 +9,7 @@
 pub struct StormOptions {
     pub(crate) program: path::PathBuf,
     pub(crate) seed: u64,
+    pub(crate) warm_up: time::Duration,
     pub(crate) length: time::Duration,
     pub(crate) gateways: u8,
     pub(crate) sound_servers: u8,
--- a/crates/lift_soak/src/storm_options_builder.rs
+++ b/crates/lift_soak/src/storm_options_builder.rs
@@ -9,6 +9,7 @@
 pub struct StormOptionsBuilder {
     program: Option<path::PathBuf>,
     seed: u64,
+    warm_up: time::Duration,
     length: time::Duration,
     gateways: u8,
     sound_servers: u8,
@@ -22,6 +23,7 @@
         Self {
             program: None,
             seed: 1,
+            warm_up: time::Duration::ZERO,
             length: time::Duration::from_secs(20),
             gateways: 5,
             sound_servers: 0,
@@ -45,7 +47,13 @@
         self
     }
 
-    /// Sets the time in which processes start anew.
+    /// Sets the time before that in which nothing fails.
+    pub fn warm_up(mut self, warm_up: time::Duration) -> Self {
+        self.warm_up = warm_up;
+        self
+    }
+
+    /// Sets the time in which backend servers fail and processes start anew.
     pub fn length(mut self, length: time::Duration) -> Self {
         self.length = length;
         self
@@ -92,6 +100,7 @@
                 .program
                 .ok_or(soak_error::SoakError::Missing("program"))?,
             seed: self.seed,
+            warm_up: self.warm_up,
             length: self.length,
             gateways: self.gateways,
             sound_servers: self.sound_servers,
--- a/crates/lift_soak/src/storm_run.rs
+++ b/crates/lift_soak/src/storm_run.rs
@@ -37,6 +37,8 @@
         served: atomic::AtomicU64::new(0),
     });
     tokio::spawn(storm_caller::run(sync::Arc::clone(&callers), options.seed));
+    tokio::time::sleep(options.warm_up).await;
+    fleet.fail_servers();
     let restarts = restart_in_series(&mut fleet, options).await?;
     Ok(storm_report::StormReport {
         arrived: book.arrived(),
--- a/crates/lift_soak/src/storm_server.rs
+++ b/crates/lift_soak/src/storm_server.rs
@@ -2,6 +2,8 @@
 
 use std::{sync, time};
 
+use sync::atomic;
+
 use axum::{extract, response::IntoResponse as _};
 
 use crate::{
@@ -21,10 +23,13 @@
     text: lift_peer::ServerText,
     fault: Option<server_fault::ServerFault>,
     book: sync::Arc<retry_book::RetryBook>,
+    /// Whether a server with a fault fails already.
+    is_failing: atomic::AtomicBool,
 }
 
 impl StormServer {
-    /// Starts a server on `host`. It answers with success if it has no `fault`.
+    /// Starts a server on `host`. It answers with success if it has no `fault`, and
+    /// until it is told to fail.
     pub(crate) async fn start(
         cast: cast::Cast,
         host: u8,
@@ -40,7 +45,12 @@
             slots: SLOTS,
             born: soak_server::since_epoch(),
         };
-        let server = sync::Arc::new(Self { text, fault, book });
+        let server = sync::Arc::new(Self {
+            text,
+            fault,
+            book,
+            is_failing: atomic::AtomicBool::new(false),
+        });
         let router = axum::Router::new()
             .fallback(|extract::State(server): Server, req| async move { server.call(req).await })
             .with_state(sync::Arc::clone(&server));
@@ -48,6 +58,11 @@
         Ok(server)
     }
 
+    /// Lets a server with a fault fail from now on.
+    pub(crate) fn fail(&self) {
+        self.is_failing.store(true, atomic::Ordering::Relaxed);
+    }
+
     /// Announces the server for ever.
     pub(crate) async fn announce(
         self: sync::Arc<Self>,
@@ -69,7 +84,8 @@
         let reply = http::Response::builder();
         let sealed = |reply| self.text.answer(&id, &answer_text::seal(&id), None, reply);
         let whole = axum::body::Body::from(answer_text::body(&id));
-        let answer = match self.fault {
+        let is_failing = self.is_failing.load(atomic::Ordering::Relaxed);
+        let answer = match self.fault.filter(|_| is_failing) {
             None => sealed(reply).body(whole),
             Some(server_fault::ServerFault::Error) => {
                 sealed(reply.status(http::StatusCode::INTERNAL_SERVER_ERROR)).body(whole)
--- a/crates/marjoramlift/examples/retry_storm.rs
+++ b/crates/marjoramlift/examples/retry_storm.rs
@@ -18,7 +18,10 @@
     /// Number of seeds.
     #[arg(long, default_value_t = 1)]
     seeds: u64,
-    /// Seconds in which processes start anew.
+    /// Seconds before that in which nothing fails.
+    #[arg(long, default_value_t = 0)]
+    warm_up: u64,
+    /// Seconds in which backend servers fail and processes start anew.
     #[arg(long, default_value_t = 30)]
     length: u64,
     /// Gateways, ten at most.
@@ -68,6 +71,7 @@
     let options = lift_soak::StormOptions::builder()
         .program(args.program.clone())
         .seed(seed)
+        .warm_up(time::Duration::from_secs(args.warm_up))
         .length(time::Duration::from_secs(args.length))
         .gateways(args.gateways)
         .sound_servers(args.sound_servers)
