Order a load only on a check of the pieces that is at most 2 s old

Cause: an agent read all staged pieces back one after the other and then ordered the load. Each answer was taken as evidence for as long as the rest took, and nothing bounded that. With 96 reads of 45 ms the order comes 4.3 s after the first read. The class of fault is a check whose result is used without an age. An agent that was paused in the check was covered by luck only: a read that waits across the pause hits the time-out of the request.

Why this works: PieceChecks notes for each piece when its read *began*, since the server may have read it at any moment after that, on the clock that counts suspensions. The order goes out only if the oldest read is at most 2 s old (MAX_CHECK_AGE, 3 s less the second for which an order waits for its answer). That is asked in the task that sends it, right before the sending, so a pause or wait anywhere between a read and the order counts. Reads run 2 to 16 at once, as many as are needed for all in 0.5 s, each bounded in memory by one piece; the same reader now looks through the area for prepare. Pieces that are too old by the end are read again once, then the attempt ends with CheckTooOld and starts anew. A newer version ends the check.

"order to load ended" logs the age of the check, how long the order took and whether the check was outlived; counters agent.check_too_old and agent.check_outlived.

Remains: an order that was sent can't be recalled. A server that is silent for over a second right when it is sent may accept it later than 3 s after the check; agent.check_outlived counts that.

The stand-in of lift_soak still finds any wrong piece at the order a violation; only the new play excuses a piece spoilt for less than 3 s.

--- a/crates/lift_soak/src/lib.rs
+++ b/crates/lift_soak/src/lib.rs
@@ -45,10 +45,11 @@
 mod soak_run;
 mod soak_server;
 mod soak_weights;
+mod spoilt_pieces;
 
 pub use fault::Fault;
 pub use link_fault::LinkFault;
 pub use soak_error::SoakError;
 pub use soak_options::SoakOptions;
 pub use soak_report::SoakReport;
-pub use soak_run::run;
+pub use soak_run::{run, run_spoilt_pieces};
--- a/crates/lift_soak/src/server_calls.rs
+++ b/crates/lift_soak/src/server_calls.rs
@@ -53,7 +53,8 @@
         if engine.loading.is_some() {
             return http::StatusCode::CONFLICT;
         }
-        if !engine.holds(order.version) {
+        engine.is_rotten = !engine.holds(order.version);
+        if engine.is_rotten {
             let what = format!(
                 "{id} is to load version {} with wrong pieces",
                 order.version
@@ -89,7 +90,7 @@
     if index >= soak_weights::PIECES {
         return http::StatusCode::BAD_REQUEST;
     }
-    engine.lock().staged.insert(index, body);
+    engine.lock().put(index, body);
     http::StatusCode::OK
 }
 
@@ -97,15 +98,19 @@
     let Some(engine) = &server.engine else {
         return http::StatusCode::NOT_FOUND.into_response();
     };
-    let engine = engine.lock();
-    match query::number::<usize>(&query, lift_peer::paths::PIECE_QUERY) {
-        Some(index) => match engine.staged.get(&index) {
-            Some(piece) => piece.clone().into_response(),
-            None => http::StatusCode::NOT_FOUND.into_response(),
-        },
-        None => {
-            let held: Vec<usize> = engine.staged.keys().copied().collect();
-            axum::Json(serde_json::json!({ "held": held })).into_response()
-        }
+    let Some(index) = query::number::<usize>(&query, lift_peer::paths::PIECE_QUERY) else {
+        let held: Vec<usize> = engine.lock().staged.keys().copied().collect();
+        return axum::Json(serde_json::json!({ "held": held })).into_response();
+    };
+    let (piece, read_time) = {
+        let mut engine = engine.lock();
+        (engine.read(index), engine.read_time)
+    };
+    if !read_time.is_zero() {
+        tokio::time::sleep(read_time).await;
+    }
+    match piece {
+        Some(piece) => piece.into_response(),
+        None => http::StatusCode::NOT_FOUND.into_response(),
     }
 }
--- a/crates/lift_soak/src/soak_run.rs
+++ b/crates/lift_soak/src/soak_run.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     cast, fault, fault_plan, operator_order, request_kind, soak_error, soak_fleet, soak_options,
-    soak_report,
+    soak_report, spoilt_pieces,
 };
 
 /// Time between two looks at processes and times.
@@ -45,32 +45,34 @@
     options: &soak_options::SoakOptions,
     network: u8,
 ) -> Result<soak_report::SoakReport> {
-    let folder = tempfile::tempdir().map_err(|e| soak_error::SoakError::Io("folder", e))?;
-    let cast = cast::Cast::new(network);
-    let fleet = soak_fleet::SoakFleet::start(cast, &options.program, folder.path()).await?;
-    let mut run = SoakRun {
-        fleet,
-        faults: Vec::new(),
-    };
-    run.come_up(cast, folder.path()).await?;
-    run.fleet.start_callers(options.seed);
+    let (mut run, folder) = SoakRun::start(options, network).await?;
     run.suffer(options).await?;
     run.recover().await?;
     run.stop_in_series(options.seed).await?;
     run.leave().await?;
-    let oracle = std::sync::Arc::clone(&run.fleet.oracle);
-    let faults = run.faults;
-    drop(run.fleet);
-    let violations = oracle.violations();
-    let count = |count: &atomic::AtomicU64| count.load(atomic::Ordering::Relaxed);
-    Ok(soak_report::SoakReport {
-        faults,
-        served: count(&oracle.served),
-        refused: count(&oracle.refused),
-        failed: count(&oracle.failed),
-        logs: (!violations.is_empty()).then(|| folder.keep()),
-        violations,
-    })
+    Ok(run.report(folder))
+}
+
+/// Plays a naming while reads of the staging areas are slow and a piece of each turns bad right
+/// after it was read. `options` gives the program and the seed of the callers.
+///
+/// # Errors
+///
+/// Returns an error where the soak could not be played. Broken promises are in the report.
+pub async fn run_spoilt_pieces(
+    options: &soak_options::SoakOptions,
+    network: u8,
+) -> Result<soak_report::SoakReport> {
+    let (mut run, folder) = SoakRun::start(options, network).await?;
+    let next = run.newest_weights() + 1;
+    spoilt_pieces::begin(&run.fleet, next);
+    run.fleet.order(operator_order::OperatorOrder::NameWeights);
+    let is_named = |run: &SoakRun| run.newest_weights() >= next && run.has_newest_weights();
+    if !run.until(RECOVERY, is_named).await? {
+        run.violate(format!("weights {next} named, not in place"));
+    }
+    run.until(CALM, |_| false).await?;
+    Ok(run.report(folder))
 }
 
 struct SoakRun {
@@ -79,6 +81,40 @@
 }
 
 impl SoakRun {
+    /// Starts the fleet, brings it up and starts the callers. The folder is that of the processes.
+    async fn start(
+        options: &soak_options::SoakOptions,
+        network: u8,
+    ) -> Result<(Self, tempfile::TempDir)> {
+        let folder = tempfile::tempdir().map_err(|e| soak_error::SoakError::Io("folder", e))?;
+        let cast = cast::Cast::new(network);
+        let fleet = soak_fleet::SoakFleet::start(cast, &options.program, folder.path()).await?;
+        let mut run = Self {
+            fleet,
+            faults: Vec::new(),
+        };
+        run.come_up(cast, folder.path()).await?;
+        run.fleet.start_callers(options.seed);
+        Ok((run, folder))
+    }
+
+    /// Ends the fleet and tells what was seen.
+    fn report(self, folder: tempfile::TempDir) -> soak_report::SoakReport {
+        let oracle = std::sync::Arc::clone(&self.fleet.oracle);
+        let faults = self.faults;
+        drop(self.fleet);
+        let violations = oracle.violations();
+        let count = |count: &atomic::AtomicU64| count.load(atomic::Ordering::Relaxed);
+        soak_report::SoakReport {
+            faults,
+            served: count(&oracle.served),
+            refused: count(&oracle.refused),
+            failed: count(&oracle.failed),
+            logs: (!violations.is_empty()).then(|| folder.keep()),
+            violations,
+        }
+    }
+
     /// Waits until a first configuration and first weights are in place.
     async fn come_up(&mut self, cast: cast::Cast, folder: &path::Path) -> Result<()> {
         self.fleet.order(operator_order::OperatorOrder::Change);
--- a/crates/lift_soak/src/soak_server.rs
+++ b/crates/lift_soak/src/soak_server.rs
@@ -151,6 +151,10 @@
                 .violate(format!("{id} carries a key or no workspace"));
         }
         self.oracle.run(&id, kind);
+        if is_stream && self.engine.as_ref().is_some_and(|e| e.lock().is_rotten) {
+            self.oracle
+                .violate(format!("{id} is written on weights with a spoilt piece"));
+        }
         let place = Place::take(sync::Arc::clone(&self));
         let weights = is_stream.then_some(version);
         let reply = text.answer(
--- a/crates/lift_stage/src/piece_manifest.rs
+++ b/crates/lift_stage/src/piece_manifest.rs
@@ -34,6 +34,11 @@
         MIN_PIECE_LIMIT_BYTES.max(self.piece_bytes as usize)
     }
 
+    /// Number of pieces.
+    pub fn count(&self) -> lift_types::ChunkIndex {
+        lift_types::ChunkIndex::try_from(self.digests.len()).unwrap_or(lift_types::ChunkIndex::MAX)
+    }
+
     /// Whether there is a piece `index`.
     pub fn has_piece(&self, index: lift_types::ChunkIndex) -> bool {
         (index as usize) < self.digests.len()
--- a/crates/lift_stage/src/stage_error.rs
+++ b/crates/lift_stage/src/stage_error.rs
@@ -27,6 +27,9 @@
     /// A piece in the staging area is missing or spoilt.
     #[error("{0} pieces in the staging area are missing or spoilt")]
     Spoilt(usize),
+    /// The pieces could not be read back within the time for which a check holds.
+    #[error("the check of the pieces is too old for an order")]
+    CheckTooOld,
     /// The backend server refused to load.
     #[error("the backend server refused the order: {0:?}")]
     Refused(crate::order_answer::OrderAnswer),
@@ -44,6 +47,6 @@
 impl StageError {
     /// Whether a request that failed so can't be carried out later.
     pub(crate) fn is_settled(&self) -> bool {
-        matches!(self, Self::Unreachable | Self::Declined)
+        matches!(self, Self::Unreachable | Self::Declined | Self::CheckTooOld)
     }
 }
--- a/crates/lift_stage/src/staging_area.rs
+++ b/crates/lift_stage/src/staging_area.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync as tokio_sync;
 
-use crate::{load_permit, order_answer, shared, stage_error, stage_port, staged};
+use crate::{load_permit, order_answer, piece_checks, shared, stage_error, stage_port, staged};
 
 /// Time in which a backend server may still carry out a request that has ended without an answer.
 /// A sound server can be silent for a second or so before it goes on.
@@ -109,16 +109,40 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if no answer came or it made no sense.
+    /// Returns [`stage_error::StageError::CheckTooOld`] if `checks` allow no order at the moment
+    /// of sending, and else an error if no answer came or it made no sense.
     pub(crate) async fn load(
         &self,
         permit: load_permit::LoadPermit,
         model: &str,
         version: lift_fleet::WeightsVersion,
+        checks: piece_checks::PieceChecks,
     ) -> Result<order_answer::OrderAnswer> {
         let stage = sync::Arc::clone(&self.stage);
         let model = String::from(model);
-        let ordering = async move { stage.load(&model, version).await };
+        let (log, counters) = (self.log.clone(), sync::Arc::clone(&self.counters));
+        let ordering = async move {
+            // Nothing comes between this look at the clock and the sending.
+            let now = lift_clock::now();
+            let age_ms = checks.age(now).map(|age| age.as_millis() as u64);
+            if !checks.allows_order(now) {
+                counters.increment("agent.check_too_old");
+                slog::warn!(log, "load not ordered, check of the pieces too old";
+                    "model" => model, "version" => version, "check_age_ms" => age_ms);
+                let too_old = stage_error::StageError::CheckTooOld;
+                return Err(error_stack::Report::new(too_old));
+            }
+            let answer = stage.load(&model, version).await;
+            let took = lift_clock::now().saturating_duration_since(now);
+            let is_outlived = checks.is_outlived(now + took);
+            slog::info!(log, "order to load ended"; "model" => model, "version" => version,
+                "answered" => answer.is_ok(), "check_age_ms" => age_ms,
+                "took_ms" => took.as_millis() as u64, "check_outlived" => is_outlived);
+            if is_outlived {
+                counters.increment("agent.check_outlived");
+            }
+            answer
+        };
         let ordering = self.carry_out("order", permit, ordering);
         shared::within(shared::BACKEND_TIMEOUT, ordering).await
     }
--- a/crates/lift_stage/src/weights_keeper.rs
+++ b/crates/lift_stage/src/weights_keeper.rs
@@ -2,7 +2,10 @@
 
 use std::{sync, time};
 
-use crate::{fetch, load_permit, manifest_source, order_answer, shared, stage_error, staged};
+use crate::{
+    fetch, load_permit, manifest_source, order_answer, piece_checks, read_back, shared,
+    stage_error, staged,
+};
 
 /// Pause between two looks while nothing is to be done.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -14,6 +17,9 @@
 /// completed first, and then the weights are loaded.
 const LOAD_TIMEOUT: time::Duration = time::Duration::from_secs(6);
 
+/// Times that pieces are read back for one order before the attempt is given up.
+const MAX_READ_BACKS: usize = 2;
+
 /// Age from which a report of the backend server is not acted on.
 const REPORT_MAX_AGE: time::Duration = time::Duration::from_millis(300);
 
@@ -53,16 +59,19 @@
     if held > 0 {
         wait_for_turn(shared, &staged, held).await;
     }
-    let permit = tokio::select! {
-        permit = shared.staging_area.lock_for_load() => permit,
+    let checking = async {
+        let permit = shared.staging_area.lock_for_load().await;
+        check(shared, &staged).await.map(|checks| (permit, checks))
+    };
+    let (permit, checks) = tokio::select! {
+        checked = checking => checked?,
         () = superseded(shared, &staged) => {
             return Err(error_stack::Report::new(
                 stage_error::StageError::Superseded,
             ));
         }
     };
-    check(shared, &staged).await?;
-    load(shared, &staged, permit).await
+    load(shared, &staged, permit, checks).await
 }
 
 /// Looks through the staging area for the version that the backend server holds, if another
@@ -120,21 +129,21 @@
 /// Notes which pieces in the staging area belong to the version. The area holds one copy for
 /// each model, so pieces of an earlier version may lie there, and some may be equal. Returns how many
 /// pieces lie there.
-async fn look_through(shared: &shared::Shared, staged: &staged::Staged) -> Result<usize> {
+async fn look_through(
+    shared: &sync::Arc<shared::Shared>,
+    staged: &sync::Arc<staged::Staged>,
+) -> Result<usize> {
     let manifest = &staged.manifest;
     let asking = shared.stage.staged(&manifest.model);
     let lying = shared::within(shared::BACKEND_TIMEOUT, asking).await?;
     // Other positions are of no use, however many the server lists.
     let is_piece = |index: &lift_types::ChunkIndex| manifest.has_piece(*index);
     let lying: indexmap::IndexSet<_> = lying.into_iter().filter(is_piece).collect();
-    for index in &lying {
-        let reading = shared.staged_piece(manifest, *index);
-        if reading
-            .await?
-            .is_some_and(|bytes| manifest.matches(*index, &bytes))
-        {
-            staged.add(*index);
-        }
+    let pieces: Vec<_> = lying.iter().copied().collect();
+    let mut checks = piece_checks::PieceChecks::new(manifest.count());
+    let others = read_back::read_back(shared, staged, pieces, &mut checks).await?;
+    for index in lying.iter().filter(|index| !others.contains(index)) {
+        staged.add(*index);
     }
     slog::info!(shared.log, "staging area looked through"; "version" => manifest.version,
         "held" => staged.all().len(), "pieces" => manifest.digests.len());
@@ -160,27 +169,27 @@
 }
 
 /// Reads all pieces back, while no write is on its way. The backend server loads what lies there
-/// unchecked, and it may have been spoilt since.
-async fn check(shared: &shared::Shared, staged: &staged::Staged) -> Result<()> {
-    let manifest = &staged.manifest;
-    let mut spoilt = 0;
-    for index in 0..manifest.digests.len() as lift_types::ChunkIndex {
-        let reading = shared.staged_piece(manifest, index);
-        if !reading
-            .await?
-            .is_some_and(|bytes| manifest.matches(index, &bytes))
-        {
-            staged.remove(index);
-            spoilt += 1;
+/// unchecked, and it may have been spoilt since. Pieces whose read is too long ago by the end are
+/// read again.
+async fn check(
+    shared: &sync::Arc<shared::Shared>,
+    staged: &sync::Arc<staged::Staged>,
+) -> Result<piece_checks::PieceChecks> {
+    let mut checks = piece_checks::PieceChecks::new(staged.manifest.count());
+    for _ in 0..MAX_READ_BACKS {
+        let due = checks.due(lift_clock::now());
+        if due.is_empty() {
+            break;
+        }
+        let spoilt = read_back::read_back(shared, staged, due, &mut checks).await?;
+        if !spoilt.is_empty() || !staged.is_whole() {
+            spoilt.iter().for_each(|index| staged.remove(*index));
+            shared.counters.increment("agent.stage_spoilt");
+            let error = stage_error::StageError::Spoilt(spoilt.len());
+            return Err(error_stack::Report::new(error));
         }
     }
-    if spoilt == 0 && staged.is_whole() {
-        return Ok(());
-    }
-    shared.counters.increment("agent.stage_spoilt");
-    Err(error_stack::Report::new(stage_error::StageError::Spoilt(
-        spoilt,
-    )))
+    Ok(checks)
 }
 
 /// Orders the backend server to load and waits until it holds the version.
@@ -188,6 +197,7 @@
     shared: &shared::Shared,
     staged: &staged::Staged,
     permit: load_permit::LoadPermit,
+    checks: piece_checks::PieceChecks,
 ) -> Result<()> {
     let (model, version) = (&staged.manifest.model, staged.manifest.version);
     if shared.named(model) > version {
@@ -195,7 +205,8 @@
             stage_error::StageError::Superseded,
         ));
     }
-    let answer = shared.staging_area.load(permit, model, version).await?;
+    let area = &shared.staging_area;
+    let answer = area.load(permit, model, version, checks).await?;
     slog::info!(shared.log, "load ordered"; "model" => model, "version" => version,
         "answer" => ?answer);
     shared.counters.increment("agent.loads_ordered");
--- a/crates/lift_stage/tests/support/engine.rs
+++ b/crates/lift_stage/tests/support/engine.rs
@@ -1,6 +1,6 @@
 //! A backend server that loads what is staged, as it is.
 
-use std::sync;
+use std::{sync, time};
 
 use lift_stage::{EngineReport, OrderAnswer, StageError};
 
@@ -16,6 +16,8 @@
     write_hold: hold::Hold,
     order_hold: hold::Hold,
     read_hold: hold::Hold,
+    /// Held by each read where the server carries out one at a time.
+    read_turn: sync::Arc<tokio::sync::Mutex<()>>,
 }
 
 #[derive(Debug, Default)]
@@ -37,6 +39,15 @@
     held_write: Option<u32>,
     /// Piece whose next read is held, once these pieces are staged.
     held_read: Option<(u32, Vec<bytes::Bytes>)>,
+    /// Time that each read of a piece takes.
+    read_time: time::Duration,
+    reads_one_by_one: bool,
+    /// Piece that is spoilt once, right after it was read while all pieces of a version lay there.
+    spoilt_by_read: Option<(u32, usize)>,
+    /// Pieces that lie there spoilt, and since when.
+    spoilt_since: indexmap::IndexMap<u32, time::Instant>,
+    /// Longest time for which a piece had been spoilt when it was loaded.
+    oldest_spoilt: time::Duration,
 }
 
 impl Engine {
@@ -136,11 +147,14 @@
             false => bytes,
         };
         state.staged.insert(index, bytes);
+        state.spoilt_since.shift_remove(&index);
     }
 
     fn accept(&self, version: u64) {
         let mut state = self.state.lock();
         let staged = state.staged.clone();
+        let oldest = state.spoilt_since.values().map(|at| at.elapsed()).max();
+        state.oldest_spoilt = state.oldest_spoilt.max(oldest.unwrap_or_default());
         state.loaded.push((version, staged));
         state.version = version;
     }
@@ -150,6 +164,49 @@
         self.state.lock().rot = pieces;
     }
 
+    /// Takes `time` for each read of a piece, and carries out one at a time if so told.
+    pub(crate) fn slow_reads(&self, time: time::Duration, one_by_one: bool) {
+        let mut state = self.state.lock();
+        state.read_time = time;
+        state.reads_one_by_one = one_by_one;
+    }
+
+    /// Spoils a piece once, right after it was read while `pieces` pieces lay there.
+    pub(crate) fn spoil_after_read(&self, index: u32, pieces: u32) {
+        self.state.lock().spoilt_by_read = Some((index, pieces as usize));
+    }
+
+    /// Longest time for which a piece had been spoilt when it was loaded.
+    pub(crate) fn oldest_spoilt(&self) -> time::Duration {
+        self.state.lock().oldest_spoilt
+    }
+
+    async fn take_read_time(&self) {
+        let (time, one_by_one) = {
+            let state = self.state.lock();
+            (state.read_time, state.reads_one_by_one)
+        };
+        let _turn = match one_by_one {
+            true => Some(self.read_turn.lock().await),
+            false => None,
+        };
+        tokio::time::sleep(time).await;
+    }
+
+    fn read(&self, index: u32) -> Option<bytes::Bytes> {
+        let mut state = self.state.lock();
+        let piece = state.staged.get(&index).cloned();
+        state.missed_reads += u32::from(piece.is_none());
+        if state.spoilt_by_read == Some((index, state.staged.len())) {
+            state.spoilt_by_read = None;
+            state
+                .staged
+                .insert(index, bytes::Bytes::from_static(b"rotten"));
+            state.spoilt_since.insert(index, time::Instant::now());
+        }
+        piece
+    }
+
     /// Whether each order found all pieces of its version, whole.
     pub(crate) fn was_whole(&self, origin: &origin::Origin) -> bool {
         let state = self.state.lock();
@@ -194,12 +251,8 @@
 
     async fn get_piece(&self, _: &str, index: u32, _: usize) -> Result<Option<bytes::Bytes>> {
         self.check()?;
-        let piece = {
-            let mut state = self.state.lock();
-            let piece = state.staged.get(&index).cloned();
-            state.missed_reads += u32::from(piece.is_none());
-            piece
-        };
+        let piece = self.read(index);
+        self.take_read_time().await;
         if self.is_read_held(index) {
             self.read_hold.pass().await;
         }
--- a/crates/lift_stage/tests/support/fleet.rs
+++ b/crates/lift_stage/tests/support/fleet.rs
@@ -88,6 +88,8 @@
 pub(crate) struct Fleet {
     source: sync::Arc<Source>,
     feed: sync::Arc<lift_feed::FeedServer>,
+    /// Those of all agents together.
+    counters: sync::Arc<lift_obs::Counters>,
     _agents: Vec<lift_stage::StageAgent>,
 }
 
@@ -113,6 +115,7 @@
             .unwrap();
         let stop = tokio_util::sync::CancellationToken::new();
         tokio::spawn(sync::Arc::clone(&feed).run(listener, stop));
+        let counters = sync::Arc::<lift_obs::Counters>::default();
         let mut agents = Vec::new();
         for (number, engine) in (2..).zip(engines) {
             let host = net::Ipv4Addr::new(127, 0, subnet, number);
@@ -134,6 +137,7 @@
                 .seeds(vec![net::SocketAddr::new(member, 1)])
                 .keys(keys.clone())
                 .codec(sync::Arc::new(Codec))
+                .counters(sync::Arc::clone(&counters))
                 .build();
             let agent = lift_stage::StageAgent::builder()
                 .node(node.unwrap())
@@ -150,10 +154,16 @@
         Self {
             source,
             feed,
+            counters,
             _agents: agents,
         }
     }
 
+    /// Value of a counter of all agents together.
+    pub(crate) fn counted(&self, name: &str) -> u64 {
+        self.counters.value(name)
+    }
+
     /// Names a version.
     pub(crate) fn name(&self, version: u64) {
         *self.source.named.lock() = Some(version);
--- a/crates/marjoramlift/tests/soak.rs
+++ b/crates/marjoramlift/tests/soak.rs
@@ -10,8 +10,12 @@
         length: time::Duration::from_secs(length_s),
         program: path::PathBuf::from(env!("CARGO_BIN_EXE_marjoramlift")),
     };
+    check(lift_soak::run(&options, network));
+}
+
+fn check(run: impl Future<Output = Result<lift_soak::SoakReport, lift_soak::SoakError>>) {
     let runtime = tokio::runtime::Runtime::new().unwrap();
-    let report = runtime.block_on(lift_soak::run(&options, network)).unwrap();
+    let report = runtime.block_on(run).unwrap();
     runtime.shutdown_background();
     assert_eq!(report.violations, Vec::<String>::new(), "{report:#?}");
     assert!(report.served > 0, "{report:#?}");
@@ -47,3 +51,14 @@
     // Gateways asked for the lowest version allowed, and servers with a newer one refused.
     play(118, 20, 94);
 }
+
+#[test]
+fn no_stream_is_written_on_a_piece_that_had_been_spoilt_for_seconds() {
+    // The agent's check of all pieces took longer than a piece may have been spoilt.
+    let options = lift_soak::SoakOptions {
+        seed: 1,
+        length: time::Duration::ZERO,
+        program: path::PathBuf::from(env!("CARGO_BIN_EXE_marjoramlift")),
+    };
+    check(lift_soak::run_spoilt_pieces(&options, 117));
+}
