A stop passes whole answers on to slow callers behind TLS

Callers of an entry with TLS saw a large answer end early, with a plain end of file and exit code 0, when the node stopped as planned while they were reading. Without TLS the same answers came whole.

Cause: behind TLS the front end's connections end on loopback, and the front end is drained once it has written an answer there. What lies in the buffers between it and the TLS front then still has to be encrypted and sent by this process, which ended without waiting for it. The class: a stop that waits for one part of the way only.

The TLS front now tracks each connection until the last bytes of its front end are written, and the drain of the entry waits for them within the same time limit; what is left then counts as cut off. The wait is in the design of the front, not per answer, so it holds for streams too.

--- a/crates/lift_node/src/entry_role.rs
+++ b/crates/lift_node/src/entry_role.rs
@@ -89,14 +89,18 @@
     /// Turns readiness off, refuses new work and finishes the requests in progress. Returns
     /// the number of requests that were cut off.
     pub(crate) async fn drain(&self, grace: time::Duration) -> usize {
-        self.entry.stop(grace).await
+        let until = time::Instant::now() + grace;
+        let cut_off = self.entry.stop(grace).await;
+        let Some(tls) = &self.tls else {
+            return cut_off;
+        };
+        let left = until.saturating_duration_since(time::Instant::now());
+        // A request that the front end has cut off holds a connection here too.
+        cut_off.max(tls.stop(left).await)
     }
 
     /// Closes the listeners for agents and operators.
     pub(crate) async fn stop(&self, grace: time::Duration) {
-        if let Some(tls) = &self.tls {
-            tls.stop();
-        }
         self.admin.stop(grace).await;
         self.relay.stop();
     }
--- a/crates/marjoramlift/tests/signals.rs
+++ b/crates/marjoramlift/tests/signals.rs
@@ -4,11 +4,14 @@
 
 mod support;
 
-use std::{process, thread, time};
+use std::{io, process, thread, time};
 
 /// Longest wait for a step.
 const LIMIT: time::Duration = time::Duration::from_secs(20);
 
+/// Rate at which a slow caller reads.
+const SLOW_BYTES_PER_S: u32 = 1_500_000;
+
 /// Sends a signal to a child of this test.
 fn signal(child: &process::Child, name: &str) {
     let pid = child.id().to_string();
@@ -29,6 +32,17 @@
     None
 }
 
+/// Reads an answer as over a narrow link. Returns the number of bytes.
+fn read_slowly(mut answer: impl io::Read) -> usize {
+    let mut read = 0;
+    let mut buf = vec![0; 64 * 1024];
+    while let Ok(length @ 1..) = answer.read(&mut buf) {
+        read += length;
+        thread::sleep(time::Duration::from_secs(length as u64) / SLOW_BYTES_PER_S);
+    }
+    read
+}
+
 #[test]
 fn sigterm_finishes_the_request_in_progress() {
     let mut node = support::Node::start(time::Duration::from_millis(1_500));
@@ -72,6 +86,17 @@
     assert_eq!(exit_code(&mut node.child), Some(0));
 }
 
+#[test]
+fn a_stop_passes_whole_answers_on_to_slow_callers_behind_tls() {
+    let mut node = support::Node::start_with_tls();
+    let answer = node.send_get("/v1/ledger/large", "x").unwrap();
+    let slow = thread::spawn(move || read_slowly(answer));
+    thread::sleep(time::Duration::from_millis(500));
+    signal(&node.child, "-TERM");
+    assert!(slow.join().unwrap() > support::LARGE_BYTES);
+    assert_eq!(exit_code(&mut node.child), Some(0));
+}
+
 #[test]
 fn a_hangup_ends_neither_a_node_nor_its_requests() {
     let mut node = support::Node::start(time::Duration::from_millis(1_000));
--- a/crates/marjoramlift/tests/support/mod.rs
+++ b/crates/marjoramlift/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #[path = "../../../lift_node/tests/support/mod.rs"]
 mod ports;
+mod tls;
 
 use std::{
     fs,
@@ -16,11 +17,16 @@
 /// Longest wait until the node answers.
 const START_LIMIT: time::Duration = time::Duration::from_secs(20);
 
+/// Length of the answer to a request of method `large`: more than the buffers of the system on
+/// its way hold.
+pub const LARGE_BYTES: usize = 12 * 1024 * 1024;
+
 /// A running node. Dropping it ends the child.
 pub struct Node {
     pub child: process::Child,
     pub caller: net::SocketAddr,
     pub admin: net::SocketAddr,
+    tls: Option<tls::Tls>,
     _dir: tempfile::TempDir,
 }
 
@@ -28,7 +34,17 @@
     /// Starts a node whose backend server takes `delay` for requests of method `slow`, and
     /// waits until it answers.
     pub fn start(delay: time::Duration) -> Self {
+        Self::start_in(tempfile::tempdir().unwrap(), delay, None)
+    }
+
+    /// Starts a node that speaks TLS, and waits until it answers.
+    pub fn start_with_tls() -> Self {
         let dir = tempfile::tempdir().unwrap();
+        let tls = tls::Tls::create(dir.path());
+        Self::start_in(dir, time::Duration::ZERO, Some(tls))
+    }
+
+    fn start_in(dir: tempfile::TempDir, delay: time::Duration, tls: Option<tls::Tls>) -> Self {
         let ports = ports::free_ports(8);
         let backend = start_backend(delay);
         let file = dir.path().join("node.json");
@@ -36,7 +52,11 @@
         for folder in ["control", "agent"] {
             fs::create_dir(dir.path().join(folder)).unwrap();
         }
-        fs::write(&file, settings(&ports, backend).to_string()).unwrap();
+        let mut settings = settings(&ports, backend);
+        if tls.is_some() {
+            settings["entry"]["tls"] = tls::settings();
+        }
+        fs::write(&file, settings.to_string()).unwrap();
         let child = process::Command::new(env!("CARGO_BIN_EXE_marjoramlift"))
             .args(["run", "--settings"])
             .arg(&file)
@@ -47,6 +67,7 @@
             child,
             caller: ports[2],
             admin: ports[3],
+            tls,
             _dir: dir,
         };
         node.set_policy();
@@ -55,7 +76,9 @@
     }
 
     fn set_policy(&self) {
-        let methods = serde_json::json!({"lookup": "idempotent", "slow": "idempotent"});
+        let methods = serde_json::json!({
+            "lookup": "idempotent", "slow": "idempotent", "large": "idempotent",
+        });
         let default = serde_json::json!({
             "version": null, "activation_floor_percent": 50, "transfer_goal": "time",
             "limits": {"weight": 1, "rate_per_s": 1000, "burst": 100, "max_queued": 10},
@@ -66,11 +89,30 @@
             "edits": [{"set_default": default}]
         });
         let body = body.to_string();
-        wait(|| request(self.admin, "POST", "/v1/changes", &body).is_ok_and(|r| r.0 == 200));
+        let post = || {
+            let stream = self.connect(self.admin)?;
+            read(send(stream, "POST", "/v1/changes", &body)?)
+        };
+        wait(|| post().is_ok_and(|reply| reply.0 == 200));
     }
 
     fn wait_until_answers(&self) {
-        wait(|| try_get(self.caller, "/v1/ledger/lookup", "x").is_ok_and(|r| r.0 == 200));
+        let get = || read(self.send_get("/v1/ledger/lookup", "x")?);
+        wait(|| get().is_ok_and(|reply| reply.0 == 200));
+    }
+
+    /// Sends a request as a caller, whose answer is still to be read.
+    pub fn send_get(&self, path: &str, body: &str) -> io::Result<Box<dyn tls::Duplex>> {
+        send(self.connect(self.caller)?, "GET", path, body)
+    }
+
+    fn connect(&self, addr: net::SocketAddr) -> io::Result<Box<dyn tls::Duplex>> {
+        let stream = net::TcpStream::connect(addr)?;
+        stream.set_read_timeout(Some(START_LIMIT))?;
+        match &self.tls {
+            Some(tls) => tls.wrap(stream),
+            None => Ok(Box::new(stream)),
+        }
     }
 }
 
@@ -88,23 +130,28 @@
 
 /// Sends a request with a body. An answer that is cut short is an error.
 pub fn try_get(addr: net::SocketAddr, path: &str, body: &str) -> io::Result<(u16, String)> {
-    request(addr, "GET", path, body)
+    let stream = net::TcpStream::connect(addr)?;
+    stream.set_read_timeout(Some(START_LIMIT))?;
+    read(send(Box::new(stream), "GET", path, body)?)
 }
 
-fn request(
-    addr: net::SocketAddr,
+fn send(
+    mut stream: Box<dyn tls::Duplex>,
     method: &str,
     path: &str,
     body: &str,
-) -> io::Result<(u16, String)> {
-    let mut stream = net::TcpStream::connect(addr)?;
-    stream.set_read_timeout(Some(START_LIMIT))?;
+) -> io::Result<Box<dyn tls::Duplex>> {
     let length = body.len();
     write!(
         stream,
         "{method} {path} HTTP/1.0\r\nhost: x\r\ncontent-type: application/json\r\n\
          x-lift-workspace: test\r\ncontent-length: {length}\r\n\r\n{body}"
     )?;
+    Ok(stream)
+}
+
+/// Reads an answer to its end.
+pub fn read(mut stream: Box<dyn tls::Duplex>) -> io::Result<(u16, String)> {
     let mut answer = String::new();
     stream.read_to_string(&mut answer)?;
     let cut = || io::Error::from(io::ErrorKind::UnexpectedEof);
@@ -178,10 +225,13 @@
     if head.starts_with("GET /slow") {
         thread::sleep(delay);
     }
-    let body = format!(
-        "answer to {}",
-        String::from_utf8_lossy(&buf[head.len() + 4..])
-    );
+    let body = match head.starts_with("GET /large") {
+        true => "x".repeat(LARGE_BYTES),
+        false => format!(
+            "answer to {}",
+            String::from_utf8_lossy(&buf[head.len() + 4..])
+        ),
+    };
     let id = header(&head, "x-lift-request-id").unwrap_or_default();
     write!(
         stream,
