Let liftctl give up 30 s after the start of a request

What callers saw: while control answered nothing, liftctl waited for over a minute.

Cause: each of 6 tries of a change waited up to 15 s for each server, and the read before it as well; only single waits were bounded. A first server that hung also used up the time of a later one that worked.

Fix: one deadline for a request with its repeats (for a change: the read and all tries). Each server gets an equal share of what is left. A change that got no answer still ends with the command that repeats it under its id, and that it is not known whether it was made.

--- a/crates/liftctl/src/change.rs
+++ b/crates/liftctl/src/change.rs
@@ -19,7 +19,8 @@
     args: &change_args::ChangeArgs,
     edits: impl FnOnce(&lift_types::Policy) -> Result<Vec<lift_state::ChangeEdit>, cli_error::CliError>,
 ) -> Result<(), cli_error::CliError> {
-    let policy: lift_types::Policy = client.get("/v1/policy").await?;
+    let until = client::deadline();
+    let policy: lift_types::Policy = client.get_until("/v1/policy", until).await?;
     let edits = edits(&policy)?;
     if edits.is_empty() {
         return output.done(
@@ -41,20 +42,21 @@
         },
     };
     output.note(&format!("change id: {id}"));
-    let answer = send_until_answered(client, &body).await?;
+    let answer = send_until_answered(client, &body, until).await?;
     report(output, &id, &policy, answer)
 }
 
 async fn send_until_answered(
     client: &client::Client,
     body: &lift_admin::ChangeBody,
+    until: time::Instant,
 ) -> Result<lift_admin::ChangeAnswer, cli_error::CliError> {
     let buf = serde_json::to_vec(body).map_err(|e| cli_error::CliError::Failed(e.to_string()))?;
     let buf = bytes::Bytes::from(buf);
     let mut pause = FIRST_PAUSE;
     let mut problem = String::new();
     for number in 1..=MAX_TRIES {
-        let sent = client.call(http::Method::POST, "/v1/changes", buf.clone());
+        let sent = client.call_until(http::Method::POST, "/v1/changes", buf.clone(), until);
         match sent.await {
             Ok(reply) if reply::is_unanswered(reply.status) => {
                 problem = format!("control is not available ({})", reply.status.as_u16());
@@ -62,6 +64,9 @@
             Ok(reply) => return decode(reply),
             Err(e) => problem = e.to_string(),
         }
+        if time::Instant::now() + pause >= until {
+            break;
+        }
         if number < MAX_TRIES {
             tokio::time::sleep(pause).await;
             pause *= 2;
--- a/crates/liftctl/src/client.rs
+++ b/crates/liftctl/src/client.rs
@@ -12,12 +12,20 @@
 /// Longest time to connect, TLS handshake included.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
+/// Longest time for one request at all servers, its repeats included.
+const REQUEST_LIMIT: time::Duration = time::Duration::from_secs(30);
+
 /// Longest time to an answer. A server gives up on control before that.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(15);
 
 /// Largest body of an answer, in bytes. The view of a fleet of thousands of hosts is far smaller.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
+/// When a request that starts now is given up.
+pub(crate) fn deadline() -> time::Instant {
+    time::Instant::now() + REQUEST_LIMIT
+}
+
 /// Calls one server after the other until one answers.
 pub(crate) struct Client {
     servers: Vec<server::Server>,
@@ -50,10 +58,17 @@
         &self,
         path: &str,
     ) -> Result<T, cli_error::CliError> {
-        let reply = self
-            .call(http::Method::GET, path, bytes::Bytes::new())
-            .await?;
-        reply.check()?.decode()
+        self.get_until(path, deadline()).await
+    }
+
+    /// Reads `path` as [`Self::get`] does, but gives up at `until`.
+    pub(crate) async fn get_until<T: serde::de::DeserializeOwned>(
+        &self,
+        path: &str,
+        until: time::Instant,
+    ) -> Result<T, cli_error::CliError> {
+        let sent = self.call_until(http::Method::GET, path, bytes::Bytes::new(), until);
+        sent.await?.check()?.decode()
     }
 
     /// Reads `path` from every server. Servers that can't be reached are named on standard
@@ -64,8 +79,10 @@
     ) -> Result<Vec<T>, cli_error::CliError> {
         let mut all = Vec::new();
         let mut failed = Vec::new();
-        for server in &self.servers {
-            let sent = self.send(server, http::Method::GET, path, bytes::Bytes::new());
+        let until = deadline();
+        for (i, server) in self.servers.iter().enumerate() {
+            let limit = self.share(i, until);
+            let sent = self.send(server, http::Method::GET, path, bytes::Bytes::new(), limit);
             match sent.await {
                 Ok(reply) => all.push(reply.check()?.decode()?),
                 Err(e) => failed.push(format!("{server}: {e}")),
@@ -80,18 +97,33 @@
         Ok(all)
     }
 
-    /// Sends a request to one server after the other until one answers. The request may
-    /// reach more than one server, so it must be safe to repeat.
+    /// Sends a request that changes something to one server after the other until one answers.
+    /// The request may reach more than one server, so it must be safe to repeat.
     pub(crate) async fn call(
         &self,
         method: http::Method,
         path: &str,
         body: bytes::Bytes,
+    ) -> Result<reply::Reply, cli_error::CliError> {
+        self.call_until(method, path, body, deadline()).await
+    }
+
+    /// Sends a request as [`Self::call`] does, but gives up at `until`.
+    pub(crate) async fn call_until(
+        &self,
+        method: http::Method,
+        path: &str,
+        body: bytes::Bytes,
+        until: time::Instant,
     ) -> Result<reply::Reply, cli_error::CliError> {
         let mut failed = Vec::new();
         let mut unanswered = None;
-        for server in &self.servers {
-            match self.send(server, method.clone(), path, body.clone()).await {
+        for (i, server) in self.servers.iter().enumerate() {
+            let limit = self.share(i, until);
+            match self
+                .send(server, method.clone(), path, body.clone(), limit)
+                .await
+            {
                 Ok(reply) if reply::is_unanswered(reply.status) => unanswered = Some(reply),
                 Ok(reply) => return Ok(reply),
                 Err(e) => failed.push(format!("{server}: {e}")),
@@ -100,12 +132,21 @@
         unanswered.ok_or_else(|| cli_error::CliError::Unreachable(failed.join("; ")))
     }
 
+    /// Time for server `i`, so that those after it get as much: one that hangs must not use up
+    /// the time of one that works.
+    fn share(&self, i: usize, until: time::Instant) -> time::Duration {
+        let left = until.saturating_duration_since(time::Instant::now());
+        let servers_left = u32::try_from(self.servers.len() - i).unwrap_or(u32::MAX);
+        left / servers_left
+    }
+
     async fn send(
         &self,
         server: &server::Server,
         method: http::Method,
         path: &str,
         body: bytes::Bytes,
+        limit: time::Duration,
     ) -> Result<reply::Reply, String> {
         let mut req = http::Request::builder()
             .method(method)
@@ -118,9 +159,12 @@
         let req = req
             .body(http_body_util::Full::new(body))
             .map_err(|e| e.to_string())?;
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, self.connect(server)).await;
+        let started = time::Instant::now();
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT.min(limit), self.connect(server));
+        let connected = connecting.await;
         let stream = connected.map_err(|_| "no connection in time")??;
-        let answered = tokio::time::timeout(ANSWER_TIMEOUT, exchange(stream, req)).await;
+        let limit = ANSWER_TIMEOUT.min(limit.saturating_sub(started.elapsed()));
+        let answered = tokio::time::timeout(limit, exchange(stream, req)).await;
         answered.map_err(|_| "no answer in time")?
     }
 
