Remove the files of an agent that could not be written completely

What callers saw: nothing yet; found while looking for what a full disk leaves behind.

Cause: each try to assemble weights wrote a new temporary file and left it where it failed, for instance on a full disk or at a missing chunk; each retry left another one, and a restart of the process did not remove them. Manifests and chunks left theirs as well, chunks until a restart. Class: a failure that keeps the resource which it lacks.

Fix: a file that can't be completed is removed at once; a start removes those of earlier processes.

--- a/crates/lift_swarm/src/chunk_store.rs
+++ b/crates/lift_swarm/src/chunk_store.rs
@@ -66,8 +66,12 @@
         }
         // The rename is atomic, so that no reader gets a partly written file.
         let temp = self.temp_path();
-        fs::write(&temp, bytes).change_context(swarm_error::SwarmError::Disk)?;
-        fs::rename(&temp, self.path(hash)).change_context(swarm_error::SwarmError::Disk)?;
+        let stored = fs::write(&temp, bytes).and_then(|()| fs::rename(&temp, self.path(hash)));
+        if let Err(error) = stored {
+            // On a full disk, its part would keep the next chunk from being written.
+            let _ = fs::remove_file(&temp);
+            return Err(error).change_context(swarm_error::SwarmError::Disk);
+        }
         self.set_verification(hash, Verification::Verified);
         Ok(())
     }
--- a/crates/lift_swarm/src/version_store.rs
+++ b/crates/lift_swarm/src/version_store.rs
@@ -11,6 +11,9 @@
 /// Size of the read buffer for verifying a weights file, in bytes.
 const READ_BYTES: usize = 256 * 1024;
 
+/// Prefix of the names of files that are not complete.
+const TEMP_PREFIX: &str = "temp-";
+
 /// Result of a store operation.
 type Result<T> = std::result::Result<T, error_stack::Report<swarm_error::SwarmError>>;
 
@@ -42,6 +45,7 @@
 
 impl VersionStore {
     /// Opens the store in `dir`, which is created if needed, and reads the manifests in it.
+    /// Files that an earlier process has not completed are removed.
     ///
     /// # Errors
     ///
@@ -72,10 +76,9 @@
         let text =
             serde_json::to_vec(manifest.as_ref()).change_context(swarm_error::SwarmError::Disk)?;
         let path = self.path(manifest, "json");
-        let number = self.temp_number.fetch_add(1, atomic::Ordering::Relaxed);
-        let temp = self.dir.join(format!("temp-{number}"));
-        fs::write(&temp, text).change_context(swarm_error::SwarmError::Disk)?;
-        fs::rename(temp, path).change_context(swarm_error::SwarmError::Disk)?;
+        self.write_whole(&path, |temp| {
+            fs::write(temp, text).change_context(swarm_error::SwarmError::Disk)
+        })?;
         let mut versions = self.versions.lock();
         let file = versions
             .shift_remove(&manifest.version)
@@ -159,9 +162,28 @@
     }
 
     fn write_weights(&self, manifest: &lift_types::Manifest, path: &path::Path) -> Result<()> {
+        self.write_whole(path, |temp| self.write_chunks(manifest, temp))
+    }
+
+    /// Writes a file under a temporary name and renames it. A file that can't be written is
+    /// removed: on a full disk, it would keep the next one from being written.
+    fn write_whole(
+        &self,
+        path: &path::Path,
+        write: impl FnOnce(&path::Path) -> Result<()>,
+    ) -> Result<()> {
         let number = self.temp_number.fetch_add(1, atomic::Ordering::Relaxed);
-        let temp = self.dir.join(format!("temp-{number}"));
-        let mut file = fs::File::create(&temp).change_context(swarm_error::SwarmError::Disk)?;
+        let temp = self.dir.join(format!("{TEMP_PREFIX}{number}"));
+        let written = write(&temp)
+            .and_then(|()| fs::rename(&temp, path).change_context(swarm_error::SwarmError::Disk));
+        if written.is_err() {
+            let _ = fs::remove_file(&temp);
+        }
+        written
+    }
+
+    fn write_chunks(&self, manifest: &lift_types::Manifest, temp: &path::Path) -> Result<()> {
+        let mut file = fs::File::create(temp).change_context(swarm_error::SwarmError::Disk)?;
         let mut hasher = blake3::Hasher::new();
         for hash in &manifest.chunks {
             let Some(buf) = self.chunks.read(hash)? else {
@@ -174,7 +196,7 @@
         if *hasher.finalize().as_bytes() != manifest.whole.0 {
             return Err(error_stack::Report::new(swarm_error::SwarmError::Corrupt));
         }
-        fs::rename(&temp, path).change_context(swarm_error::SwarmError::Disk)
+        Ok(())
     }
 
     fn set_verified(&self, manifest: &lift_types::Manifest) {
@@ -200,6 +222,10 @@
     let entries = fs::read_dir(dir).change_context(swarm_error::SwarmError::Disk)?;
     for entry in entries {
         let entry = entry.change_context(swarm_error::SwarmError::Disk)?;
+        if entry.file_name().to_string_lossy().starts_with(TEMP_PREFIX) {
+            let _ = fs::remove_file(entry.path());
+            continue;
+        }
         if entry.path().extension().is_none_or(|e| e != "json") {
             continue;
         }
