--- a/crates/lift_soak/src/lib.rs
+++ b/crates/lift_soak/src/lib.rs
@@ -33,6 +33,8 @@
 mod heartbeats;
 mod host_link;
 mod link_fault;
+mod lost_disks;
+mod lost_disks_report;
 mod operator_order;
 mod oracle;
 mod planned_run;
@@ -70,6 +72,8 @@
 
 pub use fault::Fault;
 pub use link_fault::LinkFault;
+pub use lost_disks::run_lost_disks;
+pub use lost_disks_report::LostDisksReport;
 pub use planned_run::run_planned;
 pub use retry_window::RetryWindow;
 pub use server_fault::ServerFault;
