--- a/crates/lift_log/src/log_supervisor.rs
+++ b/crates/lift_log/src/log_supervisor.rs
@@ -49,7 +49,8 @@
         self.owner.stopped();
         log.abort().await;
         drop(log);
-        slog::warn!(self.log, "control member stopped"; "member" => member, "end" => ?end);
+        slog::warn!(self.log, "control member stopped"; "member" => member,
+            "must_join_again" => end != log_end::LogEnd::Stopped);
         self.owner.closed(member, end).await
     }
 }
