The first list of gateways is logged, also if it names one

What operators saw: no line `gateways known` after the start of a gateway whose first list named one gateway. That list, wrong in a fleet of more, is the one they would look for.

Cause: the number before was that of the default shares, which is 1, so a first list of one gateway seemed to change nothing.

Why it works: `GatewayCount::record` returns the number that was known before, none before the first list, and the observer compares with that.

Evidence: a_first_list_of_one_gateway_is_not_taken_for_an_unchanged_one passes. It does not compile without the change, since `record` returned nothing; the log line itself has no test.

--- a/crates/lift_dispatch/src/gateway_count.rs
+++ b/crates/lift_dispatch/src/gateway_count.rs
@@ -24,9 +24,11 @@
 }
 
 impl GatewayCount {
-    /// Records that `gateways` gateways are known from `now` on.
-    pub fn record(&mut self, now: time::Instant, gateways: u32) {
-        if let Some(known) = self.known.replace(gateways) {
+    /// Records that `gateways` gateways are known from `now` on. Returns the number that was known
+    /// before, `None` for the first one.
+    pub fn record(&mut self, now: time::Instant, gateways: u32) -> Option<u32> {
+        let before = self.known.replace(gateways);
+        if let Some(known) = before {
             self.earlier.push(EarlierCount {
                 gateways: known,
                 held_until: now + HOLD_TIME,
@@ -34,6 +36,7 @@
         }
         self.earlier
             .retain(|earlier| earlier.gateways > gateways && earlier.held_until > now);
+        before
     }
 
     /// The largest number that is known or was known a short time ago. `None` before the first one.
--- a/crates/lift_dispatch/tests/gateway_count.rs
+++ b/crates/lift_dispatch/tests/gateway_count.rs
@@ -30,3 +30,12 @@
         assert_eq!(count.largest(now), Some(5), "{step}");
     }
 }
+
+#[test]
+fn a_first_list_of_one_gateway_is_not_taken_for_an_unchanged_one() {
+    let start = time::Instant::now();
+    let mut count = lift_dispatch::GatewayCount::default();
+    assert_eq!(count.record(start, 1), None);
+    assert_eq!(count.record(start, 1), Some(1));
+    assert_eq!(count.record(start, 5), Some(1));
+}
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -132,9 +132,15 @@
         *self.confirmed_at.write() = Some(at);
     }
 
-    pub(crate) fn set_gateways(&self, now: time::Instant, gateways: lift_dispatch::GatewayShares) {
-        self.gateway_count.lock().record(now, gateways.total());
+    /// Sets the gateways that are known. Returns their number before, `None` for the first list.
+    pub(crate) fn set_gateways(
+        &self,
+        now: time::Instant,
+        gateways: lift_dispatch::GatewayShares,
+    ) -> Option<u32> {
+        let before = self.gateway_count.lock().record(now, gateways.total());
         *self.gateways.write() = sync::Arc::new(gateways);
+        before
     }
 
     pub(crate) fn set_target_version(
--- a/crates/lift_gateway/src/gateway_observer.rs
+++ b/crates/lift_gateway/src/gateway_observer.rs
@@ -60,9 +60,9 @@
         let gateways: Vec<lift_types::Location> = gateways.collect();
         let shares = lift_dispatch::GatewayShares::new(&self.shared.location, &gateways);
         let now = lift_clock::now();
-        let (before, known) = (self.shared.fleet.gateways().total(), shares.total());
-        self.shared.fleet.set_gateways(now, shares);
-        if known != before {
+        let known = shares.total();
+        let before = self.shared.fleet.set_gateways(now, shares);
+        if before != Some(known) {
             slog::info!(self.shared.log.logger(), "gateways known"; "gateways" => known,
                 "before" => before, "budget_for" => self.shared.fleet.gateway_count(now));
         }
