Retry storms count requests on open connections only

What the checks saw: a request to a gateway that refused the connection counted as sent. While gateways are down, such requests raised the number of retries that the storm allows.

Cause: callers counted a request before its connection was open.

Why it works: the request counts once its connection is open and ready, just before it is sent, so still before it can arrive at a backend server.

Also the comment of `configure`, which claimed that it writes settings, and two long comment lines.

--- a/crates/lift_soak/src/retry_book.rs
+++ b/crates/lift_soak/src/retry_book.rs
@@ -22,7 +22,7 @@
 }
 
 impl RetryBook {
-    /// A caller sends a request.
+    /// A caller sends a request on an open connection.
     pub(crate) fn sent(&self) {
         self.times.lock().sent.push(time::Instant::now());
     }
@@ -40,8 +40,8 @@
         self.times.lock().arrived.len() as u64
     }
 
-    /// The window in which the largest part of the allowed repeats was used. Requests count in the window itself,
-    /// the one before it or the one half a window before it, whichever has most. See
+    /// The window in which the largest part of the allowed repeats was used. Requests count in the
+    /// window itself, the one before it or the one half a window before it, whichever has most. See
     /// `docs/platform.md`.
     pub(crate) fn worst_window(&self) -> Option<retry_window::RetryWindow> {
         let times = self.times.lock();
--- a/crates/lift_soak/src/storm_caller.rs
+++ b/crates/lift_soak/src/storm_caller.rs
@@ -31,8 +31,7 @@
         let gateway = callers.gateways[rng.random_range(0..callers.gateways.len())];
         let callers = sync::Arc::clone(&callers);
         tokio::spawn(async move {
-            callers.book.sent();
-            let exchange = exchange(gateway, format!("q{seed}-{number}"));
+            let exchange = exchange(&callers.book, gateway, format!("q{seed}-{number}"));
             let answered = tokio::time::timeout(PATIENCE, exchange).await;
             if answered.ok().flatten().is_some_and(|s| s.is_success()) {
                 callers.served.fetch_add(1, atomic::Ordering::Relaxed);
@@ -41,8 +40,12 @@
     }
 }
 
-/// Sends one request. Returns the status of the answer.
-async fn exchange(gateway: net::SocketAddr, id: String) -> Option<http::StatusCode> {
+/// Sends one request, which counts once its connection is open. Returns the status of the answer.
+async fn exchange(
+    book: &retry_book::RetryBook,
+    gateway: net::SocketAddr,
+    id: String,
+) -> Option<http::StatusCode> {
     let mut sender = soak_caller::connect(gateway).await?;
     let head = lift_peer::CallerText {
         host: soak_caller::HOST,
@@ -54,6 +57,8 @@
     let prefix = request_kind::RequestKind::Read.prefix();
     let req = http::Request::post(format!("{prefix}{id}"));
     let req = head.write(req).body(soak_caller::Body::default()).ok()?;
+    sender.ready().await.ok()?;
+    book.sent();
     let reply = sender.send_request(req).await.ok()?;
     Some(reply.status())
 }
--- a/crates/lift_soak/src/storm_fleet.rs
+++ b/crates/lift_soak/src/storm_fleet.rs
@@ -84,7 +84,7 @@
         Ok(())
     }
 
-    /// Puts the configuration in force, and writes settings in which this is no first start.
+    /// Puts the configuration in force.
     async fn configure(&self) {
         let kind = request_kind::RequestKind::Read;
         let timeout = time::Duration::from_secs(3);
--- a/crates/lift_soak/src/storm_report.rs
+++ b/crates/lift_soak/src/storm_report.rs
@@ -11,6 +11,7 @@
     pub served: u64,
     /// Restarts of processes.
     pub restarts: u64,
-    /// The window in which the largest part of the allowed repeats was used. `None` without any repeat.
+    /// The window in which the largest part of the allowed repeats was used. `None` without any
+    /// repeat.
     pub worst_window: Option<retry_window::RetryWindow>,
 }
