A restart of the log doesn't make a naming younger

What callers saw: nothing yet; found by reading.

Cause: `is_replaying` went to false in the first run of the process and never back. A naming that was missed meanwhile got the time of catching up.

Why the fix works: each run of the log makes a new replica, which emits EndReplay once, and the apply thread calls `reset` before its first job. So `reset` marks the run as replaying, and its own EndReplay ends that. Times that are known stay.

Evidence: without the fix both new tests fail, one with an age of 3.184 us after 50 ms, one with 656 ns in place of no time. With it both pass.

--- a/crates/lift_registry/src/fleet_state_machine.rs
+++ b/crates/lift_registry/src/fleet_state_machine.rs
@@ -23,7 +23,7 @@
     /// versions that may have been replayed from the disk or come from a snapshot.
     target_versions:
         parking_lot::Mutex<indexmap::IndexMap<lift_fleet::ModelName, Vec<VersionTime>>>,
-    /// Whether the commands that are applied may be as old as the log.
+    /// Whether the commands that are applied may be as old as the log, at the start of each run.
     is_replaying: atomic::AtomicBool,
     unreadable_commands: atomic::AtomicU64,
 }
@@ -135,8 +135,12 @@
 }
 
 impl lift_log::StateMachine for FleetStateMachine {
-    /// Keeps the state: only newer versions are applied, so commands may be applied again.
-    fn reset(&self) {}
+    /// Keeps the state, which stays in force until the log has caught up, and the times that are
+    /// known. A snapshot may set the state back, so commands may be applied again: until the replay
+    /// ends they get no time.
+    fn reset(&self) {
+        self.is_replaying.store(true, atomic::Ordering::Release);
+    }
 
     fn apply(&self, _index: lift_types::LogIndex, command: &[u8]) -> bytes::Bytes {
         let Ok(command) = postcard::from_bytes::<lift_fleet::FleetCommand>(command) else {
--- a/crates/lift_registry/tests/namings.rs
+++ b/crates/lift_registry/tests/namings.rs
@@ -62,3 +62,39 @@
         .collect();
     assert_eq!(versions, [2]);
 }
+
+#[test]
+fn a_restart_of_the_log_does_not_make_a_naming_younger() {
+    let machine = lift_registry::FleetStateMachine::new();
+    machine.reset();
+    name(&machine, 1, 1);
+    machine.end_replay();
+    let snapshot = machine.snapshot();
+    name(&machine, 2, 2);
+    std::thread::sleep(time::Duration::from_millis(50));
+    machine.reset();
+    assert!(machine.restore(&snapshot));
+    name(&machine, 2, 2);
+    machine.end_replay();
+    let named_for = machine.head().weights["m"].named_for.unwrap();
+    assert!(
+        named_for >= time::Duration::from_millis(50),
+        "{named_for:?}"
+    );
+}
+
+#[test]
+fn a_naming_missed_during_a_restart_of_the_log_has_no_time() {
+    let machine = lift_registry::FleetStateMachine::new();
+    machine.reset();
+    machine.end_replay();
+    name(&machine, 1, 1);
+    machine.reset();
+    name(&machine, 1, 1);
+    name(&machine, 2, 2);
+    assert_eq!(machine.head().weights["m"].named_for, None);
+    machine.end_replay();
+    assert_eq!(machine.head().weights["m"].named_for, None);
+    name(&machine, 3, 3);
+    assert!(machine.head().weights["m"].named_for.is_some());
+}
