The state of control is cleared without its encoding

What callers saw: nothing; found by reading. `ControlMachine::reset` encoded and decoded an empty state and did nothing where that failed; the commands of the log would then have counted twice.

Why the fix works: `State::clear` can't fail.

Evidence: the failure of the encoding was not reproduced.

--- a/crates/lift_control/src/control_machine.rs
+++ b/crates/lift_control/src/control_machine.rs
@@ -76,10 +76,7 @@
 
 impl lift_log::StateMachine for ControlMachine {
     fn reset(&self) {
-        let empty = encoding::encode_state(&lift_state::State::new());
-        if let Some(parts) = encoding::decode_state(&empty) {
-            self.state.import(parts);
-        }
+        self.state.clear();
         self.unreadable_entries.store(0, atomic::Ordering::Release);
     }
 
--- a/crates/lift_control/tests/control_machine.rs
+++ b/crates/lift_control/tests/control_machine.rs
@@ -95,3 +95,52 @@
     let not_leader = ControlError::NotLeader { leader: None };
     assert_eq!(error.current_context(), &not_leader);
 }
+
+/// Keeps the commands that it passes on.
+#[derive(Debug)]
+struct Recorder {
+    machine: Arc<ControlMachine>,
+    commands: std::sync::Mutex<Vec<(lift_types::LogIndex, Vec<u8>)>>,
+}
+
+impl lift_log::StateMachine for Recorder {
+    fn reset(&self) {
+        self.machine.reset();
+    }
+
+    fn apply(&self, index: lift_types::LogIndex, command: &[u8]) -> bytes::Bytes {
+        self.commands
+            .lock()
+            .unwrap()
+            .push((index, command.to_vec()));
+        self.machine.apply(index, command)
+    }
+
+    fn snapshot(&self) -> bytes::Bytes {
+        self.machine.snapshot()
+    }
+
+    fn restore(&self, buf: &[u8]) -> bool {
+        self.machine.restore(buf)
+    }
+}
+
+#[tokio::test]
+async fn commands_applied_again_after_a_reset_do_not_count_twice() {
+    let machine = Arc::new(ControlMachine::new());
+    let recorder = Arc::new(Recorder {
+        machine: machine.clone(),
+        commands: std::sync::Mutex::default(),
+    });
+    let builder = ControlNode::builder().log(MemoryLog::single(recorder.clone()));
+    fill_state(&builder.machine(machine.clone()).start().unwrap()).await;
+    let before = parts(&machine);
+    let snapshot = machine.snapshot();
+    machine.reset();
+    assert_eq!(parts(&machine), parts(&ControlMachine::new()));
+    for (index, command) in recorder.commands.lock().unwrap().iter() {
+        machine.apply(*index, command);
+    }
+    assert_eq!(parts(&machine), before);
+    assert_eq!(machine.snapshot(), snapshot);
+}
--- a/crates/lift_state/src/state.rs
+++ b/crates/lift_state/src/state.rs
@@ -57,6 +57,17 @@
         }
     }
 
+    /// Returns to the empty state at revision zero. The caller must not apply commands meanwhile.
+    pub fn clear(&self) {
+        self.config.for_each(|config| *config = Default::default());
+        self.recent_changes
+            .for_each(|changes| *changes = Default::default());
+        self.manifests.for_each(|manifests| manifests.clear());
+        self.hosts.for_each(|hosts| hosts.clear());
+        self.counters.for_each(|c| *c = Counters::default());
+        self.claims.for_each(|group| *group = Default::default());
+    }
+
     /// Applies one committed command.
     pub fn apply(&self, command: &command::Command) -> command_reply::CommandReply {
         match command {
