A log that was stopped isn't started again by a race

What callers saw: nothing; found by reading. `SupervisedLog::stop` that ran while the supervisor started the next run stopped the old run; the new one was then stored and went on to vote. A stop between two runs could wait 500 ms to hand over the lead of a run that had ended.

Why the fix works: `stop` sets a flag under the lock of the last run, and a run that comes after it is shut down, not stored. A run that has ended doesn't hand over.

Evidence: the race has no test, since it needs a stop within one poll of the supervisor; neither the race nor the wait was reproduced. tests/supervised.rs passes (1 of 1).

`LogOwner::removed` is now `wait_for_removal`.

--- a/crates/lift_log/src/log_driver.rs
+++ b/crates/lift_log/src/log_driver.rs
@@ -70,7 +70,7 @@
     /// Hands the lead to another member, where there is one that answers, and waits until
     /// that member leads.
     async fn hand_over(&self) {
-        if !self.node.replica.lock().is_leading() {
+        if self.node.is_stopped() || !self.node.replica.lock().is_leading() {
             return;
         }
         let mut leadership = self.node.leadership.subscribe();
--- a/crates/lift_log/src/log_end.rs
+++ b/crates/lift_log/src/log_end.rs
@@ -9,6 +9,6 @@
     /// and an empty disk.
     DiskReplaced,
     /// Its owner ended it, because the member was removed. It needs a new identifier and an
-    /// empty disk.
+    /// empty disk. [`crate::LogDriver::ended`] never returns it.
     Removed,
 }
--- a/crates/lift_log/src/log_owner.rs
+++ b/crates/lift_log/src/log_owner.rs
@@ -20,7 +20,7 @@
     fn started(&self, log: &sync::Arc<log_driver::LogDriver>);
 
     /// Returns when the log must end, because its member was removed.
-    async fn removed(&self, log: &log_driver::LogDriver);
+    async fn wait_for_removal(&self, log: &log_driver::LogDriver);
 
     /// The log runs no more. Its files may still be open.
     fn stopped(&self);
--- a/crates/lift_log/src/log_supervisor.rs
+++ b/crates/lift_log/src/log_supervisor.rs
@@ -44,7 +44,7 @@
         slog::info!(self.log, "control member runs"; "member" => member);
         let end = tokio::select! {
             end = log.ended() => end,
-            () = self.owner.removed(&log) => log_end::LogEnd::Removed,
+            () = self.owner.wait_for_removal(&log) => log_end::LogEnd::Removed,
         };
         self.owner.stopped();
         log.abort().await;
--- a/crates/lift_log/src/supervised_log.rs
+++ b/crates/lift_log/src/supervised_log.rs
@@ -25,10 +25,20 @@
 struct Runs {
     builder: log_driver_builder::LogDriverBuilder,
     leadership: sync::Arc<watch::Sender<leadership::Leadership>>,
-    /// The first run, until it is supervised.
+    /// The first run, until it is supervised. It is started before, so that its errors reach the
+    /// caller, and only `open` takes it.
     first: parking_lot::Mutex<Option<Driver>>,
-    /// The last run. It stays after its end and then refuses all work.
-    last: parking_lot::RwLock<Option<Driver>>,
+    /// The run that users call, from the start on.
+    last: parking_lot::RwLock<LastRun>,
+}
+
+/// The last run of a member.
+#[derive(Debug)]
+struct LastRun {
+    /// It stays after its end and then refuses all work.
+    driver: Option<Driver>,
+    /// Whether no run may follow.
+    is_stopped: bool,
 }
 
 type Driver = sync::Arc<log_driver::LogDriver>;
@@ -51,7 +61,10 @@
             builder,
             leadership,
             first: parking_lot::Mutex::new(first.clone()),
-            last: parking_lot::RwLock::new(first),
+            last: parking_lot::RwLock::new(LastRun {
+                driver: first,
+                is_stopped: false,
+            }),
         });
         let supervisor = log_supervisor::LogSupervisor {
             owner: runs.clone(),
@@ -68,7 +81,7 @@
     }
 
     fn last(&self) -> Option<Driver> {
-        self.runs.last.read().clone()
+        self.runs.last.read().driver.clone()
     }
 }
 
@@ -83,10 +96,15 @@
     }
 
     fn started(&self, log: &Driver) {
-        *self.last.write() = Some(sync::Arc::clone(log));
+        let mut last = self.last.write();
+        if last.is_stopped {
+            log.node.shut_down();
+        } else {
+            last.driver = Some(sync::Arc::clone(log));
+        }
     }
 
-    async fn removed(&self, _log: &log_driver::LogDriver) {
+    async fn wait_for_removal(&self, _log: &log_driver::LogDriver) {
         future::pending().await
     }
 
@@ -140,7 +158,12 @@
 
     async fn stop(&self) {
         self.stop.cancel();
-        if let Some(log) = self.last() {
+        let last = {
+            let mut last = self.runs.last.write();
+            last.is_stopped = true;
+            last.driver.clone()
+        };
+        if let Some(log) = last {
             log.stop().await;
         }
     }
--- a/crates/lift_registry/src/fleet_log_owner.rs
+++ b/crates/lift_registry/src/fleet_log_owner.rs
@@ -68,7 +68,7 @@
         self.registry.current_log.set(Some(log.clone()));
     }
 
-    async fn removed(&self, log: &lift_log::LogDriver) {
+    async fn wait_for_removal(&self, log: &lift_log::LogDriver) {
         let id = lift_log::ReplicatedLog::members(log).id;
         let mut removed = self.removed.clone();
         // The feed also ends with the process, which is no removal: the disk then stays as it is.
