Soak: a stop that hangs is a fault, and an early signal excuses a prompt death only

The soak passed over two faults that it had reported before: a process that had not stopped 1 s after its grace time was killed without a word, since it may have been paused, and a signal in the first 500 ms of a process excused its death by SIGTERM or SIGHUP at any later time.

Each process now has a clock that stands still while it is paused. The time for a stop, the first 500 ms and the time from an early signal to the death that it excuses are counted on it, so a paused process gets its time and everything else is reported: "did not stop in time".

A late death after an early signal was not provoked.

--- a/crates/lift_soak/src/lib.rs
+++ b/crates/lift_soak/src/lib.rs
@@ -43,6 +43,7 @@
 mod request_kind;
 mod retry_book;
 mod retry_window;
+mod run_clock;
 mod server_calls;
 mod server_engine;
 mod server_fault;
--- a/crates/lift_soak/src/soak_host.rs
+++ b/crates/lift_soak/src/soak_host.rs
@@ -6,18 +6,19 @@
 
 use crate::{process_settings, soak_error, soak_process};
 
-/// Time over the grace time after which a process that does not stop is killed.
+/// Time over the grace time after which a process that does not stop is killed, without its pauses.
 const STOP_SLACK: time::Duration = time::Duration::from_secs(1);
 
-/// Time in which a process that was started may not handle signals yet.
+/// Time in which a process that was started may not handle signals yet, and in which a signal that
+/// it does not handle ends it.
 const START_TIME: time::Duration = time::Duration::from_millis(500);
 
 /// What the process on a host is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Runs,
-    /// It was told to stop.
-    Stops(time::Instant),
+    /// It was told to stop when it had run for so long.
+    Stops(time::Duration),
     /// It was killed.
     Down,
 }
@@ -27,9 +28,8 @@
 pub(crate) struct SoakHost {
     pub(crate) process: soak_process::SoakProcess,
     state: State,
-    started_at: time::Instant,
-    /// Whether it got a signal when it may not have handled signals yet.
-    was_starting: bool,
+    /// How long it had run when it last got a signal that it may not have handled yet.
+    early_signal_at: Option<time::Duration>,
 }
 
 impl SoakHost {
@@ -37,8 +37,7 @@
         Self {
             process,
             state: State::Down,
-            started_at: time::Instant::now(),
-            was_starting: false,
+            early_signal_at: None,
         }
     }
 
@@ -46,8 +45,7 @@
         if self.state == State::Down {
             self.process.start()?;
             self.state = State::Runs;
-            self.started_at = time::Instant::now();
-            self.was_starting = false;
+            self.early_signal_at = None;
         }
         Ok(())
     }
@@ -61,7 +59,7 @@
     pub(crate) fn stop(&mut self) {
         self.signal(signal::Signal::SIGTERM);
         if self.state == State::Runs {
-            self.state = State::Stops(time::Instant::now());
+            self.state = State::Stops(self.process.run_time());
         }
     }
 
@@ -71,15 +69,22 @@
     }
 
     fn signal(&mut self, signal: signal::Signal) {
+        let run_time = self.process.run_time();
+        if run_time < START_TIME {
+            self.early_signal_at = Some(run_time);
+        }
         self.process.signal(signal);
-        self.was_starting |= self.started_at.elapsed() < START_TIME;
     }
 
     /// Whether a signal ended the process that came before it handled any.
     fn is_unhandled(&self, status: process::ExitStatus) -> bool {
         let signals = [signal::Signal::SIGTERM, signal::Signal::SIGHUP];
         let is_one = signals.iter().any(|s| status.signal() == Some(*s as i32));
-        self.was_starting && is_one
+        let run_time = self.process.run_time();
+        let is_early = self
+            .early_signal_at
+            .is_some_and(|at| run_time - at < START_TIME);
+        is_early && is_one
     }
 
     /// Looks after the process, and starts it again after a planned stop. Returns what is wrong
@@ -101,9 +106,8 @@
         let fault = match ended {
             Some(status) if status.success() => None,
             Some(status) => Some(format!("stopped with {status}")),
-            None if since.elapsed() < limit => return Ok(None),
-            // A process that was paused has had no time to stop.
-            None => None,
+            None if self.process.run_time() - since < limit => return Ok(None),
+            None => Some(String::from("did not stop in time")),
         };
         self.kill();
         self.start()?;
--- a/crates/lift_soak/src/soak_process.rs
+++ b/crates/lift_soak/src/soak_process.rs
@@ -1,10 +1,10 @@
 //! One process of the fleet.
 
-use std::{fs, path, process};
+use std::{fs, path, process, time};
 
 use nix::{sys::signal, unistd};
 
-use crate::soak_error;
+use crate::{run_clock, soak_error};
 
 /// A program that is started, signalled and started again.
 #[derive(Debug)]
@@ -12,7 +12,7 @@
     program: path::PathBuf,
     folder: path::PathBuf,
     child: Option<process::Child>,
-    is_paused: bool,
+    clock: run_clock::RunClock,
 }
 
 impl SoakProcess {
@@ -22,7 +22,7 @@
             program,
             folder,
             child: None,
-            is_paused: false,
+            clock: run_clock::RunClock::start(),
         }
     }
 
@@ -56,7 +56,7 @@
             .stderr(errors)
             .spawn();
         self.child = Some(child.map_err(failed)?);
-        self.is_paused = false;
+        self.clock = run_clock::RunClock::start();
         Ok(())
     }
 
@@ -67,8 +67,8 @@
             let _ = signal::kill(unistd::Pid::from_raw(child.id() as i32), signal);
         }
         match signal {
-            signal::Signal::SIGSTOP => self.is_paused = true,
-            signal::Signal::SIGCONT => self.is_paused = false,
+            signal::Signal::SIGSTOP => self.clock.pause(),
+            signal::Signal::SIGCONT => self.clock.resume(),
             _ => {}
         }
     }
@@ -79,12 +79,17 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.wait();
         }
-        self.is_paused = false;
+        self.clock.resume();
     }
 
     /// Whether the process runs and is not paused.
     pub(crate) fn is_running(&self) -> bool {
-        self.child.is_some() && !self.is_paused
+        self.child.is_some() && !self.clock.is_paused()
+    }
+
+    /// Time since the last start without pauses.
+    pub(crate) fn run_time(&self) -> time::Duration {
+        self.clock.elapsed()
     }
 
     /// How the process ended, if it did.
