--- a/crates/lift_disk/src/log_store.rs
+++ b/crates/lift_disk/src/log_store.rs
@@ -26,6 +26,11 @@
 }
 
 impl LogStore {
+    /// The snapshots on the disk of this log.
+    pub fn snapshots(&self) -> snapshot_store::SnapshotStore {
+        self.snapshots.clone()
+    }
+
     /// Recovers the state on `disk`. Removes an incomplete record at the end of the log and
     /// partially saved snapshots. If the newest snapshot replaces the log, records that.
     ///
--- a/crates/lift_disk/src/snapshot_store.rs
+++ b/crates/lift_disk/src/snapshot_store.rs
@@ -18,16 +18,21 @@
 const CHECKSUM_BYTES: usize = 4;
 
 /// Saves and loads snapshots. Clones share the disk, so that one thread can save a snapshot
-/// while another writes the log.
+/// while another writes the log. All stores of a disk in use must be clones of one: they save one
+/// after the other, since each save removes the files of others.
 #[derive(Clone, Debug)]
 pub struct SnapshotStore {
     disk: sync::Arc<dyn disk::Disk>,
+    saving: sync::Arc<parking_lot::Mutex<()>>,
 }
 
 impl SnapshotStore {
     /// Creates a store on `disk`.
     pub fn new(disk: sync::Arc<dyn disk::Disk>) -> Self {
-        Self { disk }
+        Self {
+            disk,
+            saving: sync::Arc::default(),
+        }
     }
 
     /// Saves a snapshot durably, then removes all snapshots but the one with the highest index.
@@ -45,6 +50,7 @@
         let partial = format!("{name}{PARTIAL_SUFFIX}");
         let body = postcard::to_stdvec(snapshot)
             .change_context_lazy(|| disk_error::DiskError::Encode { file: name.clone() })?;
+        let _saving = self.saving.lock();
         if self.disk.list()?.contains(&partial) {
             self.disk.remove(&partial)?;
         }
--- a/crates/lift_log/src/member_files.rs
+++ b/crates/lift_log/src/member_files.rs
@@ -34,7 +34,6 @@
             }
         };
         let identities = lift_disk::IdentityStore::new(sync::Arc::clone(&disk));
-        let snapshots = lift_disk::SnapshotStore::new(sync::Arc::clone(&disk));
         let loaded = identities
             .load()
             .change_context(start_error::StartError::Disk)?;
@@ -52,8 +51,8 @@
         let opened = lift_disk::LogStore::open(disk);
         let (store, restored) = opened.change_context(start_error::StartError::Disk)?;
         Ok(Self {
+            snapshots: store.snapshots(),
             store,
-            snapshots,
             identities,
             identity,
             restored,
