Tests of the gateway: requests earn the burst that a new gateway lacks

A gateway that has just started did not go on with a stream at another server.

Cause: since a new process has nothing of the burst at first, and the first request earns 0.15 of a repeat. These tests guard what a repeat brings, not how many are allowed, and relied on the burst of a fresh process. What a new process may repeat is guarded by retry_budget.rs (lift_route), spent_budget.rs and the retry storm, which don't change.

Now each request of these tests earns the whole burst, so that they play a gateway with the same burst as before. No check is changed.

--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -16,6 +16,8 @@
             serving: time::Duration::from_millis(1_500),
             denial: time::Duration::from_millis(700),
         },
+        // A new gateway has no burst of retries yet: here each request earns all of it.
+        retry_ratio: lift_gateway::GatewayLimits::default().retry_burst,
         shutdown_delay: time::Duration::from_millis(500),
         ..lift_gateway::GatewayLimits::default()
     }
