Regions that a route or workspace allows

What callers saw: requests whose route or workspace may be served in some regions only ran in any region.

Cause: allowed-regions was not read, and the selection weighs the region of a server as a cost only.

Change: the document's allowed-regions of routes and workspaces are decoded into AllowedRegions, both bind, and the selection leaves out all other servers before it looks at their load. Each attempt also applies the document that is in force by then, so retries and resumed streams leave a region that was taken away. Without a server in an allowed region the request is refused at once with 503.

--- a/crates/lift_dispatch/src/backend.rs
+++ b/crates/lift_dispatch/src/backend.rs
@@ -11,6 +11,8 @@
     pub address: net::SocketAddr,
     /// Region in which it runs, or `None` if its failure domain is in no known region.
     pub region: Option<lift_types::RegionId>,
+    /// Failure domain in which it runs.
+    pub failure_domain: lift_types::FailureDomainId,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Models that it has loaded completely, according to its announcement.
--- a/crates/lift_dispatch/src/backend_selector.rs
+++ b/crates/lift_dispatch/src/backend_selector.rs
@@ -49,6 +49,8 @@
     pub prefill_time: time::Duration,
     /// Latency that callers should see.
     pub target_latency: time::Duration,
+    /// Regions in which the request may run.
+    pub allowed_regions: &'a lift_fleet::AllowedRegions,
     /// Backend servers to which the request was sent before.
     pub tried: &'a [lift_fleet::BackendId],
 }
@@ -76,10 +78,15 @@
         }
         let mut uncongested = lowest_cost::LowestCost::default();
         let mut congested = lowest_cost::LowestCost::default();
+        let mut allowed_count = 0;
         let mut congested_count = 0;
         let mut error = selection_error::SelectionError::Tried;
         let start = draw % backends.len();
         for backend in backends[start..].iter().chain(&backends[..start]) {
+            if !self.allowed_regions.contains(backend.region.as_deref()) {
+                continue;
+            }
+            allowed_count += 1;
             if self.tried.contains(&backend.id) {
                 continue;
             }
@@ -91,10 +98,13 @@
                 Err(latest) => error = prefer_full(error, latest),
             }
         }
+        if allowed_count == 0 {
+            return Err(selection_error::SelectionError::NoAllowedRegion);
+        }
         let (uncongested, congested) = (uncongested.backend(), congested.backend());
         if uncongested.is_none()
             && congested.is_some()
-            && congested_count * CONGESTED_BACKENDS_DIVISOR <= backends.len()
+            && congested_count * CONGESTED_BACKENDS_DIVISOR <= allowed_count
         {
             return Err(selection_error::SelectionError::Full);
         }
--- a/crates/lift_dispatch/src/rejection_reason.rs
+++ b/crates/lift_dispatch/src/rejection_reason.rs
@@ -25,6 +25,8 @@
     UnknownKey,
     /// No backend server accepts requests of the service.
     NoBackend,
+    /// No backend server of the service is in a region in which the request may run.
+    NoAllowedRegion,
     /// No backend server, except those tried before, can run the request on the weights that it
     /// needs.
     NoWeights,
@@ -60,6 +62,7 @@
             Self::NoConfiguration
             | Self::Unconfirmed
             | Self::NoBackend
+            | Self::NoAllowedRegion
             | Self::NoWeights
             | Self::Full
             | Self::NotTaken
@@ -78,6 +81,7 @@
         match error {
             _ if may_have_run => Self::NoAnswer,
             selection_error::SelectionError::NoBackend => Self::NoBackend,
+            selection_error::SelectionError::NoAllowedRegion => Self::NoAllowedRegion,
             selection_error::SelectionError::NoWeights => Self::NoWeights,
             selection_error::SelectionError::Full => Self::Full,
             selection_error::SelectionError::Tried => Self::NotTaken,
--- a/crates/lift_dispatch/src/selection_error.rs
+++ b/crates/lift_dispatch/src/selection_error.rs
@@ -9,6 +9,8 @@
 pub enum SelectionError {
     /// The service has no backend server.
     NoBackend,
+    /// The service has no backend server in a region in which the request may run.
+    NoAllowedRegion,
     /// No backend server can run the request on the weights that it needs: each has other weights
     /// or is loading some.
     NoWeights,
--- a/crates/lift_dispatch/src/service_backends.rs
+++ b/crates/lift_dispatch/src/service_backends.rs
@@ -28,6 +28,7 @@
                 id: announcement.id.clone(),
                 address: announcement.address,
                 region: region_of(&announcement.failure_domain),
+                failure_domain: announcement.failure_domain.clone(),
                 slots: announcement.slots.max(1),
                 models: announcement.models.clone(),
                 is_silent: record.is_silent,
--- a/crates/lift_dispatch/tests/odd_samples.rs
+++ b/crates/lift_dispatch/tests/odd_samples.rs
@@ -32,6 +32,7 @@
         id: String::from("i-1"),
         address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
         region: None,
+        failure_domain: String::from("d"),
         slots: 8,
         models: Vec::new(),
         is_silent: false,
@@ -44,6 +45,7 @@
         queue_share: 0.2,
         prefill_time,
         target_latency: time::Duration::from_secs(1),
+        allowed_regions: &lift_fleet::AllowedRegions::default(),
         tried: &[],
     };
     let with_load = |_: &Backend, score: lift_dispatch::ScoreFn<'_>| score(load);
--- a/crates/lift_dispatch/tests/played_load/fleet.rs
+++ b/crates/lift_dispatch/tests/played_load/fleet.rs
@@ -208,6 +208,7 @@
             queue_share: self.latencies[gateway].queue_share(target),
             prefill_time: time::Duration::from_secs_f64(read_ms / 1_000.0),
             target_latency: target,
+            allowed_regions: &lift_fleet::AllowedRegions::default(),
             tried: &[],
         };
         let loads = &self.loads[gateway];
@@ -270,6 +271,7 @@
         id: format!("s{position}"),
         address: net::SocketAddr::from(([10, 0, 0, 1], 8_000 + position as u16)),
         region: Some(String::from(region)),
+        failure_domain: format!("{region}-1"),
         slots: engine::SLOTS,
         models: Vec::new(),
         is_silent: false,
--- a/crates/lift_dispatch/tests/selection_case/mod.rs
+++ b/crates/lift_dispatch/tests/selection_case/mod.rs
@@ -14,6 +14,7 @@
         id: format!("s{id}"),
         address: net::SocketAddr::from(([10, 0, 0, id], 8000)),
         region: Some(String::from(region)),
+        failure_domain: format!("{region}-1"),
         slots: 4,
         models: vec![model(1)],
         is_silent: false,
@@ -55,6 +56,7 @@
     backends: Vec<sync::Arc<Backend>>,
     pub(crate) loads: Vec<BackendLoad>,
     pub(crate) weights: WeightsRequirement,
+    pub(crate) allowed_regions: lift_fleet::AllowedRegions,
     pub(crate) tried: Vec<String>,
 }
 
@@ -70,6 +72,7 @@
                 model: Some(String::from("m")),
                 ..WeightsRequirement::default()
             },
+            allowed_regions: lift_fleet::AllowedRegions::default(),
             tried: Vec::new(),
         }
     }
@@ -84,6 +87,7 @@
             queue_share: 0.0,
             prefill_time: 40 * MS,
             target_latency: 400 * MS,
+            allowed_regions: &self.allowed_regions,
             tried: &self.tried,
         };
         let with_load = |b: &Backend, score: ScoreFn<'_>| {
--- a/crates/lift_fleet/src/engine_spec.rs
+++ b/crates/lift_fleet/src/engine_spec.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::model_name;
+use crate::{domain_delay, model_name};
 
 /// Capacity and models of a service's engines, which are all alike.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -19,6 +19,8 @@
     pub pieces: u32,
     /// Length of a piece, in bytes.
     pub piece_bytes: u32,
+    /// Delays between failure domains, where they are known.
+    pub delays: Vec<domain_delay::DomainDelay>,
 }
 
 impl EngineSpec {
--- a/crates/lift_fleet/src/lib.rs
+++ b/crates/lift_fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //!
 //! Every function takes `now` where it needs the time. See `docs/platform.md`.
 
+mod allowed_regions;
 mod announcement;
 mod announcement_error;
 mod api_key;
@@ -22,6 +23,7 @@
 mod document_codec;
 mod document_error;
 mod document_version;
+mod domain_delay;
 mod engine_spec;
 mod fleet_command;
 mod fleet_reply;
@@ -42,8 +44,11 @@
 mod split;
 mod table_error;
 mod update_outcome;
+mod warmup;
 mod weights_version;
+mod workspace;
 
+pub use allowed_regions::AllowedRegions;
 pub use announcement::Announcement;
 pub use announcement_error::AnnouncementError;
 pub use api_key::ApiKey;
@@ -56,6 +61,7 @@
 pub use document_codec::DocumentCodec;
 pub use document_error::DocumentError;
 pub use document_version::DocumentVersion;
+pub use domain_delay::DomainDelay;
 pub use engine_spec::EngineSpec;
 pub use fleet_command::FleetCommand;
 pub use fleet_reply::FleetReply;
@@ -76,4 +82,6 @@
 pub use split::Split;
 pub use table_error::TableError;
 pub use update_outcome::UpdateOutcome;
+pub use warmup::Warmup;
 pub use weights_version::WeightsVersion;
+pub use workspace::Workspace;
--- a/crates/lift_fleet/src/route.rs
+++ b/crates/lift_fleet/src/route.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{route_kind, split};
+use crate::{allowed_regions, route_kind, split};
 
 /// Maps requests for a host name and path prefix to services, with their time limits.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,6 +29,8 @@
     pub max_attempts: u32,
     /// Whether callers need no API key.
     pub is_auth_exempt: bool,
+    /// Regions in which requests may run.
+    pub allowed_regions: allowed_regions::AllowedRegions,
 }
 
 impl Route {
--- a/crates/lift_fleet/src/routing_table.rs
+++ b/crates/lift_fleet/src/routing_table.rs
@@ -2,7 +2,10 @@
 
 use std::sync;
 
-use crate::{api_key, caller_limits, document_version, route, routing_table_builder, service};
+use crate::{
+    allowed_regions, api_key, caller_limits, document_version, route, routing_table_builder,
+    service, workspace,
+};
 
 /// Routes, services, workspaces and limits of a configuration document, decoded and checked.
 /// Immutable, so that many requests can share it.
@@ -15,6 +18,8 @@
     /// Workspace of each key, or `None` if callers need no keys. If the map is empty, no key
     /// is valid.
     pub(crate) keys: Option<indexmap::IndexMap<api_key::ApiKey, lift_types::WorkspaceId>>,
+    /// Terms of the workspaces that have any.
+    pub(crate) workspaces: indexmap::IndexMap<lift_types::WorkspaceId, workspace::Workspace>,
     pub(crate) limits: caller_limits::CallerLimits,
 }
 
@@ -60,6 +65,24 @@
         self.keys.as_ref()?.get(key)
     }
 
+    /// Returns the terms of a workspace. `None` if it has none.
+    pub fn workspace_terms(&self, id: &str) -> Option<&workspace::Workspace> {
+        self.workspaces.get(id)
+    }
+
+    /// Regions in which a request on `route` from `workspace` may run: both bind.
+    pub fn allowed_regions(
+        &self,
+        route: &route::Route,
+        workspace: Option<&str>,
+    ) -> allowed_regions::AllowedRegions {
+        let terms = workspace.and_then(|id| self.workspace_terms(id));
+        match terms {
+            Some(terms) => route.allowed_regions.intersect(&terms.allowed_regions),
+            None => route.allowed_regions.clone(),
+        }
+    }
+
     /// Limits on the requests and connections of callers.
     pub fn limits(&self) -> &caller_limits::CallerLimits {
         &self.limits
--- a/crates/lift_fleet/src/routing_table_builder.rs
+++ b/crates/lift_fleet/src/routing_table_builder.rs
@@ -2,7 +2,9 @@
 
 use std::{cmp, sync, time};
 
-use crate::{api_key, caller_limits, document_version, route, routing_table, service, table_error};
+use crate::{
+    api_key, caller_limits, document_version, route, routing_table, service, table_error, workspace,
+};
 
 /// Longest time in a table. No request lasts as long, and multiples of it can be added to the time
 /// of a request.
@@ -52,6 +54,12 @@
         self
     }
 
+    /// Sets the terms of a workspace. Later ones of the same name replace them.
+    pub fn workspace(mut self, terms: workspace::Workspace) -> Self {
+        self.table.workspaces.insert(terms.id.clone(), terms);
+        self
+    }
+
     /// Adds a key of a workspace.
     ///
     /// # Errors
--- a/crates/lift_fleet/tests/routing_table.rs
+++ b/crates/lift_fleet/tests/routing_table.rs
@@ -10,6 +10,7 @@
     Service {
         name: String::from(name),
         max_connections: 0,
+        warmup: None,
         engine: None,
         origin: None,
     }
@@ -31,6 +32,7 @@
         }],
         max_attempts: 1,
         is_auth_exempt: false,
+        allowed_regions: lift_fleet::AllowedRegions::default(),
     }
 }
 
--- a/crates/lift_gateway/src/http_server.rs
+++ b/crates/lift_gateway/src/http_server.rs
@@ -84,6 +84,7 @@
     let route = route.ok_or(lift_dispatch::RejectionReason::NoRoute);
     let route = sync::Arc::clone(route.map_err(denial)?);
     let workspace = workspace(&table, &route, &head).map_err(denial)?;
+    let allowed_regions = table.allowed_regions(&route, workspace.as_deref());
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = started + timeout;
     let reading = read_body(&table, body, deadline);
@@ -106,6 +107,7 @@
         route,
         service,
         workspace,
+        allowed_regions,
         method: parts.method,
         can_see_breaks: parts.version >= http::Version::HTTP_11,
         uri: parts.uri,
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -205,6 +205,7 @@
         }
         let target = self.route.target_latency;
         let prefill_time = shared.fleet.prefill_time(&self.service);
+        let allowed_regions = self.allowed_regions();
         let gateways = shared.fleet.gateways();
         let selector = lift_dispatch::BackendSelector {
             now,
@@ -215,6 +216,7 @@
                 .with_service_latency(&self.service, |latency| latency.queue_share(target)),
             prefill_time,
             target_latency: target,
+            allowed_regions: &allowed_regions,
             tried: &self.tried,
         };
         let backends = shared.fleet.backends();
@@ -225,6 +227,23 @@
         selector.select(backends.backends(&self.service), &with_load, draw)
     }
 
+    /// Regions in which the request may run: those of the configuration in force when it came, as
+    /// far as the present one still allows them.
+    fn allowed_regions(&self) -> lift_fleet::AllowedRegions {
+        let present = self.shared.fleet.table();
+        let changed = present.filter(|table| table.version() != self.document_version);
+        let Some(table) = changed else {
+            return self.allowed_regions.clone();
+        };
+        match table.find(&self.route.host, self.uri.path()) {
+            Some(route) => {
+                let allowed = table.allowed_regions(route, self.workspace.as_deref());
+                self.allowed_regions.intersect(&allowed)
+            }
+            None => self.allowed_regions.clone(),
+        }
+    }
+
     fn build_request(
         &self,
         call: &backend_call::BackendCall,
--- a/crates/lift_gateway/src/request_run.rs
+++ b/crates/lift_gateway/src/request_run.rs
@@ -17,6 +17,8 @@
     pub(crate) route: sync::Arc<lift_fleet::Route>,
     pub(crate) service: lift_types::ServiceId,
     pub(crate) workspace: Option<lift_types::WorkspaceId>,
+    /// Regions in which the request may run, by the configuration in force when it came.
+    pub(crate) allowed_regions: lift_fleet::AllowedRegions,
     /// Whether the caller can tell an answer that broke off from a complete one. HTTP/1.0 marks
     /// the end of a body of unknown length by closing the connection.
     pub(crate) can_see_breaks: bool,
--- a/crates/lift_gateway/tests/support/codec.rs
+++ b/crates/lift_gateway/tests/support/codec.rs
@@ -5,12 +5,16 @@
 /// The only API key.
 pub(crate) const KEY: &str = "k1";
 
-/// Returns the same routing table for every document, whatever its content.
+/// Returns the same routing table for every document, except that requests of documents from the
+/// second one on may run in a region without servers only. A document holds its version.
 #[derive(Debug)]
 pub(crate) struct Codec;
 
 impl lift_fleet::DocumentCodec for Codec {
-    fn decode(&self, _: &[u8]) -> Result<lift_fleet::RoutingTable, lift_fleet::DocumentError> {
+    fn decode(&self, text: &[u8]) -> Result<lift_fleet::RoutingTable, lift_fleet::DocumentError> {
+        let version = String::from_utf8_lossy(text).parse().unwrap_or(1);
+        let allowed = (version > 1).then(|| String::from("elsewhere"));
+        let allowed_regions = lift_fleet::AllowedRegions::new(allowed);
         let kinds = [
             ("idempotent", lift_fleet::RouteKind::Idempotent),
             ("non_idempotent", lift_fleet::RouteKind::NonIdempotent),
@@ -19,12 +23,16 @@
         let service = lift_fleet::Service {
             name: String::from("s"),
             max_connections: 0,
+            warmup: None,
             engine: None,
             origin: None,
         };
-        let mut builder = lift_fleet::RoutingTable::builder(1).service(service);
+        let mut builder = lift_fleet::RoutingTable::builder(version).service(service);
         for (name, kind) in kinds {
-            builder = builder.route(route(name, kind));
+            builder = builder.route(lift_fleet::Route {
+                allowed_regions: allowed_regions.clone(),
+                ..route(name, kind)
+            });
         }
         builder = builder.route(lift_fleet::Route {
             timeout: time::Duration::MAX,
@@ -53,5 +61,6 @@
         }],
         max_attempts: 2,
         is_auth_exempt: false,
+        allowed_regions: lift_fleet::AllowedRegions::default(),
     }
 }
--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -131,6 +131,17 @@
             .store(is_leader, sync::atomic::Ordering::SeqCst);
     }
 
+    /// Puts a document in force by which no server may run requests.
+    pub(crate) async fn restrict_regions(&self) {
+        self.source
+            .replaced
+            .fetch_add(1, sync::atomic::Ordering::SeqCst);
+        let head = lift_feed::FeedSource::head(&*self.source);
+        self.feed.push_head(head);
+        // The gateway fetches the document.
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+
     pub(crate) fn announce(&self, backend: &backend::Backend, sequence: u64) {
         self.set_state(backend, sequence, lift_fleet::BackendState::Ready);
     }
--- a/crates/lift_gateway/tests/support/source.rs
+++ b/crates/lift_gateway/tests/support/source.rs
@@ -2,15 +2,23 @@
 
 use std::sync;
 
-/// A document and the backend servers that were announced.
+/// Documents and the backend servers that were announced.
 #[derive(Debug, Default)]
 pub(crate) struct Source {
     pub(crate) backends: parking_lot::Mutex<Vec<lift_fleet::BackendRecord>>,
     pub(crate) is_leader: sync::atomic::AtomicBool,
+    /// Number of documents that have replaced the first one.
+    pub(crate) replaced: sync::atomic::AtomicU64,
     pub(crate) weights:
         parking_lot::Mutex<indexmap::IndexMap<lift_fleet::ModelName, lift_feed::NamedWeights>>,
 }
 
+impl Source {
+    fn version(&self) -> lift_fleet::DocumentVersion {
+        1 + self.replaced.load(sync::atomic::Ordering::SeqCst)
+    }
+}
+
 #[async_trait::async_trait]
 impl lift_feed::FeedSource for Source {
     fn members(&self) -> (Vec<lift_feed::MemberCard>, u64) {
@@ -19,15 +27,16 @@
 
     fn head(&self) -> lift_feed::FleetHead {
         lift_feed::FleetHead {
-            document: 1,
+            document: self.version(),
             weights: self.weights.lock().clone(),
         }
     }
 
     fn document(&self) -> Option<sync::Arc<lift_fleet::Document>> {
-        let compressed = lift_feed::pack(b"1").unwrap();
+        let version = self.version();
+        let compressed = lift_feed::pack(version.to_string().as_bytes()).unwrap();
         Some(sync::Arc::new(lift_fleet::Document {
-            version: 1,
+            version,
             compressed,
         }))
     }
@@ -38,7 +47,7 @@
 
     fn confirm(&self) -> Option<u64> {
         let is_leader = self.is_leader.load(sync::atomic::Ordering::SeqCst);
-        is_leader.then_some(1)
+        is_leader.then(|| self.version())
     }
 
     async fn join(&self, _: lift_feed::Newcomer) -> lift_feed::JoinAnswer {
--- a/crates/lift_stage/tests/support/fleet.rs
+++ b/crates/lift_stage/tests/support/fleet.rs
@@ -15,6 +15,7 @@
         let models = lift_fleet::Service {
             name: String::from("s"),
             max_connections: 0,
+            warmup: None,
             engine: Some(lift_fleet::EngineSpec {
                 models: vec![String::from("m")],
                 ..lift_fleet::EngineSpec::default()
@@ -24,6 +25,7 @@
         let origin = lift_fleet::Service {
             name: String::from("o"),
             max_connections: 0,
+            warmup: None,
             engine: None,
             origin: Some(lift_fleet::OriginEndpoint {
                 address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
