Soak: keys that are taken away while processes start anew

The new test looks for the same fault by other ways with real processes: a tenant without keys, two changes in a row, a race, a gateway that stands still, documents in quick succession, each followed by kills of a gateway, a member and all processes, and by a lost disk.

--- a/crates/lift_soak/src/lib.rs
+++ b/crates/lift_soak/src/lib.rs
@@ -18,6 +18,9 @@
 //! settings and of the configuration, in series and overlapping, while sound backend servers fall
 //! silent amid their answers. No request may end without an answer then.
 //!
+//! [`run_revoked_keys`] takes all keys away in several ways while processes start anew. No request
+//! may run after that.
+//!
 //! [`run_retry_storm`] plays one thing at length: backend servers fail while processes start anew
 //! in series, and the arrivals beyond the first of each request are counted over all gateways.
 
@@ -43,6 +46,7 @@
 mod request_kind;
 mod retry_book;
 mod retry_window;
+mod revoked_keys;
 mod run_clock;
 mod server_calls;
 mod server_engine;
@@ -77,6 +81,7 @@
 pub use lost_disks_report::LostDisksReport;
 pub use planned_run::run_planned;
 pub use retry_window::RetryWindow;
+pub use revoked_keys::run_revoked_keys;
 pub use server_fault::ServerFault;
 pub use soak_error::SoakError;
 pub use soak_options::SoakOptions;
--- a/crates/lift_soak/src/storm_fleet.rs
+++ b/crates/lift_soak/src/storm_fleet.rs
@@ -99,12 +99,27 @@
                 timeout,
             )
             .text();
+        self.put(&text).await;
+    }
+
+    /// Sends a document until it is acknowledged.
+    pub(crate) async fn put(&self, text: &str) {
         let path = lift_peer::paths::REPLACE;
-        while self.calls.post(path, text.clone()).await.is_none() {
+        while self.calls.post(path, String::from(text)).await.is_none() {
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
 
+    /// Kills a control member, drops its disk and starts it again.
+    pub(crate) fn lose_disk(&mut self, control: u8) -> Result<()> {
+        if let Some(started) = self.hosts.get_mut(&cast::Cast::control(control)) {
+            started.kill();
+            started.process.wipe()?;
+            started.start()?;
+        }
+        Ok(())
+    }
+
     /// Writes settings in which this is no first start any more.
     pub(crate) fn settle_settings(&self) -> Result<()> {
         for (host, started) in &self.hosts {
@@ -176,6 +191,19 @@
         }
     }
 
+    /// Lets the gateway go on that was paused.
+    pub(crate) fn resume(&mut self) -> Result<()> {
+        if let Some(paused) = self.paused.take() {
+            self.signal(paused, signal::Signal::SIGCONT);
+        }
+        Ok(())
+    }
+
+    /// Whether a gateway is paused.
+    pub(crate) fn has_paused(&self) -> bool {
+        self.paused.is_some()
+    }
+
     /// Starts processes again that have stopped.
     pub(crate) fn look(&mut self) -> Result<()> {
         for started in self.hosts.values_mut() {
--- a/crates/lift_soak/src/storm_run.rs
+++ b/crates/lift_soak/src/storm_run.rs
@@ -48,7 +48,10 @@
     })
 }
 
-async fn wait_until_ready(fleet: &storm_fleet::StormFleet) -> Result<(), soak_error::SoakError> {
+/// Waits until all gateways are ready.
+pub(crate) async fn wait_until_ready(
+    fleet: &storm_fleet::StormFleet,
+) -> Result<(), soak_error::SoakError> {
     let until = time::Instant::now() + START_LIMIT;
     while !fleet.is_ready().await {
         if time::Instant::now() > until {
