liftctl document check: findings and differences before a document is sent

Operators learned from control whether a document is valid, but not that a route never matches, that limits contradict each other, or what differs from the document in force.

lift_check decides on decoded routing tables, without I/O. liftctl reads files, or the document in force from a control member, prints a row for each finding and difference, and exits with 0, 1, 2 or 4 for scripts. Keys are counted and never printed.

--- a/crates/lift_fleet/src/allowed_regions.rs
+++ b/crates/lift_fleet/src/allowed_regions.rs
@@ -1,6 +1,6 @@
 //! Regions in which requests may run.
 
-use std::sync;
+use std::{fmt, sync};
 
 /// Regions in which the requests of a route or workspace may run. By default there is no
 /// restriction.
@@ -50,3 +50,17 @@
         self.regions.as_ref().is_some_and(|r| r.is_empty())
     }
 }
+
+impl fmt::Display for AllowedRegions {
+    /// Writes the names of the regions, or `all`.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(regions) = &self.regions else {
+            return f.write_str("all");
+        };
+        for (position, region) in regions.iter().enumerate() {
+            let separator = if position == 0 { "" } else { ", " };
+            write!(f, "{separator}{region}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/lift_fleet/src/routing_table.rs
+++ b/crates/lift_fleet/src/routing_table.rs
@@ -70,6 +70,21 @@
         self.workspaces.get(id)
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &sync::Arc<route::Route>> {
+        self.routes.values().flatten()
+    }
+
+    /// Returns the terms of all workspaces that have any.
+    pub fn workspaces(&self) -> impl Iterator<Item = &workspace::Workspace> {
+        self.workspaces.values()
+    }
+
+    /// Returns all keys with their workspaces.
+    pub fn keys(&self) -> impl Iterator<Item = (&api_key::ApiKey, &lift_types::WorkspaceId)> {
+        self.keys.iter().flatten()
+    }
+
     /// Regions in which a request on `route` from `workspace` may run: both bind.
     pub fn allowed_regions(
         &self,
--- a/crates/liftctl/src/command.rs
+++ b/crates/liftctl/src/command.rs
@@ -1,8 +1,8 @@
 //! Commands of `liftctl`.
 
 use crate::{
-    audit, cli_error, client, completions, control, default, exception, experiment, members,
-    output, policy, rollout, token, version,
+    audit, cli_error, client, completions, control, default, document, exception, experiment,
+    members, output, policy, rollout, token, version,
 };
 
 /// What to do.
@@ -38,6 +38,9 @@
     /// Lists and changes the members of control.
     #[command(subcommand)]
     Control(control::ControlCommand),
+    /// Checks configuration documents.
+    #[command(subcommand)]
+    Document(document::DocumentCommand),
     /// Prints a completion script.
     Completions(completions::CompletionsArgs),
 }
@@ -61,6 +64,7 @@
             Self::Token(command) => command.run(output),
             Self::Experiment(command) => command.run(output).await,
             Self::Control(command) => command.run(client, output).await,
+            Self::Document(command) => command.run(output).await,
             Self::Completions(args) => args.run(output),
         }
     }
--- a/crates/liftctl/src/main.rs
+++ b/crates/liftctl/src/main.rs
@@ -16,6 +16,7 @@
 mod completions;
 mod control;
 mod default;
+mod document;
 mod exception;
 mod exception_value_args;
 mod experiment;
--- a/crates/liftctl/tests/docs.rs
+++ b/crates/liftctl/tests/docs.rs
@@ -55,9 +55,33 @@
     }
 }
 
+/// Writes the documents that the page on their check names.
+fn write_documents(folder: &path::Path) {
+    let document = |version: u32, timeout_ms: u32| {
+        serde_json::json!({
+            "version": version,
+            "route-list": [{
+                "name": "a", "hostname": "depots.example", "path-prefix": "/x/",
+                "route-kind": "idempotent", "timeout-ms": timeout_ms, "target-latency-ms": 200,
+                "service-name": "s",
+            }],
+            "service-list": [{ "name": "s", "max-conns": 10 }],
+        })
+    };
+    for (name, document) in [
+        ("old.json", document(1, 1_000)),
+        ("new.json", document(2, 900)),
+        ("mistaken.json", document(3, 100)),
+        ("invalid.json", document(4, 0)),
+    ] {
+        fs::write(folder.join(name), document.to_string()).unwrap();
+    }
+}
+
 async fn run_page(file: &path::Path) -> usize {
     let dir = tempfile::tempdir().unwrap();
     fs::write(dir.path().join("weights.bin"), vec![9; 10_000]).unwrap();
+    write_documents(dir.path());
     let control = support::FakeControl::new();
     let builder = support::builder(&control).control_members(sync::Arc::new(Members));
     let admin = builder.start(support::any_port()).await.unwrap();
