--- a/crates/lift_dispatch/src/rejection_reason.rs
+++ b/crates/lift_dispatch/src/rejection_reason.rs
@@ -25,6 +25,8 @@
     UnknownKey,
     /// No backend server accepts requests of the service.
     NoBackend,
+    /// All backend servers of the service that accept requests are in evacuated failure domains.
+    Evacuated,
     /// No backend server of the service is in a region in which the request may run.
     NoAllowedRegion,
     /// No backend server, except those tried before, can run the request on the weights that it
@@ -62,6 +64,7 @@
             Self::NoConfiguration
             | Self::Unconfirmed
             | Self::NoBackend
+            | Self::Evacuated
             | Self::NoAllowedRegion
             | Self::NoWeights
             | Self::Full
--- a/crates/lift_feed/src/feed_link.rs
+++ b/crates/lift_feed/src/feed_link.rs
@@ -5,8 +5,8 @@
 use error_stack::ResultExt as _;
 
 use crate::{
-    ask_schedule, feed_error, feed_shared, feed_state, fleet_head, link_socket, member_message,
-    node_message, pack, questions, server_connection, spread,
+    ask_schedule, confirmation, feed_error, feed_shared, feed_state, fleet_head, link_socket,
+    member_message, node_message, questions, server_connection, spread,
 };
 
 /// Time without an answer after which a connection is replaced. It leaves some slack for a slow
@@ -107,8 +107,8 @@
                 message = reader.recv() => {
                     heard = lift_clock::now();
                     let message = message.change_context(feed_error::FeedError::Link)?;
-                    if self.take_in(message) == Next::Fetch {
-                        push(&mut writer, &node_message::NodeMessage::Fetch)?;
+                    if let Some(wanted) = self.take_in(message) {
+                        push(&mut writer, &wanted)?;
                     }
                 }
                 _ = ask.tick() => {
@@ -160,7 +160,11 @@
         Some(at)
     }
 
-    fn take_in(&mut self, message: member_message::MemberMessage) -> Next {
+    /// Takes in a message. Returns what to ask for next, if anything.
+    fn take_in(
+        &mut self,
+        message: member_message::MemberMessage,
+    ) -> Option<node_message::NodeMessage> {
         use member_message::MemberMessage as Message;
         let shared = sync::Arc::clone(&self.shared);
         let observer = &shared.observer;
@@ -176,7 +180,7 @@
                     return self.take_head(asked_at, &head);
                 }
             }
-            Message::Document(document) => self.take_document(&document),
+            Message::Document(document) => shared.take_document(self.address, &document),
             Message::Backends(records) => observer.on_backends(records),
             Message::Nodes(nodes) => {
                 self.change_nodes(|state, link| state.set_nodes(link, nodes));
@@ -189,79 +193,63 @@
                 self.questions.schedule.record_answer(false);
                 self.asked_at(nonce);
             }
-            Message::Confirmed { nonce, document } => {
-                return self.take_confirmation(nonce, document);
-            }
+            Message::Confirmed {
+                nonce,
+                confirmation,
+            } => return self.take_confirmation(nonce, confirmation),
             Message::Join(_) => {}
             Message::PartSightings(sightings) => self.take_sightings(sightings),
         }
-        Next::Read
+        None
     }
 
     /// Takes in versions that the member announced not before `at`. Their ages count from then.
-    fn take_head(&self, at: time::Instant, head: &fleet_head::FleetHead) -> Next {
+    fn take_head(
+        &self,
+        at: time::Instant,
+        head: &fleet_head::FleetHead,
+    ) -> Option<node_message::NodeMessage> {
         let news = self.shared.state.lock().learn_weights(at, head);
         for (model, (version, named_at)) in news {
             let observer = &self.shared.observer;
             observer.on_weights(&model, version, named_at);
         }
+        self.shared
+            .take_evacuations(self.address, &head.evacuations);
         self.fetch(head.document)
     }
 
-    fn fetch(&self, version: lift_fleet::DocumentVersion) -> Next {
+    fn fetch(&self, version: lift_fleet::DocumentVersion) -> Option<node_message::NodeMessage> {
         let is_wanted = self.shared.follows_documents();
         let interval = self.shared.node.card.kind.fetch_interval();
         let mut state = self.shared.state.lock();
-        match is_wanted && state.start_fetch(lift_clock::now(), version, interval) {
-            true => Next::Fetch,
-            false => Next::Read,
-        }
+        let is_due = is_wanted && state.start_fetch(lift_clock::now(), version, interval);
+        is_due.then_some(node_message::NodeMessage::Fetch)
     }
 
-    fn take_document(&self, document: &lift_fleet::Document) {
-        let node = &self.shared.node;
-        if !self.shared.state.lock().is_newer(document.version) {
-            return;
-        }
-        let text = pack::unpack(&document.compressed);
-        let decoded = text
-            .map_err(|e| e.to_string())
-            .and_then(|text| node.codec.decode(&text).map_err(|e| e.to_string()));
-        let table = match decoded {
-            Ok(table) => sync::Arc::new(table),
-            Err(error) => {
-                // Control accepted the document, so this node runs another version of the code.
-                slog::error!(node.log, "accepted document can't be read";
-                    "document" => document.version, "error" => error);
-                node.counters.increment("feed.document_unreadable");
-                self.shared.state.lock().refuse(document.version);
-                return;
-            }
-        };
-        // The table is passed on under the lock, so that of two documents that arrive over two
-        // connections the newer one stays in force.
-        let mut state = self.shared.state.lock();
-        if state.is_newer(table.version()) {
-            state.hold(lift_clock::now(), &table);
-            slog::info!(node.log, "configuration in force"; "document" => table.version(),
-                "routes" => table.route_count(), "member" => self.address);
-            self.shared.observer.on_table(table);
-        }
-    }
-
-    fn take_confirmation(&mut self, nonce: u64, version: lift_fleet::DocumentVersion) -> Next {
+    fn take_confirmation(
+        &mut self,
+        nonce: u64,
+        confirmation: confirmation::Confirmation,
+    ) -> Option<node_message::NodeMessage> {
         self.questions.schedule.record_answer(true);
-        let Some(asked_at) = self.asked_at(nonce) else {
-            return Next::Read;
-        };
+        let asked_at = self.asked_at(nonce)?;
         let mut state = self.shared.state.lock();
         state.record_leader(asked_at);
-        if state.confirm(asked_at, version) {
+        if state.confirm(asked_at, confirmation) {
             self.shared.observer.on_confirmed(asked_at);
-            return Next::Read;
+            return None;
         }
+        let is_behind = state.is_behind(confirmation.evacuations);
         drop(state);
-        self.fetch(version)
+        if is_behind {
+            self.shared
+                .node
+                .counters
+                .increment("feed.evacuations_missed");
+            return Some(node_message::NodeMessage::FetchHead);
+        }
+        self.fetch(confirmation.document)
     }
 
     fn take_sightings(&self, sightings: Vec<lift_fleet::PartSighting>) {
@@ -284,13 +272,6 @@
     }
 }
 
-/// What follows from a message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Next {
-    Read,
-    Fetch,
-}
-
 fn push(writer: &mut Writer, message: &node_message::NodeMessage) -> Result<()> {
     let pushed = writer.push(message);
     pushed.change_context(feed_error::FeedError::Link)
--- a/crates/lift_feed/src/feed_shared.rs
+++ b/crates/lift_feed/src/feed_shared.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync};
 
-use crate::{feed_state, fleet_observer, node_kind, node_setup, shared_sightings};
+use crate::{feed_state, fleet_observer, node_kind, node_setup, pack, shared_sightings};
 
 /// State of a feed client.
 #[derive(Debug)]
@@ -43,4 +43,55 @@
         }
         is_known
     }
+
+    /// Takes in a document that `member` has sent.
+    pub(crate) fn take_document(&self, member: net::SocketAddr, document: &lift_fleet::Document) {
+        let node = &self.node;
+        if !self.state.lock().is_newer(document.version) {
+            return;
+        }
+        let text = pack::unpack(&document.compressed);
+        let decoded = text
+            .map_err(|e| e.to_string())
+            .and_then(|text| node.codec.decode(&text).map_err(|e| e.to_string()));
+        let table = match decoded {
+            Ok(table) => sync::Arc::new(table),
+            Err(error) => {
+                // Control accepted the document, so this node runs another version of the code.
+                slog::error!(node.log, "accepted document can't be read";
+                    "document" => document.version, "error" => error);
+                node.counters.increment("feed.document_unreadable");
+                self.state.lock().refuse(document.version);
+                return;
+            }
+        };
+        // The table is passed on under the lock, so that of two documents that arrive over two
+        // connections the newer one stays in force.
+        let mut state = self.state.lock();
+        if state.is_newer(table.version()) {
+            state.hold(lift_clock::now(), &table);
+            slog::info!(node.log, "configuration in force"; "document" => table.version(),
+                "routes" => table.route_count(), "member" => member);
+            self.observer.on_table(table);
+        }
+    }
+
+    /// Takes in the evacuations that `member` knows.
+    pub(crate) fn take_evacuations(
+        &self,
+        member: net::SocketAddr,
+        evacuations: &lift_fleet::Evacuations,
+    ) {
+        // Passed on under the lock, so that the observer sees the revisions in their order.
+        let mut state = self.state.lock();
+        if !state.learn_evacuations(evacuations) {
+            return;
+        }
+        let domains: Vec<_> = evacuations.failure_domains().map(String::as_str).collect();
+        slog::info!(self.node.log, "evacuations in force"; "revision" => evacuations.revision(),
+            "evacuated" => domains.join(","), "member" => member);
+        let count = evacuations.len() as u64;
+        self.node.counters.set("feed.evacuated_domains", count);
+        self.observer.on_evacuations(evacuations);
+    }
 }
--- a/crates/lift_feed/src/feed_source.rs
+++ b/crates/lift_feed/src/feed_source.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, sync};
 
-use crate::{fleet_head, join_answer, member_card, newcomer};
+use crate::{confirmation, fleet_head, join_answer, member_card, newcomer};
 
 /// State of a control member, as its feed server needs it.
 #[async_trait::async_trait]
@@ -12,7 +12,7 @@
     /// that is undone.
     fn members(&self) -> (Vec<member_card::MemberCard>, lift_types::MemberId);
 
-    /// Versions in force.
+    /// Versions and evacuations in force.
     fn head(&self) -> fleet_head::FleetHead;
 
     /// The document in force.
@@ -21,9 +21,8 @@
     /// All backend servers.
     fn backends(&self) -> Vec<lift_fleet::BackendRecord>;
 
-    /// Version of the document in force, where this member leads and is sure that there is
-    /// no newer one.
-    fn confirm(&self) -> Option<lift_fleet::DocumentVersion>;
+    /// State in force, where this member leads and is sure that there is no newer one.
+    fn confirm(&self) -> Option<confirmation::Confirmation>;
 
     /// Makes a host a control member.
     async fn join(&self, newcomer: newcomer::Newcomer) -> join_answer::JoinAnswer;
--- a/crates/lift_feed/src/feed_state.rs
+++ b/crates/lift_feed/src/feed_state.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, time};
 
-use crate::{earlier_version, fleet_head, known_members, node_card};
+use crate::{confirmation, earlier_version, fleet_head, known_members, node_card};
 
 /// Time after which a document is fetched over another connection. It covers the transfer of
 /// a large one on a narrow link.
@@ -29,6 +29,7 @@
     confirmed_at: Option<time::Instant>,
     /// When the last question was asked that the leader has answered, whatever is held here.
     leader_asked_at: Option<time::Instant>,
+    evacuations: lift_fleet::Evacuations,
     weights: indexmap::IndexMap<lift_fleet::ModelName, Named>,
     /// When earlier versions were named, by model and version.
     earlier: indexmap::IndexMap<(lift_fleet::ModelName, lift_fleet::WeightsVersion), time::Instant>,
@@ -140,14 +141,31 @@
         self.fetching = None;
     }
 
-    /// Takes in the confirmation that `version` was in force at `asked_at`. Returns whether
+    /// Takes in the evacuations that a member knows. Returns whether they are news. Of several
+    /// members, one that lags or whose message is late tells an older revision.
+    pub(crate) fn learn_evacuations(&mut self, evacuations: &lift_fleet::Evacuations) -> bool {
+        let is_news = self.is_behind(evacuations.revision());
+        if is_news {
+            self.evacuations = evacuations.clone();
+        }
+        is_news
+    }
+
+    /// Whether the evacuations that are held are older than `revision`.
+    pub(crate) fn is_behind(&self, revision: lift_fleet::EvacuationRevision) -> bool {
+        revision > self.evacuations.revision()
+    }
+
+    /// Takes in the confirmation that a state was in force at `asked_at`. Returns whether
     /// that confirms what is held here for longer than before.
     pub(crate) fn confirm(
         &mut self,
         asked_at: time::Instant,
-        version: lift_fleet::DocumentVersion,
+        confirmation: confirmation::Confirmation,
     ) -> bool {
-        let is_held = version > 0 && version <= self.held;
+        let version = confirmation.document;
+        let is_document_held = version > 0 && version <= self.held;
+        let is_held = is_document_held && !self.is_behind(confirmation.evacuations);
         let is_later = self.confirmed_at.is_none_or(|at| asked_at > at);
         if is_held && is_later {
             self.confirmed_at = Some(asked_at);
--- a/crates/lift_feed/src/fleet_head.rs
+++ b/crates/lift_feed/src/fleet_head.rs
@@ -1,4 +1,4 @@
-//! The newest versions.
+//! The newest versions and evacuations.
 
 use std::time;
 
@@ -8,13 +8,15 @@
 /// for seconds after a naming.
 const RECENT: time::Duration = time::Duration::from_secs(60);
 
-/// Versions in force, as one control member has applied them.
+/// Versions and evacuations in force, as one control member has applied them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct FleetHead {
     /// Version of the configuration document, 0 where there is none.
     pub document: lift_fleet::DocumentVersion,
     /// Newest named version of each model's weights.
     pub weights: indexmap::IndexMap<lift_fleet::ModelName, named_weights::NamedWeights>,
+    /// Evacuated failure domains.
+    pub evacuations: lift_fleet::Evacuations,
 }
 
 impl FleetHead {
--- a/crates/lift_feed/src/fleet_observer.rs
+++ b/crates/lift_feed/src/fleet_observer.rs
@@ -12,7 +12,8 @@
         let _ = table;
     }
 
-    /// The configuration that was passed last was in force at `at`, which never goes back.
+    /// The configuration and the evacuations that were passed last were in force at `at`, which
+    /// never goes back.
     fn on_confirmed(&self, at: time::Instant) {
         let _ = at;
     }
@@ -34,6 +35,12 @@
         let _ = (model, version, named_at);
     }
 
+    /// Other failure domains are evacuated than before. The revision increases with each call;
+    /// revision 0, at which none is evacuated, is not passed.
+    fn on_evacuations(&self, evacuations: &lift_fleet::Evacuations) {
+        let _ = evacuations;
+    }
+
     /// All nodes that any control member knows, control members left out.
     fn on_nodes(&self, nodes: Vec<node_card::NodeCard>) {
         let _ = nodes;
--- a/crates/lift_feed/src/lib.rs
+++ b/crates/lift_feed/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! A [`FeedServer`] runs beside each control member. A [`FeedClient`] runs in every node and
 //! keeps a connection to each control member that it knows of: it starts from a few seeds and
-//! learns the others. The client passes the routing table, backend servers, target versions and
-//! other nodes to a [`FleetObserver`]. It also passes the last time at which the configuration
-//! was confirmed to be in force. Only the leader confirms that, under its lease; an
+//! learns the others. The client passes the routing table, backend servers, target versions,
+//! evacuated failure domains and other nodes to a [`FleetObserver`]. It also passes the last time
+//! at which the configuration and the evacuations were confirmed to be in force ([`Confirmation`]). Only the leader confirms that, under its lease; an
 //! [`AskSchedule`] for each connection keeps the questions to the others few.
 //!
 //! Gateways tell each other through the members which parts of prompts seem to crash backend
@@ -18,6 +18,7 @@
 //! See `docs/platform.md`.
 
 mod ask_schedule;
+mod confirmation;
 mod earlier_version;
 mod feed_client;
 mod feed_error;
@@ -56,6 +57,7 @@
 mod subscribers;
 
 pub use ask_schedule::AskSchedule;
+pub use confirmation::Confirmation;
 pub use earlier_version::EarlierVersion;
 pub use feed_client::FeedClient;
 pub use feed_error::FeedError;
--- a/crates/lift_feed/src/member_message.rs
+++ b/crates/lift_feed/src/member_message.rs
@@ -1,6 +1,6 @@
 //! Messages from control members to nodes.
 
-use crate::{fleet_head, join_answer, member_card, node_card};
+use crate::{confirmation, fleet_head, join_answer, member_card, node_card};
 
 /// Message of a control member.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -13,7 +13,7 @@
         /// force. A member whose identifier is not above it and that is not listed was removed.
         highest: lift_types::MemberId,
     },
-    /// Versions in force.
+    /// Versions and evacuations in force.
     Head(fleet_head::FleetHead),
     /// The document in force.
     Document(lift_fleet::Document),
@@ -30,12 +30,12 @@
         /// Number of the question.
         nonce: u64,
     },
-    /// Answer of the leader: when the question came, this document was in force.
+    /// Answer of the leader: when the question came, this state was in force.
     Confirmed {
         /// Number of the question.
         nonce: u64,
-        /// Version of the document.
-        document: lift_fleet::DocumentVersion,
+        /// The state.
+        confirmation: confirmation::Confirmation,
     },
     /// Answer to a newcomer.
     Join(join_answer::JoinAnswer),
--- a/crates/lift_feed/src/node_message.rs
+++ b/crates/lift_feed/src/node_message.rs
@@ -18,4 +18,6 @@
     Join(newcomer::Newcomer),
     /// What a gateway has observed, and on a new connection what it keeps from others.
     PartSightings(Vec<lift_fleet::PartSighting>),
+    /// Asks for the versions and evacuations in force, of which the node has missed some.
+    FetchHead,
 }
--- a/crates/lift_feed/src/server_connection.rs
+++ b/crates/lift_feed/src/server_connection.rs
@@ -149,7 +149,10 @@
     match message {
         node_message::NodeMessage::Ask { nonce } => {
             let answer = match server.source.confirm() {
-                Some(document) => member_message::MemberMessage::Confirmed { nonce, document },
+                Some(confirmation) => member_message::MemberMessage::Confirmed {
+                    nonce,
+                    confirmation,
+                },
                 None => member_message::MemberMessage::Heard { nonce },
             };
             push(writer, &answer)?;
@@ -169,6 +172,10 @@
             let document = lift_fleet::Document::clone(&document);
             push(writer, &member_message::MemberMessage::Document(document))
         }
+        node_message::NodeMessage::FetchHead => {
+            let head = server.source.head();
+            push(writer, &member_message::MemberMessage::Head(head))
+        }
         node_message::NodeMessage::PartSightings(sightings) => {
             server.sightings.add(sightings, spread::Spread::All);
             Ok(())
--- a/crates/lift_feed/tests/support/mod.rs
+++ b/crates/lift_feed/tests/support/mod.rs
@@ -6,8 +6,8 @@
 use std::{net, sync, time};
 
 use lift_feed::{
-    FeedClient, FeedPorts, FeedServer, FeedSource, FleetHead, FleetObserver, JoinAnswer,
-    MemberCard, NamedWeights, Newcomer, NodeCard, NodeKind, NodeSetup,
+    Confirmation, FeedClient, FeedPorts, FeedServer, FeedSource, FleetHead, FleetObserver,
+    JoinAnswer, MemberCard, NamedWeights, Newcomer, NodeCard, NodeKind, NodeSetup,
 };
 
 pub(crate) const PATIENCE: time::Duration = time::Duration::from_secs(10);
@@ -30,6 +30,9 @@
     pub(crate) document: parking_lot::Mutex<Option<sync::Arc<lift_fleet::Document>>>,
     pub(crate) leads: sync::atomic::AtomicBool,
     pub(crate) weights: parking_lot::Mutex<Option<NamedWeights>>,
+    pub(crate) evacuations: parking_lot::Mutex<lift_fleet::Evacuations>,
+    /// Revision that is confirmed instead of that of the evacuations.
+    pub(crate) confirmed_revision: parking_lot::Mutex<Option<u64>>,
 }
 
 impl Source {
@@ -62,6 +65,7 @@
         FleetHead {
             document: self.document().map_or(0, |d| d.version),
             weights: named.into_iter().collect(),
+            evacuations: self.evacuations.lock().clone(),
         }
     }
 
@@ -73,9 +77,14 @@
         vec![record("known")]
     }
 
-    fn confirm(&self) -> Option<u64> {
+    fn confirm(&self) -> Option<Confirmation> {
         let leads = self.leads.load(sync::atomic::Ordering::SeqCst);
-        leads.then(|| self.head().document)
+        let confirmed_revision = *self.confirmed_revision.lock();
+        let held_revision = self.evacuations.lock().revision();
+        leads.then(|| Confirmation {
+            document: self.head().document,
+            evacuations: confirmed_revision.unwrap_or(held_revision),
+        })
     }
 
     async fn join(&self, _newcomer: Newcomer) -> JoinAnswer {
@@ -92,6 +101,7 @@
     pub(crate) round_trips: parking_lot::Mutex<Vec<time::Duration>>,
     pub(crate) backends: parking_lot::Mutex<Vec<lift_fleet::BackendRecord>>,
     pub(crate) sightings: parking_lot::Mutex<Vec<lift_fleet::PartSighting>>,
+    pub(crate) evacuations: parking_lot::Mutex<Vec<lift_fleet::Evacuations>>,
     /// Counters of the node.
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
 }
@@ -113,6 +123,10 @@
         *self.confirmed.lock() = Some(at);
     }
 
+    fn on_evacuations(&self, evacuations: &lift_fleet::Evacuations) {
+        self.evacuations.lock().push(evacuations.clone());
+    }
+
     fn on_weights(&self, _: &String, version: u64, named_at: Option<time::Instant>) {
         self.weights.lock().push((version, named_at));
     }
--- a/crates/lift_fleet/src/fleet_command.rs
+++ b/crates/lift_fleet/src/fleet_command.rs
@@ -2,7 +2,8 @@
 
 use crate::{document, model_name, weights_version};
 
-/// Command that changes [`crate::FleetState`].
+/// Command that changes [`crate::FleetState`]. New variants go to the end, since logs hold the
+/// positions of the variants.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum FleetCommand {
     /// Puts a document in force, unless one with the same or a higher version already is.
@@ -14,4 +15,14 @@
         /// Target version of its weights.
         version: weights_version::WeightsVersion,
     },
+    /// Evacuates a failure domain, unless it already is evacuated.
+    Evacuate {
+        /// The failure domain.
+        failure_domain: lift_types::FailureDomainId,
+    },
+    /// Restores a failure domain, unless it is not evacuated.
+    Restore {
+        /// The failure domain.
+        failure_domain: lift_types::FailureDomainId,
+    },
 }
--- a/crates/lift_fleet/src/fleet_reply.rs
+++ b/crates/lift_fleet/src/fleet_reply.rs
@@ -5,6 +5,6 @@
 pub enum FleetReply {
     /// The command changed the state.
     Applied,
-    /// The command changed nothing, since the same or a higher version was already set.
+    /// The command changed nothing, since the same or a newer state was already set.
     Overtaken,
 }
--- a/crates/lift_fleet/src/fleet_state.rs
+++ b/crates/lift_fleet/src/fleet_state.rs
@@ -2,14 +2,20 @@
 
 use std::sync;
 
-use crate::{document, document_version, fleet_command, fleet_reply, model_name, weights_version};
+use crate::{
+    document, document_version, evacuations, fleet_command, fleet_reply, model_name,
+    weights_version,
+};
 
-/// State that control members replicate: the document with the highest version, and the target
-/// version of each model's weights. Equal sequences of commands give equal states.
+/// State that control members replicate: the document with the highest version, the target
+/// version of each model's weights, and the evacuated failure domains. Equal sequences of commands
+/// give equal states, also if some of them are applied twice.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct FleetState {
-    document: Option<sync::Arc<document::Document>>,
-    target_versions: indexmap::IndexMap<model_name::ModelName, weights_version::WeightsVersion>,
+    pub(crate) document: Option<sync::Arc<document::Document>>,
+    pub(crate) target_versions:
+        indexmap::IndexMap<model_name::ModelName, weights_version::WeightsVersion>,
+    pub(crate) evacuations: evacuations::Evacuations,
 }
 
 impl FleetState {
@@ -18,13 +24,24 @@
         Self::default()
     }
 
-    /// Applies one command. It has an effect only if its version is higher than the current one.
-    pub fn apply(&mut self, command: fleet_command::FleetCommand) -> fleet_reply::FleetReply {
+    /// Applies the command of the log entry at `index`. It has an effect only if it is newer than
+    /// what it changes: by its version, or else by `index`.
+    pub fn apply(
+        &mut self,
+        index: lift_types::LogIndex,
+        command: fleet_command::FleetCommand,
+    ) -> fleet_reply::FleetReply {
         let is_applied = match command {
             fleet_command::FleetCommand::Replace(document) => self.replace(document),
             fleet_command::FleetCommand::SetTargetVersion { model, version } => {
                 self.set_target_version(model, version)
             }
+            fleet_command::FleetCommand::Evacuate { failure_domain } => {
+                self.evacuations.evacuate(index, failure_domain)
+            }
+            fleet_command::FleetCommand::Restore { failure_domain } => {
+                self.evacuations.restore(index, &failure_domain)
+            }
         };
         match is_applied {
             true => fleet_reply::FleetReply::Applied,
@@ -49,6 +66,11 @@
         &self.target_versions
     }
 
+    /// Evacuated failure domains.
+    pub fn evacuations(&self) -> &evacuations::Evacuations {
+        &self.evacuations
+    }
+
     fn replace(&mut self, document: document::Document) -> bool {
         let is_newer = self
             .document
--- a/crates/lift_fleet/src/lib.rs
+++ b/crates/lift_fleet/src/lib.rs
@@ -1,11 +1,11 @@
 //! Configuration, target versions, backend servers and control members of a fleet, without I/O.
 //!
 //! A [`Document`] is the configuration, which operators replace as a whole. [`FleetState`] holds
-//! the document with the highest version and the target version of each model's weights. A
-//! [`RoutingTable`] is a decoded and checked document: it finds the [`Route`] of a request and
-//! the workspace of a key. A [`Directory`] merges the announcements of backend servers, which
-//! may arrive late and out of order. [`MembershipAction`] decides on the next change to the set
-//! of control members. A [`PartSighting`] is what gateways tell each other about a [`PromptPart`]
+//! the document with the highest version, the target version of each model's weights, and the
+//! [`Evacuations`] of failure domains. A [`RoutingTable`] is a decoded and checked document: it
+//! finds the [`Route`] of a request and the workspace of a key. A [`Directory`] merges the
+//! announcements of backend servers, which may arrive late and out of order.
+//! [`MembershipAction`] decides on the next change to the set of control members. A [`PartSighting`] is what gateways tell each other about a [`PromptPart`]
 //! that may crash backend servers.
 //!
 //! Every function takes `now` where it needs the time. See `docs/platform.md`.
@@ -24,7 +24,10 @@
 mod document_error;
 mod document_version;
 mod domain_delay;
+mod earlier_fleet_state;
 mod engine_spec;
+mod evacuation_revision;
+mod evacuations;
 mod fleet_command;
 mod fleet_reply;
 mod fleet_state;
@@ -62,7 +65,10 @@
 pub use document_error::DocumentError;
 pub use document_version::DocumentVersion;
 pub use domain_delay::DomainDelay;
+pub use earlier_fleet_state::EarlierFleetState;
 pub use engine_spec::EngineSpec;
+pub use evacuation_revision::EvacuationRevision;
+pub use evacuations::Evacuations;
 pub use fleet_command::FleetCommand;
 pub use fleet_reply::FleetReply;
 pub use fleet_state::FleetState;
--- a/crates/lift_fleet/tests/fleet_state.rs
+++ b/crates/lift_fleet/tests/fleet_state.rs
@@ -17,14 +17,14 @@
     // Guards against a configuration that reverts to an older version, and against a second
     // document with the same version.
     let mut state = FleetState::new();
-    assert_eq!(state.apply(replace(5, b"five")), FleetReply::Applied);
-    assert_eq!(state.apply(replace(3, b"three")), FleetReply::Overtaken);
-    assert_eq!(state.apply(replace(5, b"other")), FleetReply::Overtaken);
+    assert_eq!(state.apply(1, replace(5, b"five")), FleetReply::Applied);
+    assert_eq!(state.apply(2, replace(3, b"three")), FleetReply::Overtaken);
+    assert_eq!(state.apply(3, replace(5, b"other")), FleetReply::Overtaken);
     assert_eq!(
         state.document().map(|d| &d.compressed[..]),
         Some(&b"five"[..])
     );
-    assert_eq!(state.apply(replace(6, b"six")), FleetReply::Applied);
+    assert_eq!(state.apply(4, replace(6, b"six")), FleetReply::Applied);
     assert_eq!(state.document_version(), 6);
 }
 
@@ -35,10 +35,10 @@
         version,
     };
     let mut state = FleetState::new();
-    assert_eq!(state.apply(set_target("m", 2)), FleetReply::Applied);
-    assert_eq!(state.apply(set_target("m", 2)), FleetReply::Overtaken);
-    assert_eq!(state.apply(set_target("m", 1)), FleetReply::Overtaken);
-    assert_eq!(state.apply(set_target("n", 1)), FleetReply::Applied);
+    assert_eq!(state.apply(1, set_target("m", 2)), FleetReply::Applied);
+    assert_eq!(state.apply(2, set_target("m", 2)), FleetReply::Overtaken);
+    assert_eq!(state.apply(3, set_target("m", 1)), FleetReply::Overtaken);
+    assert_eq!(state.apply(4, set_target("n", 1)), FleetReply::Applied);
     assert_eq!(state.target_versions().get("m"), Some(&2));
 }
 
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -9,6 +9,8 @@
     table: parking_lot::RwLock<Option<sync::Arc<lift_fleet::RoutingTable>>>,
     confirmed_at: parking_lot::RwLock<Option<time::Instant>>,
     directory: parking_lot::Mutex<lift_fleet::Directory>,
+    /// Locked after the directory only.
+    evacuations: parking_lot::Mutex<lift_fleet::Evacuations>,
     backends: parking_lot::RwLock<sync::Arc<lift_dispatch::ServiceBackends>>,
     target_versions: parking_lot::Mutex<lift_dispatch::TargetVersions>,
     gateways: parking_lot::RwLock<sync::Arc<lift_dispatch::GatewayShares>>,
@@ -26,6 +28,7 @@
             table: parking_lot::RwLock::default(),
             confirmed_at: parking_lot::RwLock::default(),
             directory: parking_lot::Mutex::default(),
+            evacuations: parking_lot::Mutex::default(),
             backends: parking_lot::RwLock::default(),
             target_versions: parking_lot::Mutex::new(lift_dispatch::TargetVersions::new(
                 weights_grace,
@@ -165,10 +168,28 @@
         let mut changed = records;
         changed.retain(|record| directory.merge(now, record) == lift_fleet::UpdateOutcome::Changed);
         if !changed.is_empty() {
-            let region_of = |domain: &str| self.regions.get(domain).cloned();
-            let backends = lift_dispatch::ServiceBackends::new(&directory, region_of);
-            *self.backends.write() = sync::Arc::new(backends);
+            self.rebuild_backends(&directory);
         }
         changed
     }
+
+    /// Replaces the evacuated failure domains. Returns those before.
+    pub(crate) fn set_evacuations(
+        &self,
+        evacuations: &lift_fleet::Evacuations,
+    ) -> lift_fleet::Evacuations {
+        let directory = self.directory.lock();
+        let before = std::mem::replace(&mut *self.evacuations.lock(), evacuations.clone());
+        self.rebuild_backends(&directory);
+        before
+    }
+
+    /// Sets the backend servers that may get requests. The caller holds the lock of the directory,
+    /// so that the newest ones stay.
+    fn rebuild_backends(&self, directory: &lift_fleet::Directory) {
+        let region_of = |domain: &str| self.regions.get(domain).cloned();
+        let evacuations = self.evacuations.lock();
+        let backends = lift_dispatch::ServiceBackends::new(directory, &evacuations, region_of);
+        *self.backends.write() = sync::Arc::new(backends);
+    }
 }
--- a/crates/lift_gateway/src/gateway_observer.rs
+++ b/crates/lift_gateway/src/gateway_observer.rs
@@ -29,10 +29,26 @@
                 "silent" => record.is_silent, "sequence" => announcement.sequence);
         }
         if !changed.is_empty() {
+            let left_out = self.shared.fleet.backends().evacuated();
+            self.shared
+                .counters
+                .set("gateway.evacuated_backends", left_out as u64);
             self.shared.capacity_changed.notify_one();
         }
     }
 
+    fn on_evacuations(&self, evacuations: &lift_fleet::Evacuations) {
+        let shared = &self.shared;
+        let before = shared.fleet.set_evacuations(evacuations);
+        let left_out = shared.fleet.backends().evacuated();
+        shared
+            .counters
+            .set("gateway.evacuated_backends", left_out as u64);
+        log_changes(shared, &before, evacuations, left_out);
+        // All waiting requests look again, so that those without a server left are refused at once.
+        shared.capacity_changed.notify_waiters();
+    }
+
     fn on_weights(
         &self,
         model: &lift_fleet::ModelName,
@@ -68,3 +84,26 @@
         }
     }
 }
+
+/// Logs the failure domains that are evacuated now and were not before, and the other way round.
+fn log_changes(
+    shared: &shared::Shared,
+    before: &lift_fleet::Evacuations,
+    evacuations: &lift_fleet::Evacuations,
+    left_out: usize,
+) {
+    let log = shared.log.logger();
+    let revision = evacuations.revision();
+    for domain in evacuations.failure_domains() {
+        if !before.contains(domain) {
+            slog::info!(log, "failure domain evacuated"; "failure_domain" => domain,
+                "revision" => revision, "backends_left_out" => left_out);
+        }
+    }
+    for domain in before.failure_domains() {
+        if !evacuations.contains(domain) {
+            slog::info!(log, "failure domain restored"; "failure_domain" => domain,
+                "revision" => revision, "backends_left_out" => left_out);
+        }
+    }
+}
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -182,10 +182,7 @@
             let left = until.saturating_duration_since(lift_clock::now());
             if !may_change || tokio::time::timeout(left, capacity_changed).await.is_err() {
                 self.log_loads(error);
-                return Err(lift_dispatch::RejectionReason::from_selection_error(
-                    error,
-                    self.may_have_run,
-                ));
+                return Err(self.selection_failure(error));
             }
         }
     }
--- a/crates/lift_gateway/src/request_run.rs
+++ b/crates/lift_gateway/src/request_run.rs
@@ -193,6 +193,21 @@
         }
     }
 
+    /// Reason for rejecting a request for which no backend server could be selected.
+    pub(crate) fn selection_failure(
+        &self,
+        error: lift_dispatch::SelectionError,
+    ) -> lift_dispatch::RejectionReason {
+        let reason = lift_dispatch::RejectionReason::from_selection_error(error, self.may_have_run);
+        let is_evacuated = || self.shared.fleet.backends().is_evacuated(&self.service);
+        match reason {
+            lift_dispatch::RejectionReason::NoBackend if is_evacuated() => {
+                lift_dispatch::RejectionReason::Evacuated
+            }
+            reason => reason,
+        }
+    }
+
     pub(crate) fn deadline_reason(&self) -> lift_dispatch::RejectionReason {
         match self.may_have_run {
             true => lift_dispatch::RejectionReason::Late,
--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -124,7 +124,10 @@
         if !self.is_confirmed(lift_clock::now()) {
             return Err(lift_dispatch::RejectionReason::Unconfirmed);
         }
-        if self.fleet.backends().is_empty() {
+        // A gateway whose servers are all evacuated stays ready. The others know the same, so without
+        // it callers would get no answer instead of a refusal.
+        let backends = self.fleet.backends();
+        if backends.is_empty() && backends.evacuated() == 0 {
             return Err(lift_dispatch::RejectionReason::NoBackend);
         }
         Ok(())
--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -142,6 +142,36 @@
         tokio::time::sleep(time::Duration::from_millis(100)).await;
     }
 
+    /// Announces a backend server in another failure domain than that of the gateway.
+    pub(crate) fn announce_in(&self, domain: &str, backend: &backend::Backend, sequence: u64) {
+        self.publish(lift_fleet::Announcement {
+            failure_domain: String::from(domain),
+            ..announcement(backend.address, sequence, lift_fleet::BackendState::Ready)
+        });
+    }
+
+    /// Evacuates a failure domain by the log entry at `revision`.
+    pub(crate) async fn evacuate(&self, revision: u64, domain: &str) {
+        self.source
+            .evacuations
+            .lock()
+            .evacuate(revision, String::from(domain));
+        self.push_head().await;
+    }
+
+    /// Restores a failure domain by the log entry at `revision`.
+    pub(crate) async fn restore(&self, revision: u64, domain: &str) {
+        self.source.evacuations.lock().restore(revision, domain);
+        self.push_head().await;
+    }
+
+    async fn push_head(&self) {
+        self.feed
+            .push_head(lift_feed::FeedSource::head(&*self.source));
+        // The gateway takes it over.
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+
     pub(crate) fn announce(&self, backend: &backend::Backend, sequence: u64) {
         self.set_state(backend, sequence, lift_fleet::BackendState::Ready);
     }
--- a/crates/lift_gateway/tests/support/source.rs
+++ b/crates/lift_gateway/tests/support/source.rs
@@ -11,6 +11,7 @@
     pub(crate) replaced: sync::atomic::AtomicU64,
     pub(crate) weights:
         parking_lot::Mutex<indexmap::IndexMap<lift_fleet::ModelName, lift_feed::NamedWeights>>,
+    pub(crate) evacuations: parking_lot::Mutex<lift_fleet::Evacuations>,
 }
 
 impl Source {
@@ -29,6 +30,7 @@
         lift_feed::FleetHead {
             document: self.version(),
             weights: self.weights.lock().clone(),
+            evacuations: self.evacuations.lock().clone(),
         }
     }
 
@@ -45,9 +47,12 @@
         self.backends.lock().clone()
     }
 
-    fn confirm(&self) -> Option<u64> {
+    fn confirm(&self) -> Option<lift_feed::Confirmation> {
         let is_leader = self.is_leader.load(sync::atomic::Ordering::SeqCst);
-        is_leader.then(|| self.version())
+        is_leader.then(|| lift_feed::Confirmation {
+            document: self.version(),
+            evacuations: self.evacuations.lock().revision(),
+        })
     }
 
     async fn join(&self, _: lift_feed::Newcomer) -> lift_feed::JoinAnswer {
--- a/crates/lift_node/src/fleet_node.rs
+++ b/crates/lift_node/src/fleet_node.rs
@@ -10,8 +10,8 @@
 /// Heartbeats of a backend server that may be missing before it counts as down.
 const SILENT_HEARTBEATS: u32 = 4;
 
-/// Part of the time in which a key must be refused that the confirmation of the configuration
-/// may be old. The rest is for requests on their way to a backend server.
+/// Part of the time in which a key must be refused, or an evacuated failure domain left, that the
+/// confirmation of the configuration and the evacuations may be old. The rest is for requests on their way to a backend server.
 const CONFIRMATION_PERCENT: u32 = 80;
 
 /// Part of the time in which new weights must be in place for which older ones are accepted.
@@ -183,6 +183,9 @@
         if self.settings.first_start {
             builder = builder.first_start();
         }
+        for domain in self.settings.failure_domains.keys() {
+            builder = builder.failure_domain(domain.clone());
+        }
         let started = builder.start().await;
         let member = started.change_context(node_error::NodeError::Control)?;
         let counters = sync::Arc::clone(&self.metrics.counters);
@@ -202,9 +205,12 @@
             return Ok(None);
         };
         let bounds = &self.settings.bounds;
+        let unconfirmed_ms = bounds
+            .evacuate_ms
+            .map_or(bounds.revoke_ms, |ms| ms.min(bounds.revoke_ms));
         let limits = lift_gateway::GatewayLimits {
             confirmation: lift_dispatch::ConfirmationLimits {
-                serving: percent(bounds.revoke_ms, CONFIRMATION_PERCENT),
+                serving: percent(unconfirmed_ms, CONFIRMATION_PERCENT),
                 denial: time::Duration::from_millis(bounds.apply_ms),
             },
             weights_grace: percent(bounds.weights_ms, WEIGHTS_PERCENT),
--- a/crates/lift_obs/src/counters.rs
+++ b/crates/lift_obs/src/counters.rs
@@ -9,7 +9,7 @@
 
 type Name = borrow::Cow<'static, str>;
 
-/// Named counters that only grow, split into shards by name.
+/// Named counters, split into shards by name. They only grow, except those that are set.
 #[derive(Debug)]
 pub struct Counters {
     shards: lift_shard::Shards<indexmap::IndexMap<Name, u64>>,
@@ -35,6 +35,13 @@
         });
     }
 
+    /// Sets the counter `name`, for a number that also falls.
+    pub fn set(&self, name: &'static str, value: u64) {
+        self.shards.with(name, |counts| {
+            counts.insert(Name::Borrowed(name), value);
+        });
+    }
+
     /// Adds one to the counter `GROUP.MEMBER`, for the members of an enum.
     pub fn increment_member(&self, group: &str, member: &str) {
         let name = format!("{group}.{member}");
--- a/crates/lift_registry/src/control_member.rs
+++ b/crates/lift_registry/src/control_member.rs
@@ -37,7 +37,10 @@
     ) -> Result<Self> {
         let start_error = fleet_control_error::FleetControlError::Start;
         let node = settings.node.ok_or(start_error("node"))?;
-        let registry = sync::Arc::new(registry::Registry::new(node.clone()));
+        let registry = sync::Arc::new(registry::Registry::new(
+            node.clone(),
+            settings.failure_domains,
+        ));
         let listener = tokio::net::TcpListener::bind(node.ports.feed(node.listen_host())).await;
         let listener = listener.change_context(start_error("feed listener"))?;
         let source: sync::Arc<dyn lift_feed::FeedSource> = registry.clone();
@@ -132,7 +135,7 @@
     Box::pin(task)
 }
 
-/// Pushes the versions in force to all nodes whenever they change.
+/// Pushes the versions and evacuations in force to all nodes whenever they change.
 async fn push_head_changes(
     registry: sync::Arc<registry::Registry>,
     feed: sync::Arc<lift_feed::FeedServer>,
@@ -140,6 +143,10 @@
     let mut changes = registry.state_machine.watch();
     while changes.changed().await.is_ok() {
         changes.borrow_and_update();
-        feed.push_head(registry.state_machine.head());
+        let head = registry.state_machine.head();
+        let evacuated = head.evacuations.len() as u64;
+        let counters = &registry.node.counters;
+        counters.set("control.evacuated_domains", evacuated);
+        feed.push_head(head);
     }
 }
--- a/crates/lift_registry/src/control_member_builder.rs
+++ b/crates/lift_registry/src/control_member_builder.rs
@@ -14,6 +14,7 @@
     pub(crate) is_first_start: bool,
     pub(crate) timing: lift_consensus::Timing,
     pub(crate) heartbeat_timeout: Option<time::Duration>,
+    pub(crate) failure_domains: indexmap::IndexSet<lift_types::FailureDomainId>,
 }
 
 impl ControlMemberBuilder {
@@ -53,6 +54,12 @@
         self
     }
 
+    /// Adds a failure domain that operators may evacuate.
+    pub fn failure_domain(mut self, failure_domain: lift_types::FailureDomainId) -> Self {
+        self.failure_domains.insert(failure_domain);
+        self
+    }
+
     /// Opens the feed listener and starts the member. Its log may not run yet on return, for
     /// instance while it asks to join.
     ///
--- a/crates/lift_registry/src/fleet_control.rs
+++ b/crates/lift_registry/src/fleet_control.rs
@@ -30,6 +30,28 @@
         version: lift_fleet::WeightsVersion,
     ) -> Result<lift_fleet::FleetReply>;
 
+    /// Asks that backend servers in `failure_domain` get no more requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`fleet_control_error::FleetControlError::FailureDomain`] for one that the settings
+    /// don't list.
+    async fn evacuate(
+        &self,
+        failure_domain: lift_types::FailureDomainId,
+    ) -> Result<lift_fleet::FleetReply>;
+
+    /// Withdraws an evacuation.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::evacuate`], except that a failure domain that is evacuated need not be in
+    /// the settings any more.
+    async fn restore(
+        &self,
+        failure_domain: lift_types::FailureDomainId,
+    ) -> Result<lift_fleet::FleetReply>;
+
     /// Applies a heartbeat of a backend server. Changes are pushed to the other nodes at once;
     /// heartbeats without a change are relayed to the other members in batches.
     fn announce(&self, announcement: lift_fleet::Announcement) -> Result<()>;
--- a/crates/lift_registry/src/fleet_control_error.rs
+++ b/crates/lift_registry/src/fleet_control_error.rs
@@ -28,6 +28,9 @@
     /// The name of the model is empty or too long. No version was set.
     #[error("the name of the model is empty or too long")]
     Model,
+    /// The failure domain is not in the settings. Nothing was evacuated or restored.
+    #[error("the failure domain {0} is unknown")]
+    FailureDomain(lift_types::FailureDomainId),
     /// A part of the member, named here, can't be started, or a setting is missing.
     #[error("the control member can't be started: {0}")]
     Start(&'static str),
--- a/crates/lift_registry/src/fleet_state_machine.rs
+++ b/crates/lift_registry/src/fleet_state_machine.rs
@@ -50,8 +50,8 @@
         self.state.lock().document_version()
     }
 
-    /// Returns the version of the document in force and the target versions of all models, with
-    /// the time since they were set where it is known.
+    /// Returns the version of the document in force, the evacuated failure domains and the target
+    /// versions of all models, with the time since they were set where it is known.
     pub fn head(&self) -> lift_feed::FleetHead {
         let now = lift_clock::now();
         let state = self.state.lock();
@@ -63,9 +63,24 @@
         lift_feed::FleetHead {
             document: state.document_version(),
             weights: weights.collect(),
+            evacuations: state.evacuations().clone(),
         }
     }
 
+    /// Returns the versions and revisions that the leader confirms.
+    pub fn confirmation(&self) -> lift_feed::Confirmation {
+        let state = self.state.lock();
+        lift_feed::Confirmation {
+            document: state.document_version(),
+            evacuations: state.evacuations().revision(),
+        }
+    }
+
+    /// Returns the evacuated failure domains.
+    pub fn evacuations(&self) -> lift_fleet::Evacuations {
+        self.state.lock().evacuations().clone()
+    }
+
     /// Returns a receiver that is notified whenever the state changes.
     pub fn watch(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
@@ -128,6 +143,17 @@
     }
 }
 
+/// Decodes a snapshot of this or the earlier format, which ends before the evacuations.
+fn decode_state(buf: &[u8]) -> Option<lift_fleet::FleetState> {
+    if let Ok((state, [])) = postcard::take_from_bytes::<lift_fleet::FleetState>(buf) {
+        return Some(state);
+    }
+    match postcard::take_from_bytes::<lift_fleet::EarlierFleetState>(buf) {
+        Ok((state, [])) => Some(state.into()),
+        _ => None,
+    }
+}
+
 impl Default for FleetStateMachine {
     fn default() -> Self {
         Self::new()
@@ -142,13 +168,13 @@
         self.is_replaying.store(true, atomic::Ordering::Release);
     }
 
-    fn apply(&self, _index: lift_types::LogIndex, command: &[u8]) -> bytes::Bytes {
+    fn apply(&self, index: lift_types::LogIndex, command: &[u8]) -> bytes::Bytes {
         let Ok(command) = postcard::from_bytes::<lift_fleet::FleetCommand>(command) else {
             self.unreadable_commands
                 .fetch_add(1, atomic::Ordering::AcqRel);
             return bytes::Bytes::new();
         };
-        let reply = self.state.lock().apply(command.clone());
+        let reply = self.state.lock().apply(index, command.clone());
         if reply == lift_fleet::FleetReply::Applied {
             self.record_target_version(&command);
             self.notify_watchers();
@@ -168,7 +194,7 @@
     }
 
     fn restore(&self, buf: &[u8]) -> bool {
-        let Ok(restored) = postcard::from_bytes(buf) else {
+        let Some(restored) = decode_state(buf) else {
             return false;
         };
         *self.state.lock() = restored;
--- a/crates/lift_registry/src/lib.rs
+++ b/crates/lift_registry/src/lib.rs
@@ -1,8 +1,8 @@
-//! Control members of a fleet: the replicated document in force and target versions, and the
-//! directory of backend servers, which announce themselves.
+//! Control members of a fleet: the replicated document in force, target versions and evacuations,
+//! and the directory of backend servers, which announce themselves.
 //!
-//! A [`ControlMember`] runs three parts: the replicated log, which stores the document in force
-//! and the target versions of weights ([`FleetStateMachine`]); the directory of backend servers,
+//! A [`ControlMember`] runs three parts: the replicated log, which stores the document in force,
+//! the target versions of weights and the evacuated failure domains ([`FleetStateMachine`]); the directory of backend servers,
 //! which the members exchange; and the feed for all other nodes. A host with an empty disk becomes
 //! a member by a join request, and so does one whose member was removed, also if it was one of the
 //! first. The leader removes a voter that stopped answering if the number of voters is even.
--- a/crates/lift_registry/src/registry.rs
+++ b/crates/lift_registry/src/registry.rs
@@ -20,6 +20,8 @@
     /// Heartbeats without a change that are still to be relayed to the other members.
     pub(crate) refreshed: parking_lot::Mutex<Vec<lift_fleet::BackendRecord>>,
     pub(crate) node: lift_feed::NodeSetup,
+    /// Failure domains of the fleet, which operators may evacuate.
+    pub(crate) failure_domains: indexmap::IndexSet<lift_types::FailureDomainId>,
     pub(crate) feed: sync::OnceLock<sync::Weak<lift_feed::FeedServer>>,
     /// Held during a join request. It may take several member changes, which must not be
     /// interleaved with those of another request.
@@ -27,13 +29,17 @@
 }
 
 impl Registry {
-    pub(crate) fn new(node: lift_feed::NodeSetup) -> Self {
+    pub(crate) fn new(
+        node: lift_feed::NodeSetup,
+        failure_domains: indexmap::IndexSet<lift_types::FailureDomainId>,
+    ) -> Self {
         Self {
             state_machine: sync::Arc::new(fleet_state_machine::FleetStateMachine::new()),
             current_log: current_log::CurrentLog::default(),
             directory: parking_lot::Mutex::default(),
             refreshed: parking_lot::Mutex::default(),
             node,
+            failure_domains,
             feed: sync::OnceLock::new(),
             join_lock: tokio::sync::Mutex::new(()),
         }
--- a/crates/lift_registry/src/registry_control.rs
+++ b/crates/lift_registry/src/registry_control.rs
@@ -70,6 +70,36 @@
         reply
     }
 
+    async fn evacuate(
+        &self,
+        failure_domain: lift_types::FailureDomainId,
+    ) -> Result<lift_fleet::FleetReply> {
+        self.check_failure_domain(&failure_domain)?;
+        let command = lift_fleet::FleetCommand::Evacuate {
+            failure_domain: failure_domain.clone(),
+        };
+        let reply = self.propose(&command).await;
+        slog::info!(self.node.log, "evacuation asked"; "failure_domain" => failure_domain,
+            "revision" => self.state_machine.confirmation().evacuations,
+            "outcome" => outcome(&reply));
+        reply
+    }
+
+    async fn restore(
+        &self,
+        failure_domain: lift_types::FailureDomainId,
+    ) -> Result<lift_fleet::FleetReply> {
+        self.check_failure_domain(&failure_domain)?;
+        let command = lift_fleet::FleetCommand::Restore {
+            failure_domain: failure_domain.clone(),
+        };
+        let reply = self.propose(&command).await;
+        slog::info!(self.node.log, "restoration asked"; "failure_domain" => failure_domain,
+            "revision" => self.state_machine.confirmation().evacuations,
+            "outcome" => outcome(&reply));
+        reply
+    }
+
     fn announce(&self, announcement: lift_fleet::Announcement) -> Result<()> {
         self.check_quorum()?;
         let checked = announcement.check();
@@ -131,6 +161,21 @@
         Ok(reply.ok_or(fleet_control_error::FleetControlError::Unknown)?)
     }
 
+    /// Rejects a failure domain that is neither in the settings nor evacuated. Only the leader
+    /// decides, since the settings of the members may differ while they are changed.
+    fn check_failure_domain(&self, failure_domain: &str) -> Result<()> {
+        self.current_log.leader_log()?;
+        let is_known = self.failure_domains.contains(failure_domain)
+            || self.state_machine.evacuations().contains(failure_domain);
+        if is_known {
+            return Ok(());
+        }
+        let unknown = String::from(failure_domain);
+        Err(error_stack::Report::new(
+            fleet_control_error::FleetControlError::FailureDomain(unknown),
+        ))
+    }
+
     /// Rejects announcements and deregistrations if this member can't reach a quorum. They would
     /// not reach the nodes that are connected to the quorum, so the backend server should call
     /// another member.
--- a/crates/lift_registry/src/registry_source.rs
+++ b/crates/lift_registry/src/registry_source.rs
@@ -40,11 +40,11 @@
         self.directory.lock().records().cloned().collect()
     }
 
-    fn confirm(&self) -> Option<lift_fleet::DocumentVersion> {
-        let version = self.state_machine.document_version();
+    fn confirm(&self) -> Option<lift_feed::Confirmation> {
+        let confirmation = self.state_machine.confirmation();
         let is_confirmed =
             self.current_log.leader_log().is_ok() && self.state_machine.unreadable_commands() == 0;
-        is_confirmed.then_some(version)
+        is_confirmed.then_some(confirmation)
     }
 
     async fn join(&self, request: lift_feed::Newcomer) -> lift_feed::JoinAnswer {
--- a/crates/lift_registry/tests/support/fleet.rs
+++ b/crates/lift_registry/tests/support/fleet.rs
@@ -67,7 +67,9 @@
         let mut builder = ControlMember::builder()
             .node(self.node(number, lift_feed::NodeKind::Control))
             .folder(self.disks[number].path())
-            .control(self.control(number));
+            .control(self.control(number))
+            .failure_domain(String::from("east"))
+            .failure_domain(String::from("west"));
         if is_first {
             builder = builder.first_start();
         }
--- a/crates/lift_settings/src/fleet_bounds.rs
+++ b/crates/lift_settings/src/fleet_bounds.rs
@@ -16,6 +16,10 @@
     /// Time after which a key that was taken away must not be accepted anywhere, in
     /// milliseconds.
     pub revoke_ms: u64,
+    /// Time after which no request may reach a backend server in an evacuated failure domain, in
+    /// milliseconds. Without it `revoke_ms` alone limits for how long a gateway serves requests
+    /// that control does not confirm its state to.
+    pub evacuate_ms: Option<u64>,
     /// Time after which no request may begin on older weights, in milliseconds.
     pub weights_ms: u64,
     /// Further attempts that each request of a service pays for, over all gateways.
@@ -37,6 +41,12 @@
             ),
             ("bounds.apply_ms", self.apply_ms as f64, 500.0, 600_000.0),
             ("bounds.revoke_ms", self.revoke_ms as f64, 500.0, 600_000.0),
+            (
+                "bounds.evacuate_ms",
+                self.evacuate_ms.unwrap_or(self.revoke_ms) as f64,
+                500.0,
+                600_000.0,
+            ),
             (
                 "bounds.weights_ms",
                 self.weights_ms as f64,
@@ -65,6 +75,7 @@
             heartbeat_ms: 1_000,
             apply_ms: 2_000,
             revoke_ms: 5_000,
+            evacuate_ms: None,
             weights_ms: 60_000,
             repeat_share: 0.2,
             repeat_burst: 100.0,
--- a/crates/lift_settings/tests/fleet.rs
+++ b/crates/lift_settings/tests/fleet.rs
@@ -6,7 +6,7 @@
 /// Settings as the template of `deploy/settings.json` renders them for a control host.
 const RENDERED: &str = r#"{
   "control": { "listener": "10.1.0.42:8000", "data_dir": "/data/control" },
-  "bounds": { "heartbeat_ms": 1200, "revoke_ms": 5000, "weights_ms": 8000,
+  "bounds": { "heartbeat_ms": 1200, "revoke_ms": 5000, "evacuate_ms": 4800, "weights_ms": 8000,
     "repeat_share": 0.2, "repeat_burst": 104, "grace_s": 8 },
   "failure_domains": { "delta-east-a": "delta-east", "plateau-a": "plateau" },
   "seeds": [ "10.1.0.42:8000", "10.2.0.39:8000" ],
@@ -28,6 +28,7 @@
     settings.check().unwrap();
     assert_eq!(settings.grace().as_secs(), 8);
     assert!(settings.first_start);
+    assert_eq!(settings.bounds.evacuate_ms, Some(4_800));
     assert_eq!(settings.failure_domains["plateau-a"], "plateau");
 }
 
@@ -44,6 +45,11 @@
             "\"revoke_ms\": 1",
             "bounds.revoke_ms",
         ),
+        (
+            "\"evacuate_ms\": 4800",
+            "\"evacuate_ms\": 0",
+            "bounds.evacuate_ms",
+        ),
         (
             "\"repeat_share\": 0.2",
             "\"repeat_share\": -1",
--- a/crates/lift_stage/tests/support/fleet.rs
+++ b/crates/lift_stage/tests/support/fleet.rs
@@ -62,6 +62,7 @@
         lift_feed::FleetHead {
             document: 1,
             weights: weights.into_iter().collect(),
+            evacuations: lift_fleet::Evacuations::default(),
         }
     }
 
@@ -77,8 +78,11 @@
         Vec::new()
     }
 
-    fn confirm(&self) -> Option<u64> {
-        Some(1)
+    fn confirm(&self) -> Option<lift_feed::Confirmation> {
+        Some(lift_feed::Confirmation {
+            document: 1,
+            evacuations: 0,
+        })
     }
 
     async fn join(&self, _: lift_feed::Newcomer) -> lift_feed::JoinAnswer {
