Cold backend servers get what they tolerate from all gateways together

What callers saw: a backend server that starts during traffic, or becomes cold again, is filled by all gateways at once and crashes; the requests that it had are lost with it.

Cause: no decision used the warm-up that a server announces, a server that turned cold was no change that control pushes, and nothing limited the requests to a server that has just come back.

Change: lift_dispatch::ColdServer limits the requests of one gateway to a cold server in a sliding window, and ColdShares divides the limit of the service (requests_per_s x cold_overage + cold_slack) between the gateways that may be active. The share of a gateway falls with their number and with its rank among them, so that the shares add up to the limit for any number, also where lists differ. A server whose share is used up counts as full, and requests with no other server are refused at once. A server is cold as announced, after a start during traffic, and after it was silent or could not be reached. An announcement in which a server turns cold is a change.

--- a/crates/lift_dispatch/src/attempt_failure.rs
+++ b/crates/lift_dispatch/src/attempt_failure.rs
@@ -35,6 +35,17 @@
         )
     }
 
+    /// Whether the request does not count in the limit of a cold backend server: it was not sent, or
+    /// was answered with 421.
+    pub fn is_uncounted(self) -> bool {
+        matches!(self, Self::NotSent | Self::WrongServer | Self::WrongWeights)
+    }
+
+    /// Whether the backend server may have ended, so that it counts as cold once it is back.
+    pub fn may_have_ended(self) -> bool {
+        matches!(self, Self::NotSent | Self::WrongServer | Self::Broken)
+    }
+
     /// Whether the request has reached a backend server.
     pub fn has_reached_server(self) -> bool {
         self != Self::NotSent
--- a/crates/lift_dispatch/src/backend_selector.rs
+++ b/crates/lift_dispatch/src/backend_selector.rs
@@ -206,13 +206,15 @@
 }
 
 /// Combines the errors of two backend servers. `Full` takes precedence, since a slot may soon
-/// be free.
+/// be free. `Cold` comes before the others.
 fn prefer_full(
     known: selection_error::SelectionError,
     new: selection_error::SelectionError,
 ) -> selection_error::SelectionError {
-    match known {
-        selection_error::SelectionError::Full => known,
+    match (known, new) {
+        (selection_error::SelectionError::Full, _) => known,
+        (_, selection_error::SelectionError::Full) => new,
+        (selection_error::SelectionError::Cold, _) => known,
         _ => new,
     }
 }
--- a/crates/lift_dispatch/src/lib.rs
+++ b/crates/lift_dispatch/src/lib.rs
@@ -10,7 +10,8 @@
 //! determines on which versions of the weights a request may start. [`ConfirmationLimits`] tells
 //! how long a gateway may rely on its configuration, [`ServiceLatency`] how many requests may
 //! wait at a server. [`PartQuarantine`] finds the part of a prompt that crashes the backend servers
-//! which work on it.
+//! which work on it. [`ColdServer`] limits the requests to a server that has just started, to the
+//! part of a common limit that [`ColdShares`] gives each gateway.
 //!
 //! Agents use [`PrefillQueue`] to report how many prompts an engine has not read yet, and
 //! [`TargetVersions`] to find the version to load.
@@ -25,6 +26,11 @@
 mod backend_score;
 mod backend_selector;
 mod blocked_parts;
+mod cold_cost;
+mod cold_limit;
+mod cold_server;
+mod cold_shares;
+mod cold_state;
 mod confirmation_limits;
 mod considered_load;
 mod considered_loads;
@@ -44,6 +50,7 @@
 mod retry_context;
 mod retry_decision;
 mod selection_error;
+mod send_window;
 mod server_ends;
 mod service_backends;
 mod service_latency;
@@ -57,6 +64,10 @@
 pub use backend_score::BackendScore;
 pub use backend_selector::{BackendSelector, ScoreFn};
 pub use blocked_parts::BlockedParts;
+pub use cold_limit::ColdLimit;
+pub use cold_server::ColdServer;
+pub use cold_shares::ColdShares;
+pub use cold_state::ColdState;
 pub use confirmation_limits::ConfirmationLimits;
 pub use considered_load::ConsideredLoad;
 pub use considered_loads::ConsideredLoads;
--- a/crates/lift_dispatch/src/rejection_reason.rs
+++ b/crates/lift_dispatch/src/rejection_reason.rs
@@ -31,7 +31,7 @@
     /// needs.
     NoWeights,
     /// All backend servers that could run the request, except those tried before, are full, have
-    /// too many prompts to read, or are behind congested links.
+    /// too many prompts to read, are behind congested links, or are cold.
     Full,
     /// No backend server could be reached, or none accepted the request.
     NotTaken,
@@ -83,7 +83,9 @@
             selection_error::SelectionError::NoBackend => Self::NoBackend,
             selection_error::SelectionError::NoAllowedRegion => Self::NoAllowedRegion,
             selection_error::SelectionError::NoWeights => Self::NoWeights,
-            selection_error::SelectionError::Full => Self::Full,
+            selection_error::SelectionError::Full | selection_error::SelectionError::Cold => {
+                Self::Full
+            }
             selection_error::SelectionError::Tried => Self::NotTaken,
         }
     }
--- a/crates/lift_dispatch/src/selection_error.rs
+++ b/crates/lift_dispatch/src/selection_error.rs
@@ -1,7 +1,7 @@
 //! Why no backend server was selected.
 
-/// Reason why no backend server can get a request now. [`Self::NoWeights`] and [`Self::Full`]
-/// disregard the backend servers to which the request was sent before.
+/// Reason why no backend server can get a request now. [`Self::NoWeights`], [`Self::Full`] and
+/// [`Self::Cold`] disregard the backend servers to which the request was sent before.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter, strum::IntoStaticStr,
 )]
@@ -17,6 +17,9 @@
     /// All backend servers that could run the request are full, have too many prompts to read, or
     /// are behind congested links.
     Full,
+    /// All backend servers that could run the request are cold, and this gateway has sent them all
+    /// the requests that it may send them within a second.
+    Cold,
     /// The request has been sent to all backend servers already.
     Tried,
 }
--- a/crates/lift_dispatch/src/service_backends.rs
+++ b/crates/lift_dispatch/src/service_backends.rs
@@ -44,6 +44,12 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Services and their backend servers.
+    pub fn services(&self) -> impl Iterator<Item = (&str, &[sync::Arc<backend::Backend>])> {
+        let services = self.services.iter();
+        services.map(|(service, backends)| (service.as_str(), backends.as_slice()))
+    }
+
     /// Number of backend servers of all services.
     pub fn len(&self) -> usize {
         self.services.values().map(Vec::len).sum()
--- a/crates/lift_fleet/src/announcement.rs
+++ b/crates/lift_fleet/src/announcement.rs
@@ -22,6 +22,9 @@
 /// no restart would be newer than it.
 const START_LIMIT: time::Duration = time::Duration::from_secs(253_402_300_800);
 
+/// Difference between warm-up times that different delays of two heartbeats may cause.
+const WARMUP_TOLERANCE: time::Duration = time::Duration::from_millis(500);
+
 type Result = std::result::Result<(), announcement_error::AnnouncementError>;
 
 /// Content of one heartbeat, by which a backend server announces its address and state.
@@ -89,8 +92,19 @@
         (self.started_at, self.sequence) > (other.started_at, other.sequence)
     }
 
+    /// Whether the server has become cold since `earlier`, which is `age` old and has the same
+    /// identifier: it is cold and was warm by now, or is cold for clearly longer.
+    pub fn has_turned_cold(&self, earlier: &Self, age: time::Duration) -> bool {
+        let left = earlier.warmup_left.saturating_sub(age);
+        let expected = match left.is_zero() {
+            true => left,
+            false => left.saturating_add(WARMUP_TOLERANCE),
+        };
+        self.warmup_left > expected
+    }
+
     /// Whether both have the same content apart from the sequence and the warm-up time, which
-    /// change with every heartbeat.
+    /// change with every heartbeat. [`Self::has_turned_cold`] compares the latter.
     pub fn has_same_content(&self, other: &Self) -> bool {
         self.started_at == other.started_at
             && self.service == other.service
--- a/crates/lift_fleet/src/directory.rs
+++ b/crates/lift_fleet/src/directory.rs
@@ -71,8 +71,13 @@
         if !is_final && !record.announcement.is_newer_than(&known.announcement) {
             return update_outcome::UpdateOutcome::Stale;
         }
-        let is_refresh =
-            !known.is_silent && record.announcement.has_same_content(&known.announcement);
+        let age = now.saturating_duration_since(entry.last_seen);
+        let has_turned_cold = record
+            .announcement
+            .has_turned_cold(&known.announcement, age);
+        let is_refresh = !known.is_silent
+            && !has_turned_cold
+            && record.announcement.has_same_content(&known.announcement);
         *entry = Entry {
             record,
             last_seen: now,
--- a/crates/lift_fleet/src/update_outcome.rs
+++ b/crates/lift_fleet/src/update_outcome.rs
@@ -9,6 +9,6 @@
     /// Nothing has changed but the sequence and the warm-up time.
     Refreshed,
     /// State, models, address or another property has changed, the backend server was unknown
-    /// before, or it has become silent or is no longer silent.
+    /// before, has turned cold, or has become silent or is no longer silent.
     Changed,
 }
--- a/crates/lift_gateway/src/gateway.rs
+++ b/crates/lift_gateway/src/gateway.rs
@@ -134,5 +134,6 @@
         let now = lift_clock::now();
         shared.pool.remove_expired(now);
         shared.loads.remove_idle(now);
+        shared.update_cold_servers(now);
     }
 }
--- a/crates/lift_gateway/src/gateway_limits.rs
+++ b/crates/lift_gateway/src/gateway_limits.rs
@@ -13,6 +13,11 @@
     pub retry_ratio: f64,
     /// Retries of one service that are allowed at once, over all gateways.
     pub retry_burst: f64,
+    /// Requests that a cold backend server may get, as a multiple of those that it tolerates, over
+    /// all gateways.
+    pub cold_overage: f64,
+    /// Requests that a cold backend server may get beyond that, within one second.
+    pub cold_slack: f64,
     /// Time after the start of a graceful stop for which new connections and requests are still
     /// accepted. At most half of the grace time is used.
     pub shutdown_delay: time::Duration,
@@ -33,6 +38,8 @@
             weights_grace: time::Duration::from_secs(6),
             retry_ratio: 0.15,
             retry_burst: 50.0,
+            cold_overage: 1.0,
+            cold_slack: 0.0,
             shutdown_delay: time::Duration::from_millis(2_600),
             max_connections: 2_000,
             max_answer_bytes: 32 * 1024 * 1024,
--- a/crates/lift_gateway/src/gateway_observer.rs
+++ b/crates/lift_gateway/src/gateway_observer.rs
@@ -13,6 +13,7 @@
 impl lift_feed::FleetObserver for GatewayObserver {
     fn on_table(&self, table: sync::Arc<lift_fleet::RoutingTable>) {
         self.shared.fleet.set_table(table);
+        self.shared.update_cold_servers(lift_clock::now());
     }
 
     fn on_confirmed(&self, at: time::Instant) {
@@ -20,13 +21,16 @@
     }
 
     fn on_backends(&self, records: Vec<lift_fleet::BackendRecord>) {
-        let changed = self.shared.fleet.merge(lift_clock::now(), records);
+        let now = lift_clock::now();
+        let changed = self.shared.fleet.merge(now, records);
+        self.shared.announce_to_cold_servers(now, &changed);
         for record in &changed {
             let announcement = &record.announcement;
             slog::info!(self.shared.log.logger(), "backend server changed";
                 "backend" => &announcement.id, "service" => &announcement.service,
                 "address" => announcement.address, "state" => %announcement.state,
-                "silent" => record.is_silent, "sequence" => announcement.sequence);
+                "silent" => record.is_silent, "sequence" => announcement.sequence,
+                "cold_ms" => announcement.warmup_left.as_millis() as u64);
         }
         if !changed.is_empty() {
             self.shared.capacity_changed.notify_one();
@@ -60,6 +64,8 @@
         let gateways: Vec<lift_types::Location> = gateways.collect();
         let shares = lift_dispatch::GatewayShares::new(&self.shared.location, &gateways);
         let now = lift_clock::now();
+        self.shared.cold_servers.record_gateways(now, &gateways);
+        self.shared.update_cold_servers(now);
         let known = shares.total();
         let before = self.shared.fleet.set_gateways(now, shares);
         if before != Some(known) {
--- a/crates/lift_gateway/src/lib.rs
+++ b/crates/lift_gateway/src/lib.rs
@@ -22,6 +22,8 @@
 mod byte_budget;
 mod caller_connection;
 mod caller_head;
+mod cold_servers;
+mod cold_watch;
 mod dialect;
 mod dialect_error;
 mod end_to_end;
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts of one request.
 
-use std::{sync, time};
+use std::{cell, sync, time};
 
 use rand::RngExt as _;
 
@@ -47,6 +47,7 @@
                 self.servers_reached += 1;
                 self.may_have_run = true;
                 self.record_head_latency(&backend, now);
+                self.shared.cold_servers.reach(now, backend.address);
                 self.record_start(&exchange, now);
                 Ok(exchange)
             }
@@ -220,11 +221,14 @@
             tried: &self.tried,
         };
         let backends = shared.fleet.backends();
+        let is_held_back = cell::Cell::new(false);
         let with_load = |backend: &lift_dispatch::Backend, score: lift_dispatch::ScoreFn<'_>| {
-            shared.loads.read(backend.address, score)
+            let score = shared.loads.read(backend.address, score);
+            shared.score_cold(now, backend.address, score, &is_held_back)
         };
         let draw = rand::rng().random_range(0..usize::from(u16::MAX));
-        selector.select(backends.backends(&self.service), &with_load, draw)
+        let select = || selector.select(backends.backends(&self.service), &with_load, draw);
+        shared.select_with_place(now, &is_held_back, select)
     }
 
     /// Regions in which the request may run: those of the configuration in force when it came, as
--- a/crates/lift_gateway/src/request_records.rs
+++ b/crates/lift_gateway/src/request_records.rs
@@ -17,6 +17,7 @@
             false => self.unsent_attempts += 1,
         }
         self.may_have_run |= !failure.is_not_run();
+        self.shared.give_place_back(sent_at, backend, failure);
         self.record_failure(backend, failure);
         if failure == lift_dispatch::AttemptFailure::Silent {
             self.record_head_latency(backend, sent_at);
@@ -93,6 +94,7 @@
             .counters
             .increment_member("attempt", <&str>::from(failure));
         let now = lift_clock::now();
+        shared.note_failure(now, backend, failure);
         shared.loads.update(backend.address, |load| match failure {
             lift_dispatch::AttemptFailure::NotSent
             | lift_dispatch::AttemptFailure::Silent
--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -5,8 +5,8 @@
 use sync::atomic;
 
 use crate::{
-    backend_loads, backend_pool, byte_budget, dialect, fleet_state, gateway_limits, part_guard,
-    request_log,
+    backend_loads, backend_pool, byte_budget, cold_servers, dialect, fleet_state, gateway_limits,
+    part_guard, request_log,
 };
 
 /// Number of shards of the state of services.
@@ -20,6 +20,7 @@
     pub(crate) dialect: sync::Arc<dyn dialect::Dialect>,
     pub(crate) fleet: fleet_state::FleetState,
     pub(crate) loads: backend_loads::BackendLoads,
+    pub(crate) cold_servers: cold_servers::ColdServers,
     pub(crate) pool: backend_pool::BackendPool,
     /// Memory of the answers that are held until they are complete.
     pub(crate) answer_bytes: sync::Arc<byte_budget::ByteBudget>,
@@ -56,6 +57,7 @@
         latencies: sync::Arc<lift_obs::Histograms>,
     ) -> Self {
         Self {
+            cold_servers: cold_servers::ColdServers::new(&location, limits.confirmation.serving),
             location,
             limits,
             dialect,
--- a/crates/lift_gateway/tests/support/backend.rs
+++ b/crates/lift_gateway/tests/support/backend.rs
@@ -149,18 +149,27 @@
 
 impl Backend {
     pub(crate) async fn start(replies: &[Reply]) -> Self {
-        Self::start_with(replies, None).await
+        Self::start_at(net::SocketAddr::from(([127, 0, 0, 1], 0)), replies).await
+    }
+
+    pub(crate) async fn start_at(address: net::SocketAddr, replies: &[Reply]) -> Self {
+        Self::start_with(address, replies, None).await
     }
 
     /// Starts a server that sends `beginning` and ends on requests with `part`: its listener and all
     /// its connections are closed. It answers all other requests.
     pub(crate) async fn start_crashing_on(part: &str, beginning: &str) -> Self {
         let deadly_part = (String::from(part), String::from(beginning));
-        Self::start_with(&[], Some(deadly_part)).await
+        let address = net::SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_with(address, &[], Some(deadly_part)).await
     }
 
-    async fn start_with(replies: &[Reply], deadly_part: Option<(String, String)>) -> Self {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    async fn start_with(
+        address: net::SocketAddr,
+        replies: &[Reply],
+        deadly_part: Option<(String, String)>,
+    ) -> Self {
+        let listener = tokio::net::TcpListener::bind(address).await.unwrap();
         let address = listener.local_addr().unwrap();
         let mut replies = replies.to_vec();
         replies.reverse();
--- a/crates/lift_gateway/tests/support/codec.rs
+++ b/crates/lift_gateway/tests/support/codec.rs
@@ -2,6 +2,9 @@
 
 use std::time;
 
+/// Service whose servers warm up, of the route `cold`.
+pub(crate) const COLD_SERVICE: &str = "c";
+
 /// The only API key.
 pub(crate) const KEY: &str = "k1";
 
@@ -27,7 +30,16 @@
             engine: None,
             origin: None,
         };
-        let mut builder = lift_fleet::RoutingTable::builder(version).service(service);
+        let cold_service = lift_fleet::Service {
+            name: String::from(COLD_SERVICE),
+            warmup: Some(lift_fleet::Warmup {
+                duration: time::Duration::from_secs(4),
+                requests_per_s: 10.0,
+            }),
+            ..service.clone()
+        };
+        let builder = lift_fleet::RoutingTable::builder(version).service(service);
+        let mut builder = builder.service(cold_service);
         for (name, kind) in kinds {
             builder = builder.route(lift_fleet::Route {
                 allowed_regions: allowed_regions.clone(),
@@ -40,6 +52,13 @@
             target_gap: time::Duration::MAX,
             ..route("endless_times", lift_fleet::RouteKind::ResumableStream)
         });
+        builder = builder.route(lift_fleet::Route {
+            splits: vec![lift_fleet::Split {
+                service: String::from(COLD_SERVICE),
+                weight: 1,
+            }],
+            ..route("cold", lift_fleet::RouteKind::NonIdempotent)
+        });
         let builder = builder.key(String::from(KEY), String::from("depots"))?;
         Ok(builder.build()?)
     }
--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -167,6 +167,23 @@
         });
     }
 
+    /// Announces a backend server of the service that warms up.
+    pub(crate) async fn announce_cold(
+        &self,
+        address: net::SocketAddr,
+        sequence: u64,
+        warmup_left: time::Duration,
+    ) {
+        self.publish(lift_fleet::Announcement {
+            service: String::from(codec::COLD_SERVICE),
+            slots: 100,
+            warmup_left,
+            ..announcement(address, sequence, lift_fleet::BackendState::Ready)
+        });
+        // The gateway takes it in.
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+
     /// Reports that an idle backend server holds `version` of [`MODEL`].
     pub(crate) async fn report_weights(
         &self,
--- a/crates/lift_node/src/fleet_node.rs
+++ b/crates/lift_node/src/fleet_node.rs
@@ -210,6 +210,8 @@
             weights_grace: percent(bounds.weights_ms, WEIGHTS_PERCENT),
             retry_ratio: bounds.repeat_share * REPEAT_PART,
             retry_burst: bounds.repeat_burst * REPEAT_PART,
+            cold_overage: bounds.cold_overage,
+            cold_slack: bounds.cold_slack,
             ..lift_gateway::GatewayLimits::default()
         };
         let mut builder = lift_gateway::Gateway::builder()
--- a/crates/lift_registry/src/registry.rs
+++ b/crates/lift_registry/src/registry.rs
@@ -69,7 +69,9 @@
             slog::info!(self.node.log, "backend server changed"; "backend" => &announcement.id,
                 "service" => &announcement.service, "address" => announcement.address,
                 "state" => %announcement.state, "silent" => record.is_silent,
-                "sequence" => announcement.sequence, "models" => ?announcement.models);
+                "sequence" => announcement.sequence,
+                "cold_ms" => announcement.warmup_left.as_millis() as u64,
+                "models" => ?announcement.models);
         }
         if let Some(feed) = self.feed() {
             feed.push_backends(changed);
--- a/crates/lift_settings/src/fleet_bounds.rs
+++ b/crates/lift_settings/src/fleet_bounds.rs
@@ -22,6 +22,11 @@
     pub repeat_share: f64,
     /// Further attempts of a service that may come at once, over all gateways.
     pub repeat_burst: f64,
+    /// Requests that a cold backend server may get, as a multiple of those that it tolerates, over
+    /// all gateways.
+    pub cold_overage: f64,
+    /// Requests that a cold backend server may get beyond that, within one second.
+    pub cold_slack: f64,
 }
 
 impl FleetBounds {
@@ -45,6 +50,8 @@
             ),
             ("bounds.repeat_share", self.repeat_share, 0.0, 10.0),
             ("bounds.repeat_burst", self.repeat_burst, 0.0, 1_000_000.0),
+            ("bounds.cold_overage", self.cold_overage, 0.0, 1_000.0),
+            ("bounds.cold_slack", self.cold_slack, 0.0, 1_000_000.0),
         ];
         for (path, value, least, most) in fields {
             if !(least..=most).contains(&value) {
@@ -68,6 +75,8 @@
             weights_ms: 60_000,
             repeat_share: 0.2,
             repeat_burst: 100.0,
+            cold_overage: 1.0,
+            cold_slack: 0.0,
         }
     }
 }
