Pieces go to other regions before the own one

Callers saw weights arrive late: in the first second a host takes 20 to 40% of what its link carries, and two thirds of it later.

Requests from other regions now have a slot and a queue of their own, and three instead of six requests of the own region wait at a sender; the others ask elsewhere. The link is shared by the same pacer, so live requests keep their priority.

--- a/crates/lift_stage/src/lib.rs
+++ b/crates/lift_stage/src/lib.rs
@@ -40,6 +40,7 @@
 mod stage_port;
 mod staged;
 mod staging_area;
+mod upload_slots;
 mod weights_keeper;
 
 pub use engine_report::EngineReport;
--- a/crates/lift_stage/src/piece_server.rs
+++ b/crates/lift_stage/src/piece_server.rs
@@ -5,7 +5,7 @@
 use error_stack::ResultExt as _;
 use tokio::sync::mpsc;
 
-use crate::{piece_connection, piece_message, shared, staged};
+use crate::{piece_connection, piece_message, shared, staged, upload_slots};
 
 /// Silence after which a connection is closed.
 const SILENCE: time::Duration = time::Duration::from_secs(5);
@@ -16,13 +16,9 @@
 /// Time between pings on a connection that sends nothing else.
 const PING_INTERVAL: time::Duration = time::Duration::from_millis(300);
 
-/// Pieces that are sent at once over all connections. Two keep the link busy while the next
-/// piece is read from the staging area.
-const SLOTS: usize = 2;
-
-/// Requests over all connections that may wait or be served. Others are refused at once: they do
-/// better to ask another agent than to wait until they time out here.
-const MAX_QUEUED: usize = 6;
+/// Requests of one connection that may wait to be answered. More than the queue of all connections
+/// holds never wait.
+const MAX_WAITING: usize = 6;
 
 /// Refusals of one connection that may wait to be sent.
 const MAX_REFUSALS: usize = 16;
@@ -34,20 +30,22 @@
 
 /// Accepts agents until the task is dropped.
 pub(crate) async fn run(shared: sync::Arc<shared::Shared>, listener: tokio::net::TcpListener) {
-    let slots = sync::Arc::new(tokio::sync::Semaphore::new(SLOTS));
-    let queue = sync::Arc::new(tokio::sync::Semaphore::new(MAX_QUEUED));
+    let local = upload_slots::UploadSlots::local();
+    let remote = upload_slots::UploadSlots::remote();
     let mut connections = tokio::task::JoinSet::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, from)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         while connections.try_join_next().is_some() {}
         let shared = sync::Arc::clone(&shared);
-        let slots = sync::Arc::clone(&slots);
-        let queue = sync::Arc::clone(&queue);
+        let slots = match shared.is_in_other_region(from.ip()) {
+            true => remote.clone(),
+            false => local.clone(),
+        };
         connections.spawn(async move {
-            if serve(&shared, &slots, &queue, stream).await.is_err() {
+            if serve(&shared, &slots, stream).await.is_err() {
                 shared.counters.increment("agent.piece_link_ended");
             }
         });
@@ -56,8 +54,7 @@
 
 async fn serve(
     shared: &shared::Shared,
-    slots: &tokio::sync::Semaphore,
-    queue: &sync::Arc<tokio::sync::Semaphore>,
+    slots: &upload_slots::UploadSlots,
     stream: tokio::net::TcpStream,
 ) -> Result<()> {
     lift_feed::prepare_link(&stream, SILENCE);
@@ -79,7 +76,6 @@
             let serving = Serving {
                 shared,
                 slots,
-                queue,
                 staged,
             };
             return serving.run(reader, writer).await;
@@ -118,8 +114,7 @@
 /// One connection whose version this agent works on.
 struct Serving<'a> {
     shared: &'a shared::Shared,
-    slots: &'a tokio::sync::Semaphore,
-    queue: &'a sync::Arc<tokio::sync::Semaphore>,
+    slots: &'a upload_slots::UploadSlots,
     staged: sync::Arc<staged::Staged>,
 }
 
@@ -129,7 +124,7 @@
         mut reader: piece_connection::Reader,
         mut writer: piece_connection::Writer,
     ) -> Result<()> {
-        let (asked, mut waiting) = mpsc::channel(MAX_QUEUED);
+        let (asked, mut waiting) = mpsc::channel(MAX_WAITING);
         let (refused, mut refusals) = mpsc::channel(MAX_REFUSALS);
         let reading = async {
             loop {
@@ -138,10 +133,9 @@
                     continue;
                 };
                 // The permit is given back once the request is answered.
-                let permit = sync::Arc::clone(self.queue).try_acquire_owned();
-                let is_sent = match permit {
-                    Ok(permit) => asked.send((index, permit)).await.is_ok(),
-                    Err(_) => refused.send(index).await.is_ok(),
+                let is_sent = match self.slots.enqueue() {
+                    Some(permit) => asked.send((index, permit)).await.is_ok(),
+                    None => refused.send(index).await.is_ok(),
                 };
                 if !is_sent {
                     return Err(error_stack::Report::new(lift_wire::WireError::Closed));
@@ -206,7 +200,7 @@
         writer: &mut piece_connection::Writer,
     ) -> Result<()> {
         let slot = self.slots.acquire().await;
-        let _slot = slot.change_context(lift_wire::WireError::Closed)?;
+        let _slot = slot.ok_or(lift_wire::WireError::Closed)?;
         let answer = match self.read(index).await {
             Some(bytes) => {
                 self.pace(bytes.len()).await;
--- a/crates/lift_stage/src/shared.rs
+++ b/crates/lift_stage/src/shared.rs
@@ -66,6 +66,15 @@
             .collect()
     }
 
+    /// Whether the node at `ip` is known to be in another region.
+    pub(crate) fn is_in_other_region(&self, ip: net::IpAddr) -> bool {
+        let nodes = self.nodes.borrow();
+        let node = nodes
+            .iter()
+            .find(|card| card.piece_addr.is_some_and(|address| address.ip() == ip));
+        node.is_some_and(|node| node.location.region != self.card.location.region)
+    }
+
     /// Where the weights come from, as far as the configuration tells.
     pub(crate) fn origin_endpoint(&self) -> Option<lift_fleet::OriginEndpoint> {
         let table = self.table.borrow().clone()?;
