Agents notice at once that the origin is back, and read it in turn

Callers saw a second version loaded first 4.4 s and last 5.4 s after the origin of weights was back, where one copy takes 2.1 s (7.8 s and 8.7 s where it takes 4.3 s).

Cause, shown by the model of the links: by the schedule of reads all pieces are due when the origin is back. Up to 48 reads begin at once and share its link, so for over a second no agent has any piece, and the exchange starts when the origin has nearly finished. Reads that were sent before the absence time out after up to four seconds, with time-outs that double. An agent without a manifest asked again after 0.55 s to 2 s.

While the origin is away nothing is read from it; an agent that needs it opens a connection every 75 to 225 ms, without a request and with a time-out of 250 ms (OriginWatch, OriginMonitor). Once it is back, reads follow each other at its rate as after a naming, and those that began before the absence are dropped. Manifests are asked for in the turn of the agents.

--- a/crates/lift_stage/src/arrival.rs
+++ b/crates/lift_stage/src/arrival.rs
@@ -24,11 +24,13 @@
         match shared::within(ORIGIN_TIMEOUT, reading).await {
             Ok(bytes) => {
                 self.shared.counters.increment("agent.pieces_from_origin");
+                self.shared.origin_monitor.record_answer();
                 self.arrive(chunk, bytes, source).await;
             }
             Err(e) => {
                 self.shared.counters.increment("agent.origin_failed");
                 slog::debug!(self.shared.log, "origin failed"; "piece" => chunk, "error" => %e);
+                self.on_origin_failure(e.current_context());
                 self.step(lift_transfer::DownloadEvent::Refused {
                     chunk,
                     source,
--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -45,7 +45,9 @@
     suspects: parking_lot::Mutex<indexmap::IndexSet<lift_types::HostId>>,
     done: watch::Sender<bool>,
     /// Ends the reads from the origin, whose answers nobody needs after the transfer.
-    stop: tokio_util::sync::CancellationToken,
+    pub(crate) stop: tokio_util::sync::CancellationToken,
+    /// Ends the reads from the origin that have begun before it went away.
+    pub(crate) reads: parking_lot::Mutex<tokio_util::sync::CancellationToken>,
     pub(crate) from_origin: atomic::AtomicU32,
     pub(crate) from_agents: atomic::AtomicU32,
 }
@@ -64,6 +66,7 @@
             .origin_rate(origin.bytes_per_s);
         let chunks = staged.manifest.chunks();
         let download = lift_transfer::Download::new(&shared.card.location, chunks, cfg);
+        let stop = tokio_util::sync::CancellationToken::new();
         let fetch = sync::Arc::new(Self {
             shared: sync::Arc::clone(shared),
             staged: sync::Arc::clone(&staged),
@@ -72,7 +75,8 @@
             links: parking_lot::Mutex::default(),
             suspects: parking_lot::Mutex::default(),
             done: watch::Sender::new(false),
-            stop: tokio_util::sync::CancellationToken::new(),
+            reads: parking_lot::Mutex::new(stop.child_token()),
+            stop,
             from_origin: atomic::AtomicU32::new(0),
             from_agents: atomic::AtomicU32::new(0),
         });
@@ -80,6 +84,7 @@
             fetch.step(lift_transfer::DownloadEvent::Held { chunk });
         }
         let _stop = fetch.stop.clone().drop_guard();
+        fetch.start_with_origin();
         let started = lift_clock::now();
         let result = fetch.follow().await;
         let took = lift_clock::now().saturating_duration_since(started);
@@ -121,6 +126,9 @@
     /// a few do so, or the origin would be busy with copies of the same pieces.
     fn read_missing(self: &sync::Arc<Self>) {
         self.shared.counters.increment("agent.fetch_stuck");
+        if !self.shared.origin_monitor.answers() {
+            return;
+        }
         let agents = self.shared.agents().len();
         if rand::rng().random_range(0..agents.max(1)) >= STUCK_AGENTS {
             return;
@@ -187,7 +195,11 @@
                     self.request(chunk, source);
                 }
                 // An answer that is no longer needed is dropped when it comes.
-                lift_transfer::DownloadAction::Cancel { .. } => {}
+                lift_transfer::DownloadAction::Cancel { source, .. } => {
+                    if source == lift_transfer::Source::Origin {
+                        self.check_origin();
+                    }
+                }
                 lift_transfer::DownloadAction::VerifyWeights => {
                     self.done.send_replace(true);
                 }
@@ -207,7 +219,8 @@
             lift_transfer::Source::Origin => {
                 let fetch = sync::Arc::clone(self);
                 let reading = async move { fetch.read_origin(chunk).await };
-                tokio::spawn(self.stop.clone().run_until_cancelled_owned(reading));
+                let reads = self.reads.lock().clone();
+                tokio::spawn(reads.run_until_cancelled_owned(reading));
             }
         }
     }
--- /dev/null
+++ b/crates/lift_stage/src/fetch_origin.rs
@@ -0,0 +1,57 @@
+//! What a transfer does when the origin goes away and comes back.
+
+use std::{sync, time};
+
+use crate::{fetch, stage_error};
+
+impl fetch::Fetch {
+    /// Starts to probe the origin if it is away already.
+    pub(crate) fn start_with_origin(self: &sync::Arc<Self>) {
+        if !self.shared.origin_monitor.answers() {
+            self.wait_for_origin();
+        }
+    }
+
+    /// Takes in that a read from the origin has failed.
+    pub(crate) fn on_origin_failure(self: &sync::Arc<Self>, error: &stage_error::StageError) {
+        // An origin that has dropped the version answers.
+        if *error != stage_error::StageError::Dropped && self.shared.origin_monitor.record_failure()
+        {
+            self.wait_for_origin();
+        }
+    }
+
+    /// Finds out whether the origin is away if a read takes long.
+    pub(crate) fn check_origin(self: &sync::Arc<Self>) {
+        if !self.shared.origin_monitor.answers() {
+            return;
+        }
+        let fetch = sync::Arc::clone(self);
+        let checking = async move {
+            if !fetch.shared.origin_monitor.is_reached(fetch.origin).await {
+                fetch.on_origin_failure(&stage_error::StageError::Timeout);
+            }
+        };
+        tokio::spawn(self.stop.clone().run_until_cancelled_owned(checking));
+    }
+
+    fn wait_for_origin(self: &sync::Arc<Self>) {
+        self.step(lift_transfer::DownloadEvent::OriginAway);
+        let fetch = sync::Arc::clone(self);
+        let waiting = async move {
+            let back = fetch.shared.origin_monitor.wait_until_back(fetch.origin);
+            let away_for = back.await;
+            fetch.on_origin_back(away_for);
+        };
+        tokio::spawn(self.stop.clone().run_until_cancelled_owned(waiting));
+    }
+
+    fn on_origin_back(self: &sync::Arc<Self>, away_for: time::Duration) {
+        if away_for >= lift_transfer::MIN_ORIGIN_ABSENCE {
+            // Pieces whose reads have begun before the absence are read again.
+            let reads = std::mem::replace(&mut *self.reads.lock(), self.stop.child_token());
+            reads.cancel();
+        }
+        self.step(lift_transfer::DownloadEvent::OriginBack { away_for });
+    }
+}
--- a/crates/lift_stage/src/manifest_source.rs
+++ b/crates/lift_stage/src/manifest_source.rs
@@ -23,8 +23,8 @@
 /// Longest time after which an agent asks the origin.
 const LONGEST_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 
-/// Time for which other agents are asked on after the origin has failed.
-const LAST_QUESTIONS: time::Duration = time::Duration::from_millis(400);
+/// Pause before the origin is asked again if it can be reached.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
 
 type Result<T> = std::result::Result<T, error_stack::Report<stage_error::StageError>>;
 
@@ -52,11 +52,18 @@
     let asked = async {
         let is_newer = named.wait_for(|named| named.newest(model) > version);
         let _ = tokio::time::timeout(patience, is_newer).await;
-        let answer = from_origin(shared, model, Some(version), origin).await;
-        if answer.is_err() {
-            tokio::time::sleep(LAST_QUESTIONS).await;
+        loop {
+            if shared.named(model) > version {
+                let superseded = stage_error::StageError::Superseded;
+                return Err(error_stack::Report::new(superseded));
+            }
+            let answer = from_origin(shared, model, Some(version), origin).await;
+            let Err(e) = &answer else { return answer };
+            match e.current_context() {
+                stage_error::StageError::Dropped => return answer,
+                _ => wait_for_origin(shared, model, version, origin, patience).await,
+            }
         }
-        answer
     };
     tokio::select! {
         manifest = from_agents(shared, &agents, model, version) => Ok(manifest),
@@ -64,6 +71,31 @@
     }
 }
 
+/// Waits until the origin accepts connections again and it is this agent's turn to ask it, or until
+/// a newer version is named.
+async fn wait_for_origin(
+    shared: &shared::Shared,
+    model: &str,
+    version: lift_fleet::WeightsVersion,
+    origin: &lift_fleet::OriginEndpoint,
+    patience: time::Duration,
+) {
+    shared.origin_monitor.record_failure();
+    let mut named = shared.named.subscribe();
+    let waiting = async {
+        let away_for = shared.origin_monitor.wait_until_back(origin.address).await;
+        let pause = match away_for >= lift_transfer::MIN_ORIGIN_ABSENCE {
+            true => patience,
+            false => RETRY_PAUSE,
+        };
+        tokio::time::sleep(pause).await;
+    };
+    tokio::select! {
+        () = waiting => {}
+        _ = named.wait_for(|named| named.newest(model) > version) => {}
+    }
+}
+
 /// Asks agents one after the other until one has the manifest: mostly the first one, which has
 /// it first, and now and then another one.
 async fn from_agents(
@@ -98,6 +130,7 @@
 ) -> Result<piece_manifest::PieceManifest> {
     let asking = shared.origin.manifest(origin.address, model, version);
     let manifest = shared::within(ORIGIN_TIMEOUT, asking).await?;
+    shared.origin_monitor.record_answer();
     match manifest.is_of(model, version) {
         true => Ok(manifest),
         false => Err(error_stack::Report::new(stage_error::StageError::Origin)),
--- /dev/null
+++ b/crates/lift_stage/src/origin_monitor.rs
@@ -0,0 +1,74 @@
+//! Notices that the origin of weights is away, and that it is back.
+
+use std::{net, sync, time};
+
+use crate::{origin_port, shared};
+
+/// Time in which a probe must connect. Each probe is a connection of its own: one that was begun
+/// while the host of the origin was down is retried by the system after seconds only.
+const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+
+/// What an agent knows of the origin.
+#[derive(Debug)]
+pub(crate) struct OriginMonitor {
+    origin: sync::Arc<dyn origin_port::OriginPort>,
+    watch: parking_lot::Mutex<lift_transfer::OriginWatch>,
+    log: slog::Logger,
+    counters: sync::Arc<lift_obs::Counters>,
+}
+
+impl OriginMonitor {
+    pub(crate) fn new(
+        origin: sync::Arc<dyn origin_port::OriginPort>,
+        log: slog::Logger,
+        counters: sync::Arc<lift_obs::Counters>,
+    ) -> Self {
+        Self {
+            origin,
+            watch: parking_lot::Mutex::default(),
+            log,
+            counters,
+        }
+    }
+
+    /// Whether the origin may be read.
+    pub(crate) fn answers(&self) -> bool {
+        self.watch.lock().answers()
+    }
+
+    /// Records that a read was answered.
+    pub(crate) fn record_answer(&self) {
+        self.watch.lock().record_answer();
+    }
+
+    /// Records that a read failed. Returns whether the origin counts as away only from now on.
+    pub(crate) fn record_failure(&self) -> bool {
+        let is_new = self.watch.lock().record_failure(lift_clock::now());
+        if is_new {
+            self.counters.increment("agent.origin_away");
+            slog::info!(self.log, "origin of weights away");
+        }
+        is_new
+    }
+
+    /// Whether the origin accepts a connection now.
+    pub(crate) async fn is_reached(&self, origin: net::SocketAddr) -> bool {
+        self.counters.increment("agent.origin_probes");
+        let reaching = self.origin.reach(origin);
+        shared::within(PROBE_TIMEOUT, reaching).await.is_ok()
+    }
+
+    /// Probes the origin until it accepts a connection, and returns for how long it was away.
+    pub(crate) async fn wait_until_back(&self, origin: net::SocketAddr) -> time::Duration {
+        while !self.is_reached(origin).await {
+            let pause = {
+                let watch = self.watch.lock();
+                watch.next_probe(lift_clock::now(), &mut rand::rng())
+            };
+            tokio::time::sleep(pause).await;
+        }
+        let away_for = self.watch.lock().record_reached(lift_clock::now());
+        slog::info!(self.log, "origin of weights back"; "away_ms" => away_for.as_millis() as u64);
+        away_for
+    }
+}
--- a/crates/lift_stage/src/origin_port.rs
+++ b/crates/lift_stage/src/origin_port.rs
@@ -9,6 +9,9 @@
 /// Hands out manifests and pieces. What it sends may be spoilt or cut off.
 #[async_trait::async_trait]
 pub trait OriginPort: fmt::Debug + Send + Sync {
+    /// Opens a connection and closes it again, without a request.
+    async fn reach(&self, origin: net::SocketAddr) -> Result<()>;
+
     /// Manifest of a version, or of the newest one.
     async fn manifest(
         &self,
--- a/crates/lift_stage/src/shared.rs
+++ b/crates/lift_stage/src/shared.rs
@@ -5,8 +5,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    engine_report, link_patience, origin_port, piece_manifest, stage_error, stage_port, staged,
-    staging_area,
+    engine_report, link_patience, origin_monitor, origin_port, piece_manifest, stage_error,
+    stage_port, staged, staging_area,
 };
 
 /// Time for one request to the backend server beside the agent.
@@ -24,6 +24,8 @@
     /// Its staging area.
     pub(crate) staging_area: staging_area::StagingArea,
     pub(crate) origin: sync::Arc<dyn origin_port::OriginPort>,
+    /// Whether the origin answers.
+    pub(crate) origin_monitor: origin_monitor::OriginMonitor,
     pub(crate) log: slog::Logger,
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
     /// The configuration in force.
--- a/crates/lift_stage/src/stage_agent.rs
+++ b/crates/lift_stage/src/stage_agent.rs
@@ -6,8 +6,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    agent_observer, load_reporter, piece_server, shared, stage_agent_builder, stage_error,
-    staging_area, weights_keeper,
+    agent_observer, load_reporter, origin_monitor, piece_server, shared, stage_agent_builder,
+    stage_error, staging_area, weights_keeper,
 };
 
 /// Share of the link for pieces, in percent. Framing and acknowledgements take the rest.
@@ -38,6 +38,7 @@
         let reports = tokio::net::UdpSocket::bind((host, 0)).await;
         let reports = reports.change_context(stage_error::StageError::Listen)?;
         let stage = settings.stage.ok_or(missing("stage"))?;
+        let origin = settings.origin.ok_or(missing("origin"))?;
         let shared = sync::Arc::new(shared::Shared {
             service: node.card.service.clone().ok_or(missing("service"))?,
             card: node.card.clone(),
@@ -49,7 +50,12 @@
                 sync::Arc::clone(&node.counters),
             ),
             stage,
-            origin: settings.origin.ok_or(missing("origin"))?,
+            origin_monitor: origin_monitor::OriginMonitor::new(
+                sync::Arc::clone(&origin),
+                node.log.clone(),
+                sync::Arc::clone(&node.counters),
+            ),
+            origin,
             log: node.log.clone(),
             counters: sync::Arc::clone(&node.counters),
             table: watch::Sender::new(None),
--- a/crates/lift_stage/tests/support/origin.rs
+++ b/crates/lift_stage/tests/support/origin.rs
@@ -20,6 +20,9 @@
     reads: atomic::AtomicU32,
     spoil_every: atomic::AtomicU32,
     delay: parking_lot::Mutex<time::Duration>,
+    is_away: atomic::AtomicBool,
+    /// Reads of pieces while it was away.
+    refused: atomic::AtomicU32,
     has_manifests: atomic::AtomicBool,
     odd_manifests: parking_lot::Mutex<Vec<PieceManifest>>,
     /// A piece whose bytes are held back, with its version.
@@ -34,6 +37,8 @@
             reads: atomic::AtomicU32::new(0),
             spoil_every: atomic::AtomicU32::new(u32::MAX),
             delay: parking_lot::Mutex::default(),
+            is_away: atomic::AtomicBool::new(false),
+            refused: atomic::AtomicU32::new(0),
             has_manifests: atomic::AtomicBool::new(true),
             odd_manifests: parking_lot::Mutex::default(),
             held_piece: parking_lot::Mutex::default(),
@@ -58,6 +63,23 @@
         *self.state.delay.lock() = delay;
     }
 
+    /// Accepts no connection, or accepts them again.
+    pub(crate) fn set_away(&self, is_away: bool) {
+        self.state.is_away.store(is_away, atomic::Ordering::SeqCst);
+    }
+
+    /// Reads of pieces while it was away.
+    pub(crate) fn refused(&self) -> u32 {
+        self.state.refused.load(atomic::Ordering::SeqCst)
+    }
+
+    fn check(&self) -> Result<()> {
+        match self.state.is_away.load(atomic::Ordering::SeqCst) {
+            true => Err(error_stack::Report::new(StageError::Origin)),
+            false => Ok(()),
+        }
+    }
+
     /// Hands out no manifest any more.
     pub(crate) fn refuse_manifests(&self) {
         self.state
@@ -89,12 +111,17 @@
 
 #[async_trait::async_trait]
 impl lift_stage::OriginPort for Origin {
+    async fn reach(&self, _: net::SocketAddr) -> Result<()> {
+        self.check()
+    }
+
     async fn manifest(
         &self,
         _: net::SocketAddr,
         model: &str,
         version: Option<u64>,
     ) -> Result<PieceManifest> {
+        self.check()?;
         if !self.state.has_manifests.load(atomic::Ordering::SeqCst) {
             return Err(error_stack::Report::new(StageError::Origin));
         }
@@ -119,6 +146,10 @@
         index: u32,
         _: usize,
     ) -> Result<bytes::Bytes> {
+        if let Err(e) = self.check() {
+            self.state.refused.fetch_add(1, atomic::Ordering::SeqCst);
+            return Err(e);
+        }
         let read = self.state.reads.fetch_add(1, atomic::Ordering::SeqCst);
         let delay = *self.state.delay.lock();
         tokio::time::sleep(delay).await;
--- a/crates/lift_transfer/src/chunk_choice.rs
+++ b/crates/lift_transfer/src/chunk_choice.rs
@@ -123,7 +123,8 @@
         match self.upstream_source(now, cfg, chunk, group)? {
             source::Source::Origin => {
                 let schedule = self.origin_schedule.as_ref();
-                let is_ready = self.origin.is_ready(now, cfg.origin_window)
+                let is_ready = !self.is_origin_away
+                    && self.origin.is_ready(now, cfg.origin_window)
                     && schedule.is_none_or(|schedule| schedule.is_due(now, chunk));
                 is_ready.then_some(source::Source::Origin)
             }
--- a/crates/lift_transfer/src/chunk_sources.rs
+++ b/crates/lift_transfer/src/chunk_sources.rs
@@ -31,6 +31,8 @@
     pub(crate) origin: download_peer::DownloadPeer,
     /// Whether the transfer minimizes reads from the origin or elapsed time.
     pub(crate) goal: lift_types::TransferGoal,
+    /// Whether the origin does not answer.
+    pub(crate) is_origin_away: bool,
     /// Schedule of reads from the origin, if its rate is known.
     pub(crate) origin_schedule: Option<origin_schedule::OriginSchedule>,
     /// Refused chunks, and the time until which they are not requested again.
@@ -53,6 +55,7 @@
             upstreams: indexmap::IndexMap::new(),
             origin: download_peer::DownloadPeer::new(0),
             goal: lift_types::TransferGoal::Origin,
+            is_origin_away: false,
             origin_schedule: None,
             refused: indexmap::IndexMap::new(),
             has_live_requests: false,
--- a/crates/lift_transfer/src/download.rs
+++ b/crates/lift_transfer/src/download.rs
@@ -19,14 +19,14 @@
 /// once. See `docs/decisions/chunk-exchange.md`.
 #[derive(Debug)]
 pub struct Download {
-    manifest: sync::Arc<lift_types::Manifest>,
-    cfg: download_config::DownloadConfig,
-    held: Vec<bool>,
+    pub(crate) manifest: sync::Arc<lift_types::Manifest>,
+    pub(crate) cfg: download_config::DownloadConfig,
+    pub(crate) held: Vec<bool>,
     held_count: usize,
     /// Chunks that are neither held nor requested yet.
     needed: indexmap::IndexSet<lift_types::ChunkIndex>,
-    pending: pending_requests::PendingRequests,
-    sources: chunk_sources::ChunkSources,
+    pub(crate) pending: pending_requests::PendingRequests,
+    pub(crate) sources: chunk_sources::ChunkSources,
     state: State,
 }
 
@@ -132,6 +132,8 @@
                 self.sources.remove_announced(host, chunk);
             }
             Event::WeightsCorrupt | Event::Superseded => self.stop(actions),
+            Event::OriginAway => self.sources.is_origin_away = true,
+            Event::OriginBack { away_for } => self.on_origin_back(now, away_for, actions),
             Event::TrafficShare { percent } => self.sources.window_percent = percent.min(100),
             Event::Tick { live } => {
                 self.sources.has_live_requests = live > 0;
@@ -203,7 +205,7 @@
     }
 
     /// Makes a chunk eligible for requests again, unless it is held or still requested.
-    fn mark_needed(&mut self, chunk: lift_types::ChunkIndex) {
+    pub(crate) fn mark_needed(&mut self, chunk: lift_types::ChunkIndex) {
         if !self.held[chunk as usize] && !self.pending.contains(chunk) {
             self.needed.insert(chunk);
         }
--- a/crates/lift_transfer/src/download_event.rs
+++ b/crates/lift_transfer/src/download_event.rs
@@ -68,6 +68,13 @@
     WeightsCorrupt,
     /// The target version has changed.
     Superseded,
+    /// The origin does not answer, so it is not to be read.
+    OriginAway,
+    /// The origin accepts connections again.
+    OriginBack {
+        /// Time for which it has been away.
+        away_for: time::Duration,
+    },
     /// Limits chunk traffic to a share of the usual amount, because of congestion on the link.
     TrafficShare {
         /// Share in percent; values above 100 count as 100.
--- a/crates/lift_transfer/src/lib.rs
+++ b/crates/lift_transfer/src/lib.rs
@@ -3,7 +3,7 @@
 //! A [`HomeTable`] assigns key groups of chunks to live agents and gives each agent a
 //! [`SwarmView`]: its neighbours, and the [`HomeGroup`]s that it fetches first in its region,
 //! from the origin or from another region. A [`Download`] decides which chunks one agent
-//! requests, and from which sources. An [`UploadQueue`] orders the chunks that an agent sends,
+//! requests, and from which sources, and an [`OriginWatch`] whether the origin answers. An [`UploadQueue`] orders the chunks that an agent sends,
 //! and a [`Pacer`] limits the rate of chunk traffic in favour of live requests. A
 //! [`CongestionEstimator`] estimates how much chunk traffic a link can carry. An [`Activation`]
 //! decides when the engine gets a load order and which version the host advertises, and a
@@ -28,10 +28,12 @@
 mod download_action;
 mod download_config;
 mod download_event;
+mod download_origin;
 mod download_peer;
 mod home_group;
 mod home_table;
 mod origin_schedule;
+mod origin_watch;
 mod pacer;
 mod pending_requests;
 mod response_times;
@@ -56,8 +58,10 @@
 pub use download_action::DownloadAction;
 pub use download_config::DownloadConfig;
 pub use download_event::DownloadEvent;
+pub use download_origin::MIN_ORIGIN_ABSENCE;
 pub use home_group::HomeGroup;
 pub use home_table::{HomeTable, MAX_NEIGHBOURS};
+pub use origin_watch::OriginWatch;
 pub use pacer::Pacer;
 pub use source::Source;
 pub use staggered_load::StaggeredLoad;
--- a/crates/lift_transfer/src/pending_requests.rs
+++ b/crates/lift_transfer/src/pending_requests.rs
@@ -79,6 +79,11 @@
             .collect()
     }
 
+    /// Drops what is known of the response times of the origin.
+    pub(crate) fn forget_origin_times(&mut self) {
+        self.origin_times = response_times::ResponseTimes::default();
+    }
+
     pub(crate) fn take_all(&mut self) -> Vec<(lift_types::ChunkIndex, source::Source)> {
         self.remove_where(|_| true)
     }
--- a/crates/lift_transfer/tests/successive_weights.rs
+++ b/crates/lift_transfer/tests/successive_weights.rs
@@ -5,7 +5,7 @@
 
 use std::time;
 
-use weights_model::{Play, run};
+use weights_model::{MS, Outcome, Play, run};
 
 const LIMIT: time::Duration = time::Duration::from_secs(40);
 
@@ -32,3 +32,48 @@
     assert!(out.last() < limit, "{:?}", out.last());
     assert_eq!(out.origin_reads, play.pieces);
 }
+
+/// Plays with the origin away for 6 s from each of some moments on.
+fn absences(play: &Play) -> impl Iterator<Item = (Play, Outcome)> {
+    (0..4_000).step_by(250).map(|from| {
+        let from = from as u32 * MS;
+        let away = Some((from, from + 6_000 * MS));
+        let play = Play {
+            away,
+            ..play.clone()
+        };
+        let out = run(&play, LIMIT);
+        (play, out)
+    })
+}
+
+#[test]
+fn an_origin_that_comes_back_is_read_in_turn() {
+    // Guards against agents that all read at once when the origin is back, so that no piece is
+    // complete for seconds: the last host had all pieces 4.8 s after its return where one copy
+    // takes 2.6 s, and 6.5 s where it takes 4.3 s.
+    for play in [Play::first(), Play::second()] {
+        for (play, out) in absences(&play) {
+            let from = play.away.map_or(time::Duration::ZERO, |(_, to)| to);
+            let limit = from + play.copy_time().mul_f64(TARGET);
+            assert!(out.last() < limit, "{:?}: {:?}", play.away, out.last());
+            assert!(
+                out.connections <= play.connections / 2,
+                "{}",
+                out.connections
+            );
+        }
+    }
+}
+
+#[test]
+fn an_absence_of_the_origin_costs_few_reads() {
+    // Guards against pieces that are read from the origin more than once. Those that it was
+    // sending when it went away are read again.
+    for play in [Play::first(), Play::second()] {
+        for (play, out) in absences(&play) {
+            let reads = out.origin_reads;
+            assert!(reads <= play.pieces * 21 / 20, "{:?}: {reads}", play.away);
+        }
+    }
+}
--- a/crates/lift_transfer/tests/weights_model/mod.rs
+++ b/crates/lift_transfer/tests/weights_model/mod.rs
@@ -13,7 +13,7 @@
 
 use std::{collections, time};
 
-use lift_transfer::{Download, DownloadAction, DownloadEvent, Pacer, Source};
+use lift_transfer::{Download, DownloadAction, DownloadEvent, OriginWatch, Pacer, Source};
 
 pub const MS: time::Duration = time::Duration::from_millis(1);
 
@@ -39,6 +39,7 @@
 
 struct Agent {
     download: Download,
+    watch: OriginWatch,
     links: Vec<u32>,
     waiting: collections::VecDeque<(u32, u32)>,
     pacer: Pacer,
@@ -57,6 +58,7 @@
     Ask(u32, u32, u32),
     AskOrigin(u32, u32),
     OriginFailed(u32, u32),
+    Probe(u32),
 }
 
 pub struct Model {
@@ -210,16 +212,31 @@
             }
             Event::OriginFailed(host, chunk) => {
                 let (source, retry_after) = (Source::Origin, None);
-                self.step(
-                    host,
-                    DownloadEvent::Refused {
-                        chunk,
-                        source,
-                        retry_after,
-                    },
-                );
+                let event = DownloadEvent::Refused {
+                    chunk,
+                    source,
+                    retry_after,
+                };
+                self.step(host, event);
+                if self.agents[host as usize].watch.record_failure(self.now) {
+                    self.step(host, DownloadEvent::OriginAway);
+                    self.push(DELAY, Event::Probe(host));
+                }
             }
+            Event::Probe(host) => self.probe(host),
+        }
+    }
+
+    fn probe(&mut self, host: u32) {
+        let (now, is_away) = (self.now, self.is_away());
+        let watch = &mut self.agents[host as usize].watch;
+        if is_away {
+            let after = watch.next_probe(now, &mut self.rng);
+            self.push(after, Event::Probe(host));
+            return;
         }
+        let away_for = watch.record_reached(now);
+        self.step(host, DownloadEvent::OriginBack { away_for });
     }
 
     fn step(&mut self, host: u32, event: DownloadEvent) {
--- a/crates/lift_transfer/tests/weights_model/setup.rs
+++ b/crates/lift_transfer/tests/weights_model/setup.rs
@@ -2,7 +2,9 @@
 
 use std::{collections, sync, time};
 
-use lift_transfer::{Download, DownloadConfig, DownloadEvent, HomeTable, Pacer, SwarmPeer};
+use lift_transfer::{
+    Download, DownloadConfig, DownloadEvent, HomeTable, OriginWatch, Pacer, SwarmPeer,
+};
 use rand::SeedableRng as _;
 
 use super::{Agent, MS, Model, Outcome, Play, REGIONS, UPLOAD_SHARE};
@@ -43,6 +45,7 @@
             let links: collections::BTreeSet<_> = neighbours.chain(upstreams).collect();
             agents.push(Agent {
                 download: Download::new(&location(host), manifest.clone(), cfg.clone()),
+                watch: OriginWatch::default(),
                 links: links.into_iter().collect(),
                 waiting: collections::VecDeque::new(),
                 pacer: Pacer::new((play.host_rate_of(host) * UPLOAD_SHARE) as u64),
