--- a/crates/lift_stage/src/manifest_source.rs
+++ b/crates/lift_stage/src/manifest_source.rs
@@ -13,8 +13,12 @@
 /// Time for a manifest from another agent.
 const AGENT_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 
-/// Pause between two agents that are asked.
-const PAUSE: time::Duration = time::Duration::from_millis(80);
+/// First and longest pause between two agents that are asked. The first agent of a region has the
+/// manifest soon after the naming.
+const PAUSES: (time::Duration, time::Duration) = (
+    time::Duration::from_millis(20),
+    time::Duration::from_millis(80),
+);
 
 /// Time after which an agent asks the origin, for each agent before it in the region. Where the
 /// first ones are down, the next one soon takes their place.
@@ -23,8 +27,8 @@
 /// Longest time after which an agent asks the origin.
 const LONGEST_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 
-/// Time for which other agents are asked on after the origin has failed.
-const LAST_QUESTIONS: time::Duration = time::Duration::from_millis(400);
+/// Pause before the origin is asked again if it can be reached.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
 
 type Result<T> = std::result::Result<T, error_stack::Report<stage_error::StageError>>;
 
@@ -52,11 +56,18 @@
     let asked = async {
         let is_newer = named.wait_for(|named| named.newest(model) > version);
         let _ = tokio::time::timeout(patience, is_newer).await;
-        let answer = from_origin(shared, model, Some(version), origin).await;
-        if answer.is_err() {
-            tokio::time::sleep(LAST_QUESTIONS).await;
+        loop {
+            if shared.named(model) > version {
+                let superseded = stage_error::StageError::Superseded;
+                return Err(error_stack::Report::new(superseded));
+            }
+            let answer = from_origin(shared, model, Some(version), origin).await;
+            let Err(e) = &answer else { return answer };
+            match e.current_context() {
+                stage_error::StageError::Dropped => return answer,
+                _ => wait_for_origin(shared, model, version, origin, patience).await,
+            }
         }
-        answer
     };
     tokio::select! {
         manifest = from_agents(shared, &agents, model, version) => Ok(manifest),
@@ -64,6 +75,31 @@
     }
 }
 
+/// Waits until the origin accepts connections again and it is this agent's turn to ask it, or until
+/// a newer version is named.
+async fn wait_for_origin(
+    shared: &shared::Shared,
+    model: &str,
+    version: lift_fleet::WeightsVersion,
+    origin: &lift_fleet::OriginEndpoint,
+    patience: time::Duration,
+) {
+    shared.origin_monitor.record_failure();
+    let mut named = shared.named.subscribe();
+    let waiting = async {
+        let away_for = shared.origin_monitor.wait_until_back(origin.address).await;
+        let pause = match away_for >= lift_transfer::MIN_ORIGIN_ABSENCE {
+            true => patience,
+            false => RETRY_PAUSE,
+        };
+        tokio::time::sleep(pause).await;
+    };
+    tokio::select! {
+        () = waiting => {}
+        _ = named.wait_for(|named| named.newest(model) > version) => {}
+    }
+}
+
 /// Asks agents one after the other until one has the manifest: mostly the first one, which has
 /// it first, and now and then another one.
 async fn from_agents(
@@ -74,6 +110,7 @@
 ) -> piece_manifest::PieceManifest {
     let start = rand::rng().random_range(0..agents.len().max(1));
     let mut turn = 0;
+    let mut pause = PAUSES.0;
     loop {
         let position = match turn % 2 {
             0 => 0,
@@ -84,7 +121,8 @@
         {
             return manifest;
         }
-        tokio::time::sleep(PAUSE).await;
+        tokio::time::sleep(pause).await;
+        pause = PAUSES.1.min(pause * 2);
         turn += 1;
     }
 }
@@ -98,6 +136,7 @@
 ) -> Result<piece_manifest::PieceManifest> {
     let asking = shared.origin.manifest(origin.address, model, version);
     let manifest = shared::within(ORIGIN_TIMEOUT, asking).await?;
+    shared.origin_monitor.record_answer();
     match manifest.is_of(model, version) {
         true => Ok(manifest),
         false => Err(error_stack::Report::new(stage_error::StageError::Origin)),
--- a/crates/lift_stage/src/shared.rs
+++ b/crates/lift_stage/src/shared.rs
@@ -5,8 +5,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    engine_report, link_patience, origin_port, piece_manifest, stage_error, stage_port, staged,
-    staging_area,
+    engine_report, inventory, link_patience, origin_monitor, origin_port, piece_manifest,
+    stage_error, stage_port, staged, staging_area,
 };
 
 /// Time for one request to the backend server beside the agent.
@@ -23,7 +23,11 @@
     pub(crate) stage: sync::Arc<dyn stage_port::StagePort>,
     /// Its staging area.
     pub(crate) staging_area: staging_area::StagingArea,
+    /// What lies there.
+    pub(crate) inventory: sync::Arc<inventory::Inventory>,
     pub(crate) origin: sync::Arc<dyn origin_port::OriginPort>,
+    /// Whether the origin answers.
+    pub(crate) origin_monitor: origin_monitor::OriginMonitor,
     pub(crate) log: slog::Logger,
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
     /// The configuration in force.
@@ -66,6 +70,15 @@
             .collect()
     }
 
+    /// Whether the node at `ip` is known to be in another region.
+    pub(crate) fn is_in_other_region(&self, ip: net::IpAddr) -> bool {
+        let nodes = self.nodes.borrow();
+        let node = nodes
+            .iter()
+            .find(|card| card.piece_addr.is_some_and(|address| address.ip() == ip));
+        node.is_some_and(|node| node.location.region != self.card.location.region)
+    }
+
     /// Where the weights come from, as far as the configuration tells.
     pub(crate) fn origin_endpoint(&self) -> Option<lift_fleet::OriginEndpoint> {
         let table = self.table.borrow().clone()?;
