Admission and engine priority by the rank of a request

Callers of urgent kinds were refused while a kind with a longer target latency found places, because the priorities of routes and workspaces were used by no decision. Ranks are now collected from the document. Where a service has several, a less urgent request waits no longer than a more urgent one could, a part of the less urgent ones must leave the last quarter of the slots free while more urgent ones find no place, and the engine is told the rank.

--- /dev/null
+++ b/crates/lift_dispatch/src/admission_level.rs
@@ -0,0 +1,86 @@
+//! How far less urgent requests of a service are limited.
+
+use std::time;
+
+use crate::rank_place;
+
+/// Smallest share of the requests of a rank that may use all places. A kind and a workspace must be
+/// served at least a quarter as often as all requests.
+const MIN_SHARE: f64 = 0.3;
+
+/// Part of the range by which the level rises when a request finds no place. A burst lasts 4 s or
+/// more, and a gateway must act on it within a few of its requests.
+const RISE: f64 = 0.2;
+
+/// Part of the range by which the level falls when a request that it protects finds a place. With
+/// [`RISE`] it keeps the share of refusals near 2%.
+const FALL: f64 = 0.004;
+
+/// Part of the range by which the level falls when a limited request finds a place: there are more
+/// places than the reserved ones.
+const LIMITED_FALL: f64 = 0.02;
+
+/// Time in which the level falls over its whole range if no request is refused.
+const RECOVERY_TIME: time::Duration = time::Duration::from_secs(8);
+
+/// How many ranks, from the least urgent one, are limited. From 0 to the number of ranks less one;
+/// the fraction limits a part of the requests of one rank.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AdmissionLevel {
+    level: f64,
+    updated: Option<time::Instant>,
+}
+
+impl AdmissionLevel {
+    /// Share of the requests at `place` that may use all places.
+    pub fn share(&mut self, now: time::Instant, place: rank_place::RankPlace) -> f64 {
+        self.recover(now, place);
+        let limited = (self.level - place.less_urgent() as f64).clamp(0.0, 1.0);
+        1.0 - limited * (1.0 - MIN_SHARE)
+    }
+
+    /// Records that a request at `place` which may use all places found none. It limits only the
+    /// less urgent ranks, the least urgent first.
+    pub fn record_refusal(&mut self, now: time::Instant, place: rank_place::RankPlace) {
+        self.recover(now, place);
+        let highest = place.less_urgent() as f64;
+        if self.level < highest {
+            self.level = (self.level + RISE * range(place)).min(highest);
+        }
+    }
+
+    /// Records that a request at `place` found a place, as `is_limited` tells with the reserved ones
+    /// left free.
+    pub fn record_placement(
+        &mut self,
+        now: time::Instant,
+        place: rank_place::RankPlace,
+        is_limited: bool,
+    ) {
+        self.recover(now, place);
+        let is_protected = place.less_urgent() as f64 >= self.level;
+        let fall = match (is_limited, is_protected) {
+            (true, _) => LIMITED_FALL,
+            (false, true) => FALL,
+            (false, false) => 0.0,
+        };
+        self.level = (self.level - fall * range(place)).max(0.0);
+    }
+
+    /// Number of ranks that are limited.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
+    fn recover(&mut self, now: time::Instant, place: rank_place::RankPlace) {
+        let since = self.updated.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_duration_since(since).as_secs_f64();
+        let fall = elapsed / RECOVERY_TIME.as_secs_f64() * range(place);
+        // The number of ranks may have shrunk with the configuration.
+        self.level = (self.level - fall).clamp(0.0, range(place));
+    }
+}
+
+fn range(place: rank_place::RankPlace) -> f64 {
+    place.count.saturating_sub(1) as f64
+}
--- a/crates/lift_dispatch/src/lib.rs
+++ b/crates/lift_dispatch/src/lib.rs
@@ -10,13 +10,17 @@
 //! determines on which versions of the weights a request may start. [`ConfirmationLimits`] tells
 //! how long a gateway may rely on its configuration, [`ServiceLatency`] how many requests may
 //! wait at a server. [`PartQuarantine`] finds the part of a prompt that crashes the backend servers
-//! which work on it.
+//! which work on it. [`ServiceRanks`] orders requests by urgency and [`ServiceAdmission`] decides
+//! which of them must leave places to more urgent ones.
 //!
 //! Agents use [`PrefillQueue`] to report how many prompts an engine has not read yet, and
 //! [`TargetVersions`] to find the version to load.
 //!
 //! See `docs/platform.md`.
 
+mod admission;
+mod admission_level;
+mod admission_terms;
 mod attempt_failure;
 mod backend;
 mod backend_cost;
@@ -40,16 +44,23 @@
 mod prefill_queue;
 mod quarantine;
 mod quarantine_change;
+mod rank_place;
 mod rejection_reason;
+mod request_rank;
 mod retry_context;
 mod retry_decision;
 mod selection_error;
 mod server_ends;
+mod service_admission;
 mod service_backends;
 mod service_latency;
+mod service_ranks;
 mod target_versions;
 mod weights_requirement;
 
+pub use admission::Admission;
+pub use admission_level::AdmissionLevel;
+pub use admission_terms::AdmissionTerms;
 pub use attempt_failure::AttemptFailure;
 pub use backend::Backend;
 pub use backend_health::BackendHealth;
@@ -66,11 +77,15 @@
 pub use part_quarantine::PartQuarantine;
 pub use prefill_queue::PrefillQueue;
 pub use quarantine_change::QuarantineChange;
+pub use rank_place::RankPlace;
 pub use rejection_reason::RejectionReason;
+pub use request_rank::RequestRank;
 pub use retry_context::RetryContext;
 pub use retry_decision::RetryDecision;
 pub use selection_error::SelectionError;
+pub use service_admission::ServiceAdmission;
 pub use service_backends::ServiceBackends;
 pub use service_latency::ServiceLatency;
+pub use service_ranks::ServiceRanks;
 pub use target_versions::TargetVersions;
 pub use weights_requirement::WeightsRequirement;
--- a/crates/lift_fleet/src/routing_table.rs
+++ b/crates/lift_fleet/src/routing_table.rs
@@ -70,6 +70,16 @@
         self.workspaces.get(id)
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &sync::Arc<route::Route>> {
+        self.routes.values().flatten()
+    }
+
+    /// Priority of each workspace that has terms, `None` where the document sets none.
+    pub fn workspace_priorities(&self) -> impl Iterator<Item = Option<u32>> {
+        self.workspaces.values().map(|terms| terms.priority)
+    }
+
     /// Regions in which a request on `route` from `workspace` may run: both bind.
     pub fn allowed_regions(
         &self,
--- /dev/null
+++ b/crates/lift_gateway/src/admissions.rs
@@ -0,0 +1,57 @@
+//! Admission of the requests of all services.
+
+/// Number of shards of the state of services.
+const SHARDS: usize = 8;
+
+/// Counters of each rank, by its priority for the engine.
+const RANK_COUNTERS: [&str; 10] = [
+    "admission.rank_0",
+    "admission.rank_1",
+    "admission.rank_2",
+    "admission.rank_3",
+    "admission.rank_4",
+    "admission.rank_5",
+    "admission.rank_6",
+    "admission.rank_7",
+    "admission.rank_8",
+    "admission.rank_9",
+];
+
+/// Admission of the requests of each service, sharded by service.
+#[derive(Debug)]
+pub(crate) struct Admissions {
+    shards: lift_shard::Shards<
+        indexmap::IndexMap<lift_types::ServiceId, lift_dispatch::ServiceAdmission>,
+    >,
+}
+
+impl Admissions {
+    pub(crate) fn new() -> Self {
+        Self {
+            shards: lift_shard::Shards::new(SHARDS, |_| indexmap::IndexMap::new()),
+        }
+    }
+
+    /// Calls `update` with the admission of a service.
+    pub(crate) fn with<R>(
+        &self,
+        service: &str,
+        update: impl FnOnce(&mut lift_dispatch::ServiceAdmission) -> R,
+    ) -> R {
+        self.shards
+            .with(service, |services| match services.get_mut(service) {
+                Some(admission) => update(admission),
+                None => update(services.entry(String::from(service)).or_default()),
+            })
+    }
+}
+
+/// Counts the outcome `outcome` of the selections for requests at `place`.
+pub(crate) fn count(
+    counters: &lift_obs::Counters,
+    place: lift_dispatch::RankPlace,
+    outcome: &'static str,
+) {
+    let group = RANK_COUNTERS[usize::from(place.engine_priority()) % RANK_COUNTERS.len()];
+    counters.increment_member(group, outcome);
+}
--- a/crates/lift_gateway/src/backend_call.rs
+++ b/crates/lift_gateway/src/backend_call.rs
@@ -12,6 +12,9 @@
     pub backend: lift_fleet::BackendId,
     /// Workspace of the caller. `None` if it sent no known key or the configuration requires none.
     pub workspace: Option<lift_types::WorkspaceId>,
+    /// Priority at the engine, from 0, the most urgent, to 9. `None` if all requests of the service
+    /// have the same.
+    pub priority: Option<u8>,
     /// Version of the weights on which the request must run. A backend server with another
     /// version must reject the request. `None` if any version will do.
     pub weights: Option<lift_fleet::WeightsVersion>,
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -7,6 +7,7 @@
 #[derive(Debug)]
 pub(crate) struct FleetState {
     table: parking_lot::RwLock<Option<sync::Arc<lift_fleet::RoutingTable>>>,
+    ranks: parking_lot::RwLock<lift_dispatch::ServiceRanks>,
     confirmed_at: parking_lot::RwLock<Option<time::Instant>>,
     directory: parking_lot::Mutex<lift_fleet::Directory>,
     backends: parking_lot::RwLock<sync::Arc<lift_dispatch::ServiceBackends>>,
@@ -24,6 +25,7 @@
     ) -> Self {
         Self {
             table: parking_lot::RwLock::default(),
+            ranks: parking_lot::RwLock::default(),
             confirmed_at: parking_lot::RwLock::default(),
             directory: parking_lot::Mutex::default(),
             backends: parking_lot::RwLock::default(),
@@ -41,6 +43,15 @@
         self.table.read().clone()
     }
 
+    /// Place of `rank` among the ranks of a service. `None` if all of its requests have the same.
+    pub(crate) fn rank(
+        &self,
+        service: &str,
+        rank: lift_dispatch::RequestRank,
+    ) -> Option<lift_dispatch::RankPlace> {
+        self.ranks.read().place(service, rank)
+    }
+
     /// Time in which an engine of the service reads a typical prompt. Zero if the service has no
     /// engines or the time is unknown.
     pub(crate) fn prefill_time(&self, service: &str) -> time::Duration {
@@ -125,6 +136,7 @@
     }
 
     pub(crate) fn set_table(&self, table: sync::Arc<lift_fleet::RoutingTable>) {
+        *self.ranks.write() = lift_dispatch::ServiceRanks::new(&table);
         *self.table.write() = Some(table);
     }
 
--- a/crates/lift_gateway/src/http_server.rs
+++ b/crates/lift_gateway/src/http_server.rs
@@ -101,7 +101,14 @@
         model: head.model.clone(),
         ..lift_dispatch::WeightsRequirement::default()
     };
+    let terms = workspace
+        .as_deref()
+        .and_then(|id| table.workspace_terms(id));
+    let priority = terms.and_then(|terms| terms.priority);
+    let rank = lift_dispatch::RequestRank::new(route.priority, priority);
     Ok(request_run::RequestRun {
+        rank: shared.fleet.rank(&service, rank),
+        admission: lift_dispatch::Admission::default(),
         shared: sync::Arc::clone(shared),
         head,
         route,
--- a/crates/lift_gateway/src/lib.rs
+++ b/crates/lift_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! backend server if the route allows it. A response with status 503 guarantees that the request
 //! has not run and will not run. See `docs/platform.md`.
 
+mod admissions;
 mod answer_body;
 mod answer_head;
 mod attempt_error;
@@ -45,6 +46,7 @@
 mod read_allowance;
 mod readiness;
 mod rejection;
+mod request_admission;
 mod request_attempt;
 mod request_log;
 mod request_records;
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -96,6 +96,7 @@
             time_left: work_deadline.saturating_duration_since(now),
             backend: backend.id.clone(),
             workspace: self.workspace.clone(),
+            priority: self.rank.map(|place| place.engine_priority()),
             weights,
             last_event,
         };
@@ -164,6 +165,7 @@
     async fn select_backend(
         &mut self,
     ) -> Result<sync::Arc<lift_dispatch::Backend>, lift_dispatch::RejectionReason> {
+        self.admit();
         let max_wait = self.route.target_latency / SLOT_WAIT_DIVISOR;
         let until = (lift_clock::now() + max_wait).min(self.deadline);
         let shared = sync::Arc::clone(&self.shared);
@@ -172,15 +174,20 @@
             let mut capacity_changed = std::pin::pin!(shared.capacity_changed.notified());
             capacity_changed.as_mut().enable();
             let error = match self.try_select() {
-                Ok(backend) => return Ok(backend),
+                Ok(backend) => {
+                    self.record_selection(None);
+                    return Ok(backend);
+                }
                 Err(error) => error,
             };
-            let may_change = matches!(
-                error,
-                lift_dispatch::SelectionError::Full | lift_dispatch::SelectionError::NoWeights
-            );
+            let may_change = match error {
+                lift_dispatch::SelectionError::Full => self.may_wait(),
+                lift_dispatch::SelectionError::NoWeights => true,
+                _ => false,
+            };
             let left = until.saturating_duration_since(lift_clock::now());
             if !may_change || tokio::time::timeout(left, capacity_changed).await.is_err() {
+                self.record_selection(Some(error));
                 self.log_loads(error);
                 return Err(lift_dispatch::RejectionReason::from_selection_error(
                     error,
@@ -203,7 +210,7 @@
                 self.weights_requirement.min_version_if_slow,
             ) = shared.fleet.min_versions(now, model, duration);
         }
-        let target = self.route.target_latency;
+        let terms = self.admission_terms();
         let prefill_time = shared.fleet.prefill_time(&self.service);
         let allowed_regions = self.allowed_regions();
         let gateways = shared.fleet.gateways();
@@ -212,10 +219,13 @@
             region: &shared.location.region,
             gateways: &gateways,
             weights: &self.weights_requirement,
-            queue_share: shared
-                .with_service_latency(&self.service, |latency| latency.queue_share(target)),
+            queue_share: terms.queue_share(
+                shared.with_service_latency(&self.service, |latency| {
+                    latency.queue_share(terms.target)
+                }),
+            ),
             prefill_time,
-            target_latency: target,
+            target_latency: terms.target,
             allowed_regions: &allowed_regions,
             tried: &self.tried,
         };
--- a/crates/lift_gateway/src/request_run.rs
+++ b/crates/lift_gateway/src/request_run.rs
@@ -19,6 +19,10 @@
     pub(crate) workspace: Option<lift_types::WorkspaceId>,
     /// Regions in which the request may run, by the configuration in force when it came.
     pub(crate) allowed_regions: lift_fleet::AllowedRegions,
+    /// Place among the ranks of the service. `None` if all of its requests have the same.
+    pub(crate) rank: Option<lift_dispatch::RankPlace>,
+    /// Places that the latest attempt may use.
+    pub(crate) admission: lift_dispatch::Admission,
     /// Whether the caller can tell an answer that broke off from a complete one. HTTP/1.0 marks
     /// the end of a body of unknown length by closing the connection.
     pub(crate) can_see_breaks: bool,
--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -5,8 +5,8 @@
 use sync::atomic;
 
 use crate::{
-    backend_loads, backend_pool, byte_budget, dialect, fleet_state, gateway_limits, part_guard,
-    request_log,
+    admissions, backend_loads, backend_pool, byte_budget, dialect, fleet_state, gateway_limits,
+    part_guard, request_log,
 };
 
 /// Number of shards of the state of services.
@@ -25,6 +25,8 @@
     pub(crate) answer_bytes: sync::Arc<byte_budget::ByteBudget>,
     /// Protection against parts of prompts that crash backend servers.
     pub(crate) parts: part_guard::PartGuard,
+    /// Admission of requests by their rank.
+    pub(crate) admissions: admissions::Admissions,
     pub(crate) log: request_log::RequestLog,
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
     pub(crate) latencies: sync::Arc<lift_obs::Histograms>,
@@ -64,6 +66,7 @@
             pool: backend_pool::BackendPool::new(),
             answer_bytes: byte_budget::ByteBudget::new(limits.max_answer_bytes),
             parts: part_guard::PartGuard::new(logger.clone(), sync::Arc::clone(&counters)),
+            admissions: admissions::Admissions::new(),
             log: request_log::RequestLog::new(logger, sync::Arc::clone(&counters)),
             counters,
             latencies,
