--- a/crates/lift_dispatch/src/admission_level.rs
+++ b/crates/lift_dispatch/src/admission_level.rs
@@ -12,6 +12,10 @@
 /// more, and a gateway must act on it within a few of its requests.
 const RISE: f64 = 0.2;
 
+/// Part of the range by which the level rises when a request must wait for a place. Most find one,
+/// but the servers are nearly full, and those that are refused later have filled them.
+const WAIT_RISE: f64 = 0.05;
+
 /// Part of the range by which the level falls when a request that it protects finds a place. With
 /// [`RISE`] it keeps the share of refusals near 2%.
 const FALL: f64 = 0.004;
@@ -20,14 +24,31 @@
 /// places than the reserved ones.
 const LIMITED_FALL: f64 = 0.02;
 
-/// Time in which the level falls over its whole range if no request is refused.
+/// Part of the range by which the level may rise within [`SETTLE_TIME`], but by at least one rank. It
+/// limits the next rank only when the limits of those below had time to show.
+const SETTLE_RISE: f64 = 0.5;
+
+/// Time until requests that were admitted before a rise have left their places.
+const SETTLE_TIME: time::Duration = time::Duration::from_millis(1_500);
+
+/// Time in which the level falls over its whole range while requests are still refused or wait.
 const RECOVERY_TIME: time::Duration = time::Duration::from_secs(8);
 
+/// Time without a refusal or wait after which the shortage has probably ended.
+const QUIET_TIME: time::Duration = time::Duration::from_millis(700);
+
+/// Time in which the level falls over its whole range after that.
+const QUIET_RECOVERY_TIME: time::Duration = time::Duration::from_secs(3);
+
 /// How many ranks, from the least urgent one, are limited. From 0 to the number of ranks less one;
 /// the fraction limits a part of the requests of one rank.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AdmissionLevel {
     level: f64,
+    /// When a request that it protects was last refused or had to wait.
+    pressed_at: Option<time::Instant>,
+    /// How far it may rise now.
+    allowance: f64,
     updated: Option<time::Instant>,
 }
 
@@ -42,11 +63,12 @@
     /// Records that a request at `place` which may use all places found none. It limits only the
     /// less urgent ranks, the least urgent first.
     pub fn record_refusal(&mut self, now: time::Instant, place: rank_place::RankPlace) {
-        self.recover(now, place);
-        let highest = place.less_urgent() as f64;
-        if self.level < highest {
-            self.level = (self.level + RISE * range(place)).min(highest);
-        }
+        self.rise(now, place, RISE);
+    }
+
+    /// Records that a request at `place` which may use all places has to wait for one.
+    pub fn record_wait(&mut self, now: time::Instant, place: rank_place::RankPlace) {
+        self.rise(now, place, WAIT_RISE);
     }
 
     /// Records that a request at `place` found a place, as `is_limited` tells with the reserved ones
@@ -72,10 +94,34 @@
         self.level
     }
 
+    fn rise(&mut self, now: time::Instant, place: rank_place::RankPlace, part: f64) {
+        self.recover(now, place);
+        self.pressed_at = Some(now);
+        let highest = place.less_urgent() as f64;
+        let rise = (part * range(place)).min(highest - self.level);
+        let rise = rise.min(self.allowance).max(0.0);
+        self.allowance -= rise;
+        self.level += rise;
+    }
+
     fn recover(&mut self, now: time::Instant, place: rank_place::RankPlace) {
-        let since = self.updated.replace(now).unwrap_or(now);
+        let since = self.updated.unwrap_or(now);
         let elapsed = now.saturating_duration_since(since).as_secs_f64();
-        let fall = elapsed / RECOVERY_TIME.as_secs_f64() * range(place);
+        let is_quiet = self
+            .pressed_at
+            .is_some_and(|at| now.saturating_duration_since(at) >= QUIET_TIME);
+        let recovery_time = match is_quiet {
+            true => QUIET_RECOVERY_TIME,
+            false => RECOVERY_TIME,
+        };
+        let fall = elapsed / recovery_time.as_secs_f64() * range(place);
+        let refill = elapsed / SETTLE_TIME.as_secs_f64() * SETTLE_RISE * range(place);
+        let allowance = (SETTLE_RISE * range(place)).max(1.0);
+        self.allowance = match self.updated {
+            Some(_) => (self.allowance + refill).min(allowance),
+            None => allowance,
+        };
+        self.updated = Some(now);
         // The number of ranks may have shrunk with the configuration.
         self.level = (self.level - fall).clamp(0.0, range(place));
     }
--- a/crates/lift_dispatch/src/admission_terms.rs
+++ b/crates/lift_dispatch/src/admission_terms.rs
@@ -4,12 +4,10 @@
 
 use crate::{admission, rank_place};
 
-/// Share of a server's slots that limited requests leave free. A quarter is what the gateways fill
-/// between two load reports at peak load.
-const RESERVED_SHARE: f64 = 0.25;
-
-/// Share of the target latency that limited requests allow for prompts which are read first.
-const LIMITED_TARGET_SHARE: f64 = 0.5;
+/// Share of a server's slots that limited requests of the least urgent rank leave free. More urgent
+/// requests then find places for the time that a burst takes to be noticed by all gateways, and more
+/// than half of the slots stay usable.
+const RESERVED_SHARE: f64 = 0.4;
 
 /// Shortest target latency that applies to less urgent requests, as a share of their own. A rare
 /// kind with a very short target must not keep the others from queuing at all.
@@ -22,6 +20,8 @@
     pub target: time::Duration,
     /// Whether it must leave the last places free.
     pub admission: admission::Admission,
+    /// Depth of the rank, from 0 for the most urgent to 1 for the least urgent.
+    depth: f64,
 }
 
 impl AdmissionTerms {
@@ -36,11 +36,12 @@
             let shortest = own_target.mul_f64(MIN_TARGET_SHARE);
             own_target.min(place.shortest_target.max(shortest))
         });
-        let target = match admission {
-            admission::Admission::Unlimited => target,
-            admission::Admission::Limited => target.mul_f64(LIMITED_TARGET_SHARE),
-        };
-        Self { target, admission }
+        let depth = place.map_or(0.0, |place| place.depth());
+        Self {
+            target,
+            admission,
+            depth,
+        }
     }
 
     /// Requests that a server may have in addition to those in its slots, as a share of the slots,
@@ -49,7 +50,7 @@
     pub fn queue_share(&self, queue_share: f64) -> f64 {
         match self.admission {
             admission::Admission::Unlimited => queue_share,
-            admission::Admission::Limited => -RESERVED_SHARE,
+            admission::Admission::Limited => -RESERVED_SHARE * self.depth,
         }
     }
 }
--- a/crates/lift_dispatch/src/lib.rs
+++ b/crates/lift_dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod admission;
 mod admission_level;
+mod admission_rates;
 mod admission_terms;
 mod attempt_failure;
 mod backend;
@@ -49,6 +50,8 @@
 mod request_rank;
 mod retry_context;
 mod retry_decision;
+mod retry_time;
+mod returning_callers;
 mod selection_error;
 mod server_ends;
 mod service_admission;
@@ -60,6 +63,7 @@
 
 pub use admission::Admission;
 pub use admission_level::AdmissionLevel;
+pub use admission_rates::AdmissionRates;
 pub use admission_terms::AdmissionTerms;
 pub use attempt_failure::AttemptFailure;
 pub use backend::Backend;
@@ -82,6 +86,8 @@
 pub use request_rank::RequestRank;
 pub use retry_context::RetryContext;
 pub use retry_decision::RetryDecision;
+pub use retry_time::RetryTime;
+pub use returning_callers::ReturningCallers;
 pub use selection_error::SelectionError;
 pub use service_admission::ServiceAdmission;
 pub use service_backends::ServiceBackends;
--- a/crates/lift_dispatch/src/rank_place.rs
+++ b/crates/lift_dispatch/src/rank_place.rs
@@ -27,6 +27,11 @@
         priority.min(MAX_ENGINE_PRIORITY) as u8
     }
 
+    /// From 0 for the most urgent rank to 1 for the least urgent.
+    pub(crate) fn depth(&self) -> f64 {
+        self.position as f64 / self.count.saturating_sub(1).max(1) as f64
+    }
+
     /// Number of less urgent ranks.
     pub(crate) fn less_urgent(&self) -> usize {
         self.count.saturating_sub(self.position + 1)
--- a/crates/lift_gateway/src/admissions.rs
+++ b/crates/lift_gateway/src/admissions.rs
@@ -1,5 +1,7 @@
 //! Admission of the requests of all services.
 
+use std::time;
+
 /// Number of shards of the state of services.
 const SHARDS: usize = 8;
 
@@ -17,9 +19,11 @@
     "admission.rank_9",
 ];
 
-/// Admission of the requests of each service, sharded by service.
+/// Admission of the requests of each service, and what is known of the callers of each route.
+/// Sharded by the name of the service or route.
 #[derive(Debug)]
 pub(crate) struct Admissions {
+    callers: lift_shard::Shards<indexmap::IndexMap<String, lift_dispatch::ReturningCallers>>,
     shards: lift_shard::Shards<
         indexmap::IndexMap<lift_types::ServiceId, lift_dispatch::ServiceAdmission>,
     >,
@@ -28,10 +32,29 @@
 impl Admissions {
     pub(crate) fn new() -> Self {
         Self {
+            callers: lift_shard::Shards::new(SHARDS, |_| indexmap::IndexMap::new()),
             shards: lift_shard::Shards::new(SHARDS, |_| indexmap::IndexMap::new()),
         }
     }
 
+    /// Records a request on a route whose caller waits for `time_left`, and returns whether that
+    /// caller has probably been refused before.
+    pub(crate) fn record_caller(
+        &self,
+        route: &str,
+        now: time::Instant,
+        time_left: time::Duration,
+    ) -> bool {
+        self.callers
+            .with(route, |routes| match routes.get_mut(route) {
+                Some(callers) => callers.record(now, time_left),
+                None => {
+                    let callers = routes.entry(String::from(route)).or_default();
+                    callers.record(now, time_left)
+                }
+            })
+    }
+
     /// Calls `update` with the admission of a service.
     pub(crate) fn with<R>(
         &self,
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -167,7 +167,8 @@
     ) -> Result<sync::Arc<lift_dispatch::Backend>, lift_dispatch::RejectionReason> {
         self.admit();
         let max_wait = self.route.target_latency / SLOT_WAIT_DIVISOR;
-        let until = (lift_clock::now() + max_wait).min(self.deadline);
+        let until = self.wait_limit(max_wait);
+        let mut has_waited = false;
         let shared = sync::Arc::clone(&self.shared);
         loop {
             // Registers before the selection, so that a change during the selection is not missed.
@@ -186,6 +187,10 @@
                 _ => false,
             };
             let left = until.saturating_duration_since(lift_clock::now());
+            if may_change && error == lift_dispatch::SelectionError::Full && !has_waited {
+                has_waited = true;
+                self.record_wait();
+            }
             if !may_change || tokio::time::timeout(left, capacity_changed).await.is_err() {
                 self.record_selection(Some(error));
                 self.log_loads(error);
--- a/crates/lift_gateway/src/request_run.rs
+++ b/crates/lift_gateway/src/request_run.rs
@@ -211,8 +211,12 @@
             .then(|| self.shared.parts.blocked(&self.head.parts))
             .flatten();
         let id = Some(self.head.id.clone());
-        match blocked {
-            Some(blocked) => response::rejected_for(&self.shared, reason, id, blocked.time_left),
+        let retry_after = match blocked {
+            Some(blocked) => Some(blocked.time_left),
+            None => self.retry_after(reason),
+        };
+        match retry_after {
+            Some(after) => response::rejected_for(&self.shared, reason, id, after),
             None => response::rejected(&self.shared, reason, id),
         }
     }
