--- a/crates/lift_dispatch/src/retry_time.rs
+++ b/crates/lift_dispatch/src/retry_time.rs
@@ -5,6 +5,10 @@
 /// Part of the time left for which a refused caller waits at most.
 const HONOURED_DIVISOR: u32 = 3;
 
+/// Time for which a fleet that is full stays so at least. Callers that come back sooner find the same
+/// shortage, however short the requests are.
+const MIN_SHORTAGE: time::Duration = time::Duration::from_secs(1);
+
 /// Start of the interval over which callers are spread, as a share of its end.
 const SPREAD_START: f64 = 0.5;
 
@@ -28,7 +32,7 @@
         if self.is_in_vain() {
             return self.room_after.mul_f64(1.0 + SPREAD_START * draw);
         }
-        let end = self.room_after.min(honoured);
+        let end = self.room_after.max(MIN_SHORTAGE).min(honoured);
         end.mul_f64(SPREAD_START + (1.0 - SPREAD_START) * draw)
     }
 
--- a/crates/lift_gateway/src/request_admission.rs
+++ b/crates/lift_gateway/src/request_admission.rs
@@ -42,6 +42,7 @@
         self.head.last_event.is_none()
             && self.head.timeout.is_some_and(|timeout| {
                 let admissions = &self.shared.admissions;
+                let timeout = timeout.min(self.route.timeout);
                 admissions.record_caller(&self.route.name, now, timeout)
             })
     }
