--- a/crates/lift_fleet/src/routing_table.rs
+++ b/crates/lift_fleet/src/routing_table.rs
@@ -75,9 +75,14 @@
         self.routes.values().flatten()
     }
 
-    /// Priority of each workspace that has terms, `None` where the document sets none.
+    /// Priority of each workspace, `None` where the document sets none.
     pub fn workspace_priorities(&self) -> impl Iterator<Item = Option<u32>> {
-        self.workspaces.values().map(|terms| terms.priority)
+        let with_keys = self.keys.iter().flat_map(|keys| keys.values());
+        let without_terms = with_keys.filter(|id| !self.workspaces.contains_key(*id));
+        let terms = self.workspaces.values();
+        terms
+            .map(|terms| terms.priority)
+            .chain(without_terms.map(|_| None))
     }
 
     /// Regions in which a request on `route` from `workspace` may run: both bind.
--- a/crates/lift_gateway/tests/support/backend.rs
+++ b/crates/lift_gateway/tests/support/backend.rs
@@ -127,6 +127,7 @@
 pub(crate) struct ReceivedRequest {
     pub(crate) workspace: Option<String>,
     pub(crate) key: Option<String>,
+    pub(crate) priority: Option<String>,
     pub(crate) last_event: Option<String>,
 }
 
@@ -210,6 +211,7 @@
         state.received.lock().push(ReceivedRequest {
             workspace: find("x-workspace"),
             key: find("x-key"),
+            priority: find("x-priority"),
             last_event: find("x-last"),
         });
         let id = find("x-id").unwrap_or_default();
--- a/crates/lift_gateway/tests/support/codec.rs
+++ b/crates/lift_gateway/tests/support/codec.rs
@@ -5,15 +5,16 @@
 /// The only API key.
 pub(crate) const KEY: &str = "k1";
 
-/// Returns the same routing table for every document, except that requests of documents from the
-/// second one on may run in a region without servers only. A document holds its version.
+/// Returns the same routing table for every document, except that requests of the second document may
+/// run in a region without servers only, and that the idempotent route of the third one is more urgent
+/// than the others. A document holds its version.
 #[derive(Debug)]
 pub(crate) struct Codec;
 
 impl lift_fleet::DocumentCodec for Codec {
     fn decode(&self, text: &[u8]) -> Result<lift_fleet::RoutingTable, lift_fleet::DocumentError> {
         let version = String::from_utf8_lossy(text).parse().unwrap_or(1);
-        let allowed = (version > 1).then(|| String::from("elsewhere"));
+        let allowed = (version == 2).then(|| String::from("elsewhere"));
         let allowed_regions = lift_fleet::AllowedRegions::new(allowed);
         let kinds = [
             ("idempotent", lift_fleet::RouteKind::Idempotent),
@@ -31,6 +32,7 @@
         for (name, kind) in kinds {
             builder = builder.route(lift_fleet::Route {
                 allowed_regions: allowed_regions.clone(),
+                priority: u32::from(version != 3 || name != "idempotent"),
                 ..route(name, kind)
             });
         }
--- a/crates/lift_gateway/tests/support/dialect.rs
+++ b/crates/lift_gateway/tests/support/dialect.rs
@@ -42,6 +42,9 @@
         if let Some(workspace) = &call.workspace {
             set(headers, "x-workspace", workspace);
         }
+        if let Some(priority) = call.priority {
+            set(headers, "x-priority", &priority.to_string());
+        }
         if let Some(event) = call.last_event {
             set(headers, "x-last", &event.to_string());
         }
--- a/crates/lift_gateway/tests/support/fleet.rs
+++ b/crates/lift_gateway/tests/support/fleet.rs
@@ -133,9 +133,17 @@
 
     /// Puts a document in force by which no server may run requests.
     pub(crate) async fn restrict_regions(&self) {
+        self.replace_document(1).await;
+    }
+
+    pub(crate) async fn set_priorities(&self) {
+        self.replace_document(2).await;
+    }
+
+    async fn replace_document(&self, versions: u64) {
         self.source
             .replaced
-            .fetch_add(1, sync::atomic::Ordering::SeqCst);
+            .fetch_add(versions, sync::atomic::Ordering::SeqCst);
         let head = lift_feed::FeedSource::head(&*self.source);
         self.feed.push_head(head);
         // The gateway fetches the document.
