--- a/crates/lift_fleet/src/routing_table.rs
+++ b/crates/lift_fleet/src/routing_table.rs
@@ -85,6 +85,16 @@
         self.keys.iter().flatten()
     }
 
+    /// Priority of each workspace, `None` where the document sets none.
+    pub fn workspace_priorities(&self) -> impl Iterator<Item = Option<u32>> {
+        let with_keys = self.keys.iter().flat_map(|keys| keys.values());
+        let without_terms = with_keys.filter(|id| !self.workspaces.contains_key(*id));
+        let terms = self.workspaces.values();
+        terms
+            .map(|terms| terms.priority)
+            .chain(without_terms.map(|_| None))
+    }
+
     /// Regions in which a request on `route` from `workspace` may run: both bind.
     pub fn allowed_regions(
         &self,
