Requests leave their failure domain by expected wait, and regions share servers by need

What callers saw: when a failure domain has no servers of its own, for instance while it is evacuated, its gateways may use a tenth of the free places of each of the others, for a third of all callers, while those places stay unused.

Cause: each region kept 0.8 of its servers' places to itself, whatever the regions need, and another region had a fixed cost, whatever the way and the wait are.

Change: RegionBalance divides the places between regions by what each has and needs, from the lists that all gateways know, so without a message and without oscillating with the load. Distances price the way to each failure domain as a wait, from the delays in the document and the settings gateway.leaving.

The played loads of placement.rs pass unchanged.

The section of a gateway now ends exactly where the next one starts; with rounded widths two gateways could count the same place.

--- a/crates/lift_dispatch/src/backend_cost.rs
+++ b/crates/lift_dispatch/src/backend_cost.rs
@@ -1,9 +1,11 @@
 //! Cost of a request at a backend server.
 
+use std::time;
+
 use crate::{backend, backend_load, backend_selector};
 
-/// Cost of a backend server in another region, as a share of its slots: it is selected only if
-/// it is less loaded by at least this much. Links between regions are narrow and cost money,
+/// Cost of a backend server in another region where no distances are set, as a share of its slots:
+/// it is selected only if it is less loaded by at least this much. Links between regions are narrow and cost money,
 /// and at peak load a quarter of the slots is taken within a second.
 const REMOTE_REGION_PENALTY: f64 = 0.25;
 
@@ -29,10 +31,10 @@
 /// Largest cost of a high head latency, as a share of the slots.
 const MAX_HEAD_PENALTY: f64 = 1.5;
 
-/// Cost of the prompts that are read first, as a multiple of the share of the target latency that
-/// they take. A prompt ahead delays the first event by the whole time in which the engine reads it,
+/// Cost of a wait before the first event, as a multiple of the share of the target latency that it
+/// takes. A prompt ahead delays the first event by the whole time in which the engine reads it,
 /// a request whose prompt was read hardly delays it.
-const PROMPTS_AHEAD_WEIGHT: f64 = 3.0;
+const WAIT_WEIGHT: f64 = 3.0;
 
 impl backend_selector::BackendSelector<'_> {
     /// Cost as a share of the slots of the server, with `requests` there.
@@ -43,10 +45,10 @@
         requests: u32,
     ) -> f64 {
         let is_remote = backend.region.as_deref().is_some_and(|r| r != self.region);
-        let remote = if is_remote {
-            REMOTE_REGION_PENALTY
-        } else {
-            0.0
+        let distance = match self.distances {
+            Some(distances) => self.wait_cost(distances.wait(backend)),
+            None if is_remote => REMOTE_REGION_PENALTY,
+            None => 0.0,
         };
         let silent = if backend.is_silent {
             SILENT_PENALTY
@@ -63,7 +65,7 @@
         let congestion = self.link_percent(load).map_or(0, |p| 100 - p.min(100));
         let congestion = f64::from(congestion) / 100.0;
         used + self.prompts_cost(load)
-            + remote
+            + distance
             + silent
             + stale
             + failures
@@ -76,8 +78,13 @@
         let wait = self
             .prefill_time
             .saturating_mul(load.prompts_ahead(self.now));
+        self.wait_cost(wait)
+    }
+
+    /// Cost of a wait before the first event, as a share of the slots.
+    fn wait_cost(&self, wait: time::Duration) -> f64 {
         let target_s = self.target_latency.as_secs_f64().max(f64::MIN_POSITIVE);
-        PROMPTS_AHEAD_WEIGHT * wait.as_secs_f64() / target_s
+        WAIT_WEIGHT * wait.as_secs_f64() / target_s
     }
 
     /// Whether answers of the backend server are so late that its engine or link has probably
--- a/crates/lift_dispatch/src/backend_selector.rs
+++ b/crates/lift_dispatch/src/backend_selector.rs
@@ -3,8 +3,8 @@
 use std::{sync, time};
 
 use crate::{
-    backend, backend_load, backend_score, gateway_shares, lowest_cost, selection_error,
-    weights_requirement,
+    backend, backend_load, backend_score, distances, gateway_shares, lowest_cost, region_balance,
+    selection_error, weights_requirement,
 };
 
 /// Share of the target latency within which the prompt must be read. The rest covers the round
@@ -37,8 +37,13 @@
     pub now: time::Instant,
     /// Region of the gateway.
     pub region: &'a str,
+    /// Costs of the ways to the backend servers. `None` if another region has a fixed cost.
+    pub distances: Option<&'a distances::Distances>,
     /// Gateways that share the backend servers, this one included.
     pub gateways: &'a gateway_shares::GatewayShares,
+    /// Division of the servers between regions. `None` if each region has most of its own ones,
+    /// whatever it needs.
+    pub balance: Option<&'a region_balance::RegionBalance>,
     /// Weights that the request needs.
     pub weights: &'a weights_requirement::WeightsRequirement,
     /// Requests that a backend server may have in addition to those in its slots, as a share
@@ -188,7 +193,7 @@
             .max(1.0);
         let own_share = |free: f64, random: f64| {
             let region = backend.region.as_deref();
-            self.gateways.places(region, free, random)
+            self.gateways.places(region, self.balance, free, random)
         };
         match load.own_places(self.now, places, &own_share) {
             Some(own_places) => own_places > 0,
--- /dev/null
+++ b/crates/lift_dispatch/src/distances.rs
@@ -0,0 +1,54 @@
+//! Distances of backend servers.
+
+use std::time;
+
+use crate::{backend, leave_prices};
+
+/// What it costs a gateway to send requests of one service to each failure domain, as a wait: a
+/// request leaves its failure domain if it is expected to save more elsewhere.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Distances {
+    own: lift_types::Location,
+    prices: leave_prices::LeavePrices,
+    /// Delays to the failure domains for which they are known.
+    delays: indexmap::IndexMap<lift_types::FailureDomainId, time::Duration>,
+}
+
+impl Distances {
+    /// Creates the distances of a gateway at `own`. `delays` are those between all failure domains.
+    pub fn new(
+        own: &lift_types::Location,
+        prices: leave_prices::LeavePrices,
+        delays: &[lift_fleet::DomainDelay],
+    ) -> Self {
+        let to = |delay: &lift_fleet::DomainDelay| {
+            let other = match (&delay.from, &delay.to) {
+                (from, to) if *from == own.failure_domain => to,
+                (from, to) if *to == own.failure_domain => from,
+                _ => return None,
+            };
+            Some((other.clone(), delay.delay))
+        };
+        Self {
+            own: own.clone(),
+            prices,
+            delays: delays.iter().filter_map(to).collect(),
+        }
+    }
+
+    /// Time on the way to a backend server and back, and the wait that the way is worth. A server
+    /// whose region is unknown counts as one of the own region.
+    pub fn wait(&self, backend: &backend::Backend) -> time::Duration {
+        if backend.failure_domain == self.own.failure_domain {
+            return time::Duration::ZERO;
+        }
+        let delay = self.delays.get(&backend.failure_domain);
+        let way = delay.copied().unwrap_or_default() * 2;
+        let region = backend.region.as_deref();
+        let price = match region.is_some_and(|region| region != self.own.region) {
+            true => self.prices.region,
+            false => self.prices.domain,
+        };
+        way + price
+    }
+}
--- a/crates/lift_dispatch/src/gateway_shares.rs
+++ b/crates/lift_dispatch/src/gateway_shares.rs
@@ -1,5 +1,7 @@
 //! Division of free places between gateways.
 
+use crate::region_balance;
+
 /// Share of a backend server's free places for the gateways of its own region, if there are
 /// gateways elsewhere. The rest lets a region whose servers are full or lost use those of others.
 const OWN_REGION_SHARE: f64 = 0.8;
@@ -46,10 +48,44 @@
         self.all().count.max(1)
     }
 
+    /// Number of gateways in each region.
+    pub fn region_counts(&self) -> impl Iterator<Item = (&lift_types::RegionId, u32)> {
+        self.regions
+            .iter()
+            .map(|(region, gateways)| (region, gateways.count))
+    }
+
     /// Requests that this gateway may send to a server with `free` places in `server_region` on
-    /// one load report. `random` is the random number of the report, from 0 up to 1. All gateways
-    /// share a server in an unknown region alike.
-    pub fn places(&self, server_region: Option<&str>, free: f64, random: f64) -> u32 {
+    /// one load report. `random` is the random number of the report, from 0 up to 1. With a
+    /// `balance` between regions each of them has the section of the places that it needs. All
+    /// gateways share a server in an unknown region alike.
+    pub fn places(
+        &self,
+        server_region: Option<&str>,
+        balance: Option<&region_balance::RegionBalance>,
+        free: f64,
+        random: f64,
+    ) -> u32 {
+        let section = balance
+            .zip(server_region)
+            .and_then(|(balance, region)| balance.section(region, &self.own_region));
+        let own = self.regions.get(&self.own_region).copied();
+        let (group, start, end) = match section {
+            Some((start, end)) => (own.unwrap_or_default(), start, end),
+            None => self.default_section(server_region),
+        };
+        let count = group.count.max(1);
+        let boundary = |before: u32| match before < count {
+            true => start + (end - start) * f64::from(before) / f64::from(count),
+            false => end,
+        };
+        let (first, last) = (boundary(group.before), boundary(group.before + 1));
+        places_before(last, free, random) - places_before(first, free, random)
+    }
+
+    /// The gateways with which this one shares a section of the places of servers in
+    /// `server_region`, and the start and the end of the section.
+    fn default_section(&self, server_region: Option<&str>) -> (RegionGateways, f64, f64) {
         let all = self.all();
         let near = server_region.and_then(|region| self.regions.get(region));
         let near = near.copied().unwrap_or_default();
@@ -62,14 +98,10 @@
             (_, 0) => 1.0,
             _ => OWN_REGION_SHARE,
         };
-        let is_near = server_region == Some(self.own_region.as_str());
-        let (group, start, share) = match is_near {
+        match server_region == Some(self.own_region.as_str()) {
             true => (near, 0.0, near_share),
-            false => (far, near_share, 1.0 - near_share),
-        };
-        let width = share / f64::from(group.count.max(1));
-        let start = start + width * f64::from(group.before);
-        places_before(start + width, free, random) - places_before(start, free, random)
+            false => (far, near_share, 1.0),
+        }
     }
 
     fn all(&self) -> RegionGateways {
--- a/crates/lift_dispatch/tests/odd_samples.rs
+++ b/crates/lift_dispatch/tests/odd_samples.rs
@@ -40,6 +40,8 @@
     let selector = BackendSelector {
         now,
         region: "r",
+        distances: None,
+        balance: None,
         gateways: &GatewayShares::default(),
         weights: &WeightsRequirement::default(),
         queue_share: 0.2,
--- a/crates/lift_dispatch/tests/played_load/fleet.rs
+++ b/crates/lift_dispatch/tests/played_load/fleet.rs
@@ -203,6 +203,8 @@
         let selector = BackendSelector {
             now,
             region: &self.gateways[gateway].region,
+            distances: None,
+            balance: None,
             gateways: &self.shares[gateway],
             weights: &lift_dispatch::WeightsRequirement::default(),
             queue_share: self.latencies[gateway].queue_share(target),
--- a/crates/lift_dispatch/tests/selection_case/mod.rs
+++ b/crates/lift_dispatch/tests/selection_case/mod.rs
@@ -57,6 +57,7 @@
     pub(crate) loads: Vec<BackendLoad>,
     pub(crate) weights: WeightsRequirement,
     pub(crate) allowed_regions: lift_fleet::AllowedRegions,
+    pub(crate) distances: Option<lift_dispatch::Distances>,
     pub(crate) tried: Vec<String>,
 }
 
@@ -73,15 +74,24 @@
                 ..WeightsRequirement::default()
             },
             allowed_regions: lift_fleet::AllowedRegions::default(),
+            distances: None,
             tried: Vec::new(),
         }
     }
 
+    /// The servers.
+    #[allow(dead_code)]
+    pub(crate) fn backends(&self) -> &[sync::Arc<Backend>] {
+        &self.backends
+    }
+
     /// Identifier of the selected server.
     pub(crate) fn select(&self) -> Result<String, SelectionError> {
         let selector = BackendSelector {
             now: self.now,
             region: "here",
+            distances: self.distances.as_ref(),
+            balance: None,
             gateways: &GatewayShares::new(&gateway(1), &[gateway(1), gateway(2)]),
             weights: &self.weights,
             queue_share: 0.0,
--- a/crates/lift_dispatch/tests/shortage_load/fleet.rs
+++ b/crates/lift_dispatch/tests/shortage_load/fleet.rs
@@ -271,6 +271,8 @@
         let selector = BackendSelector {
             now,
             region: &self.regions[caller.gateway],
+            distances: None,
+            balance: None,
             gateways: &gateway.shares,
             weights: &lift_dispatch::WeightsRequirement::default(),
             queue_share: terms.queue_share(gateway.latency.queue_share(terms.target)),
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -2,6 +2,8 @@
 
 use std::{sync, time};
 
+use crate::leaving;
+
 /// State of the fleet according to the feed. The routing table and the backend servers are
 /// replaced as a whole, so that readers only clone an `Arc`.
 #[derive(Debug)]
@@ -17,13 +19,15 @@
     gateways: parking_lot::RwLock<sync::Arc<lift_dispatch::GatewayShares>>,
     gateway_count: parking_lot::Mutex<lift_dispatch::GatewayCount>,
     regions: indexmap::IndexMap<lift_types::FailureDomainId, lift_types::RegionId>,
+    leaving: leaving::Leaving,
 }
 
 impl FleetState {
-    /// Creates an empty state. `regions` maps failure domains to their regions.
+    /// Creates an empty state. `leaving` has no services yet. `regions` maps failure domains to their regions.
     pub(crate) fn new(
         weights_grace: time::Duration,
         regions: indexmap::IndexMap<lift_types::FailureDomainId, lift_types::RegionId>,
+        leaving: leaving::Leaving,
     ) -> Self {
         Self {
             table: parking_lot::RwLock::default(),
@@ -38,6 +42,7 @@
             gateways: parking_lot::RwLock::default(),
             gateway_count: parking_lot::Mutex::default(),
             regions,
+            leaving,
         }
     }
 
@@ -66,6 +71,17 @@
             .unwrap_or_default()
     }
 
+    /// Costs of the ways to the backend servers of a service. `None` if another region has a fixed
+    /// cost.
+    pub(crate) fn distances(&self, service: &str) -> Option<sync::Arc<lift_dispatch::Distances>> {
+        self.leaving.distances(service)
+    }
+
+    /// Division of the backend servers of a service between regions. `None` if it is fixed.
+    pub(crate) fn balance(&self, service: &str) -> Option<sync::Arc<lift_dispatch::RegionBalance>> {
+        self.leaving.balance(service)
+    }
+
     /// Age of the last confirmation of the configuration. `None` before the first one.
     pub(crate) fn confirmation_age(&self, now: time::Instant) -> Option<time::Duration> {
         let at = *self.confirmed_at.read();
@@ -139,6 +155,7 @@
     }
 
     pub(crate) fn set_table(&self, table: sync::Arc<lift_fleet::RoutingTable>) {
+        self.leaving.set_table(&table);
         *self.ranks.write() = lift_dispatch::ServiceRanks::new(&table);
         *self.table.write() = Some(table);
     }
@@ -154,7 +171,9 @@
         gateways: lift_dispatch::GatewayShares,
     ) -> Option<u32> {
         let before = self.gateway_count.lock().record(now, gateways.total());
-        *self.gateways.write() = sync::Arc::new(gateways);
+        let gateways = sync::Arc::new(gateways);
+        *self.gateways.write() = sync::Arc::clone(&gateways);
+        self.leaving.balance_regions(&self.backends(), &gateways);
         before
     }
 
@@ -202,6 +221,8 @@
         let region_of = |domain: &str| self.regions.get(domain).cloned();
         let evacuations = self.evacuations.lock();
         let backends = lift_dispatch::ServiceBackends::new(directory, &evacuations, region_of);
-        *self.backends.write() = sync::Arc::new(backends);
+        let backends = sync::Arc::new(backends);
+        *self.backends.write() = sync::Arc::clone(&backends);
+        self.leaving.balance_regions(&backends, &self.gateways());
     }
 }
--- a/crates/lift_gateway/src/lib.rs
+++ b/crates/lift_gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod held_bytes;
 mod http_server;
 mod in_flight_request;
+mod leaving;
 mod limited_stream;
 mod load_receiver;
 mod part_guard;
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -113,6 +113,7 @@
         version_held: Option<lift_fleet::WeightsVersion>,
     ) -> Result<exchange::Exchange, lift_dispatch::AttemptFailure> {
         let req = self.build_request(call);
+        self.count_way(backend);
         let in_flight =
             in_flight_request::InFlightRequest::start(&self.shared, sync::Arc::clone(backend));
         let deadline = self.attempt_deadline(now, version_held);
@@ -127,6 +128,18 @@
         }
     }
 
+    /// Counts how far the request is sent, so that operators see what share leaves the failure domain.
+    fn count_way(&self, backend: &lift_dispatch::Backend) {
+        let own = &self.shared.location;
+        let is_own_region = backend.region.as_deref() == Some(own.region.as_str());
+        let way = match (backend.failure_domain == own.failure_domain, is_own_region) {
+            (true, _) => "own_domain",
+            (false, true) => "other_domain",
+            (false, false) => "other_region",
+        };
+        self.shared.counters.increment_member("sent", way);
+    }
+
     /// Checks that no part of the prompt is quarantined.
     fn check_parts(&self) -> Result<(), attempt_error::AttemptError> {
         let Some(blocked) = self.shared.parts.blocked(&self.head.parts) else {
@@ -217,9 +230,13 @@
         let prefill_time = shared.fleet.prefill_time(&self.service);
         let allowed_regions = self.allowed_regions();
         let gateways = shared.fleet.gateways();
+        let distances = shared.fleet.distances(&self.service);
+        let balance = shared.fleet.balance(&self.service);
         let selector = lift_dispatch::BackendSelector {
             now,
             region: &shared.location.region,
+            distances: distances.as_deref(),
+            balance: balance.as_deref(),
             gateways: &gateways,
             weights: &self.weights_requirement,
             queue_share: terms.queue_share(
--- a/crates/lift_node/src/fleet_node.rs
+++ b/crates/lift_node/src/fleet_node.rs
@@ -218,6 +218,7 @@
             retry_burst: bounds.repeat_burst * REPEAT_PART,
             cold_overage: bounds.cold_overage,
             cold_slack: bounds.cold_slack,
+            leave_prices: cfg.leaving.map(leave_prices),
             ..lift_gateway::GatewayLimits::default()
         };
         let mut builder = lift_gateway::Gateway::builder()
@@ -262,6 +263,13 @@
     }
 }
 
+fn leave_prices(leaving: lift_settings::FleetLeaving) -> lift_dispatch::LeavePrices {
+    lift_dispatch::LeavePrices {
+        domain: time::Duration::from_millis(leaving.domain_wait_ms),
+        region: time::Duration::from_millis(leaving.region_wait_ms),
+    }
+}
+
 fn percent(ms: u64, percent: u32) -> time::Duration {
     time::Duration::from_millis(ms) * percent / 100
 }
--- a/crates/lift_settings/src/fleet_gateway.rs
+++ b/crates/lift_settings/src/fleet_gateway.rs
@@ -2,6 +2,8 @@
 
 use std::net;
 
+use crate::fleet_leaving;
+
 /// Settings of a node that takes the requests of callers.
 #[derive(
     Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize, schemars::JsonSchema,
@@ -12,4 +14,8 @@
     pub callers: net::SocketAddr,
     /// Where the load balancer asks whether the node is ready.
     pub readiness: net::SocketAddr,
+    /// When requests leave their failure domain. Without it another region has a fixed cost, and
+    /// keeps a fixed part of its servers to itself.
+    #[serde(default)]
+    pub leaving: Option<fleet_leaving::FleetLeaving>,
 }
