--- a/crates/lift_dispatch/src/cold_server.rs
+++ b/crates/lift_dispatch/src/cold_server.rs
@@ -7,6 +7,11 @@
 /// Longest time for which an announcement makes a server count as cold.
 const MAX_WARMUP: time::Duration = time::Duration::from_secs(3_600);
 
+/// Time for which a server that could not be reached counts as cold if nobody reaches it or hears of
+/// it. By then control has announced its new start or marked it as silent, or it has never ended. A
+/// gateway without a share could not find out.
+const LOST_TIME: time::Duration = time::Duration::from_secs(30);
+
 /// Whether a backend server is cold as far as one gateway knows, and what the gateway has sent to it.
 ///
 /// What a gateway hears is late, so a server that can't be reached counts as cold, and a server that
@@ -14,9 +19,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct ColdServer {
     process: Option<(lift_fleet::BackendId, time::SystemTime)>,
-    /// Whether it could not be reached, or has ended, or is silent, and was not reached since.
-    is_lost: bool,
     is_silent: bool,
+    /// When it last could not be reached or has ended. `None` if it was reached since.
+    lost_at: Option<time::Instant>,
     cold_until: Option<time::Instant>,
     /// `None` if its service has no warm-up.
     limit: Option<cold_limit::ColdLimit>,
@@ -46,11 +51,12 @@
         self.process = Some(process);
         let is_back = std::mem::replace(&mut self.is_silent, record.is_silent);
         if record.is_silent {
-            self.is_lost = true;
             return;
         }
         // Any other record of a server that could not be reached may be from before that.
-        self.is_lost &= !is_back && !is_new;
+        if is_back || is_new {
+            self.lost_at = None;
+        }
         let announced = announcement.warmup_left.min(MAX_WARMUP);
         if !announced.is_zero() {
             self.cold_until = Some(now + announced);
@@ -68,22 +74,22 @@
         self.cold_until = self.cold_until.max(duration.map(|duration| now + duration));
     }
 
-    /// Records that the server could not be reached or has ended.
-    pub fn lose(&mut self) {
-        self.is_lost = true;
+    /// Records that the server could not be reached at `now` or has ended.
+    pub fn lose(&mut self, now: time::Instant) {
+        self.lost_at = Some(now);
     }
 
     /// Records that the server has answered.
     pub fn reach(&mut self, now: time::Instant) {
-        if std::mem::take(&mut self.is_lost) {
+        if self.lost_at.take().is_some() {
             self.mark(now);
         }
     }
 
     /// Whether the server counts as cold, and whether it may get one more request.
     pub fn state(&self, now: time::Instant) -> cold_state::ColdState {
-        let is_cold = self.is_lost || self.cold_until.is_some_and(|until| now < until);
-        if self.limit.is_none() || !is_cold {
+        let is_cold = self.cold_until.is_some_and(|until| now < until);
+        if self.limit.is_none() || !(is_cold || self.is_away(now)) {
             cold_state::ColdState::Warm
         } else if self.sent.has_place(now, self.share) {
             cold_state::ColdState::Cold
@@ -114,6 +120,12 @@
         let left = self
             .cold_until
             .map(|until| until.saturating_duration_since(now));
-        left.filter(|_| !self.is_lost)
+        left.filter(|_| !self.is_away(now))
+    }
+
+    /// Whether the server is silent, or could not be reached and was not reached since.
+    fn is_away(&self, now: time::Instant) -> bool {
+        let lost_for = self.lost_at.map(|at| now.saturating_duration_since(at));
+        self.is_silent || lost_for.is_some_and(|lost_for| lost_for < LOST_TIME)
     }
 }
--- a/crates/lift_dispatch/src/cold_shares.rs
+++ b/crates/lift_dispatch/src/cold_shares.rs
@@ -109,7 +109,7 @@
                 others += 1;
             }
         }
-        let near = (f64::from(requests) * OWN_REGION_SHARE).floor() as u32;
+        let near = (f64::from(requests) * OWN_REGION_SHARE).ceil() as u32;
         let part = match (others, is_near(own)) {
             (0, _) => requests,
             (_, true) => near,
--- a/crates/lift_dispatch/tests/cold_limit.rs
+++ b/crates/lift_dispatch/tests/cold_limit.rs
@@ -3,6 +3,8 @@
 
 mod cold_play;
 
+use std::time;
+
 use cold_play::{ALLOWED, MS, Play, Random, any, location};
 
 /// Requests per second that come in most tests. Far more than the server may get.
@@ -73,6 +75,32 @@
     }
 }
 
+#[test]
+fn shares_of_gateways_with_different_lists_add_up_to_the_limit_at_most() {
+    let now = time::Instant::now();
+    let mut random = Random(7);
+    for round in 0..300 {
+        let active = 1 + random.below(120) as u32;
+        let requests = random.below(90) as u32;
+        let region = *random_of(&mut random, &["r0", "r1", "nowhere"]);
+        let mut sum = 0;
+        for host in 0..active {
+            // Each gateway knows all that are active, and some that have ended.
+            let ended = (active..active + 60).filter(|_| random.below(3) == 0);
+            let listed: Vec<_> = (0..active).chain(ended).map(location).collect();
+            let mut shares = lift_dispatch::ColdShares::new(&location(host), 20_000 * MS);
+            shares.record(now, &listed);
+            let settled = now + 2_000 * MS;
+            sum += shares.share(settled, cold_play::address(), Some(region), requests);
+        }
+        assert!(sum <= requests, "round {round}: {sum} of {requests}");
+    }
+}
+
+fn random_of<'a, T>(random: &mut Random, values: &'a [T]) -> &'a T {
+    &values[random.below(values.len() as u64) as usize]
+}
+
 #[test]
 fn usual_traffic_is_rarely_held_back() {
     // Gateways of the server's region send most of its requests, in the first deployment 12 to 20 a
@@ -101,7 +129,7 @@
 
 #[test]
 fn a_gateway_that_does_not_know_the_others_sends_nothing() {
-    let now = std::time::Instant::now();
+    let now = time::Instant::now();
     let mut shares = lift_dispatch::ColdShares::new(&location(1), 20_000 * MS);
     let share = |shares: &lift_dispatch::ColdShares, ms: u32| {
         shares.share(now + MS * ms, cold_play::address(), Some("r1"), 40)
--- a/crates/lift_dispatch/tests/selection_case/mod.rs
+++ b/crates/lift_dispatch/tests/selection_case/mod.rs
@@ -55,6 +55,7 @@
     pub(crate) now: time::Instant,
     backends: Vec<sync::Arc<Backend>>,
     pub(crate) loads: Vec<BackendLoad>,
+    pub(crate) cold: Vec<lift_dispatch::ColdState>,
     pub(crate) weights: WeightsRequirement,
     pub(crate) allowed_regions: lift_fleet::AllowedRegions,
     pub(crate) tried: Vec<String>,
@@ -67,6 +68,7 @@
         Self {
             now: time::Instant::now() + 10_000 * MS,
             loads: vec![BackendLoad::default(); backends.len()],
+            cold: vec![lift_dispatch::ColdState::Warm; backends.len()],
             backends,
             weights: WeightsRequirement {
                 model: Some(String::from("m")),
@@ -92,7 +94,7 @@
         };
         let with_load = |b: &Backend, score: ScoreFn<'_>| {
             let position = self.backends.iter().position(|c| c.id == b.id).unwrap();
-            score(&self.loads[position])
+            score(&self.loads[position]).with_cold(self.cold[position])
         };
         let selected = selector.select(&self.backends, &with_load, 1);
         selected.map(|b| b.id.clone())
--- a/crates/lift_gateway/src/cold_servers.rs
+++ b/crates/lift_gateway/src/cold_servers.rs
@@ -84,9 +84,9 @@
         self.change(address, |server| server.give_back(sent_at));
     }
 
-    /// Records that the server at `address` could not be reached or has ended.
-    pub(crate) fn lose(&self, address: net::SocketAddr) {
-        self.change(address, lift_dispatch::ColdServer::lose);
+    /// Records that the server at `address` could not be reached at `now` or has ended.
+    pub(crate) fn lose(&self, now: time::Instant, address: net::SocketAddr) {
+        self.change(address, |server| server.lose(now));
         self.may_be_cold.store(true, atomic::Ordering::Release);
     }
 
--- a/crates/lift_gateway/src/cold_watch.rs
+++ b/crates/lift_gateway/src/cold_watch.rs
@@ -45,7 +45,7 @@
         failure: lift_dispatch::AttemptFailure,
     ) {
         if failure.may_have_ended() {
-            self.cold_servers.lose(backend.address);
+            self.cold_servers.lose(now, backend.address);
         } else if failure != lift_dispatch::AttemptFailure::Silent {
             self.cold_servers.reach(now, backend.address);
         }
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -47,7 +47,8 @@
                 self.servers_reached += 1;
                 self.may_have_run = true;
                 self.record_head_latency(&backend, now);
-                self.shared.cold_servers.reach(now, backend.address);
+                let cold_servers = &self.shared.cold_servers;
+                cold_servers.reach(lift_clock::now(), backend.address);
                 self.record_start(&exchange, now);
                 Ok(exchange)
             }
