--- a/crates/lift_gateway/src/cold_watch.rs
+++ b/crates/lift_gateway/src/cold_watch.rs
@@ -79,7 +79,7 @@
     }
 
     /// Calls `select` and counts the request at the selected backend server, in case it is cold.
-    /// Counts a request if `is_held_back` is set by then.
+    /// Counts the selection if `is_held_back` is set by then.
     ///
     /// # Errors
     ///
