A late answer does not end an absence of the origin

A read that began before the origin went away may be answered after another one has failed. Only a connection that is accepted ends an absence.

--- a/crates/lift_transfer/src/origin_watch.rs
+++ b/crates/lift_transfer/src/origin_watch.rs
@@ -45,10 +45,12 @@
         now.saturating_duration_since(since)
     }
 
-    /// Records that a read was answered.
+    /// Records that a read was answered. While the origin is away that is an answer to a
+    /// read that began before, and the absence goes on.
     pub fn record_answer(&mut self) {
-        self.away_since = None;
-        self.is_away = false;
+        if !self.is_away {
+            self.away_since = None;
+        }
     }
 
     /// Returns the time until the next probe. It is random, so that the agents of a fleet don't
