A nearly complete version is finished before a newer one

Callers were refused for 6 s to 10 s where two versions were set 2 s or 3 s apart and the origin of weights went away: the first was dropped with 36 of 48 pieces read, the second could not be read.

When a newer version is set, an agent now decides which to read (VersionChoice, without I/O): it finishes the older one if that takes at most a quarter of the time of the newer one by the pieces that are missing, the measured rate, and what no agent is known to hold, if the older one then serves for a second or more, and if the newer one would still be in place in its own time. While the origin does not answer the older one is kept, since the newer one can't be read. One half of a region's servers loads the older version at once; the other half does so after 1.9 s and only if the origin is away then. One older version at most is loaded for each newer one. While it is finished the agent opens a connection to the origin every 300 ms to notice an absence.

--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -11,6 +11,9 @@
 /// Time between two looks at requests that are late.
 const CLOCK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
+/// Ticks between two looks at the origin while an older version is finished.
+const TICKS_PER_CHECK: u32 = 6;
+
 /// Time without a connection to an upstream after which the origin is read in its place.
 const UPSTREAM_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
@@ -99,20 +102,27 @@
     async fn follow(self: &sync::Arc<Self>) -> Result<()> {
         let mut done = self.done.subscribe();
         let mut nodes = self.shared.nodes.subscribe();
-        let mut named = self.shared.named.subscribe();
         let mut clock = tokio::time::interval(CLOCK_INTERVAL);
         self.set_view();
         let mut progress_log = fetch_log::ProgressLog::default();
         let mut progress = fetch_progress::Progress::new(self.staged.all().len());
+        let mut ticks = 0_u32;
         loop {
             tokio::select! {
                 _ = done.wait_for(|done| *done) => return Ok(()),
                 _ = nodes.changed() => self.set_view(),
-                _ = named.changed() => self.check_newest()?,
                 _ = clock.tick() => {
                     let percent = self.shared.pressure.lock().allowed_percent(lift_clock::now());
                     self.step(lift_transfer::DownloadEvent::TrafficShare { percent });
                     self.step(lift_transfer::DownloadEvent::Tick { live: 0 });
+                    self.check_newest()?;
+                    ticks += 1;
+                    // Nothing else may be read from the origin now.
+                    if !self.shared.is_newest(&self.staged)
+                        && ticks.is_multiple_of(TICKS_PER_CHECK)
+                    {
+                        self.check_origin();
+                    }
                     progress_log.write(self, percent);
                     if progress.is_stuck(self.staged.all().len()) {
                         self.read_missing();
@@ -142,8 +152,11 @@
     }
 
     fn check_newest(&self) -> Result<()> {
-        let manifest = &self.staged.manifest;
-        if self.shared.named(&manifest.model) > manifest.version {
+        let unseen = self.download.lock().unseen_count();
+        let unseen = u32::try_from(unseen).unwrap_or(u32::MAX);
+        let known = &self.staged.unseen;
+        known.store(unseen, atomic::Ordering::Relaxed);
+        if self.shared.is_superseded(&self.staged) {
             return Err(error_stack::Report::new(
                 stage_error::StageError::Superseded,
             ));
--- a/crates/lift_stage/src/fetch_origin.rs
+++ b/crates/lift_stage/src/fetch_origin.rs
@@ -2,6 +2,8 @@
 
 use std::{sync, time};
 
+use sync::atomic;
+
 use crate::{fetch, stage_error};
 
 impl fetch::Fetch {
@@ -14,6 +16,10 @@
 
     /// Takes in that a read from the origin has failed.
     pub(crate) fn on_origin_failure(self: &sync::Arc<Self>, error: &stage_error::StageError) {
+        if *error == stage_error::StageError::Dropped {
+            let is_dropped = &self.staged.is_dropped;
+            is_dropped.store(true, atomic::Ordering::Relaxed);
+        }
         // An origin that has dropped the version answers.
         if *error != stage_error::StageError::Dropped && self.shared.origin_monitor.record_failure()
         {
--- a/crates/lift_stage/src/lib.rs
+++ b/crates/lift_stage/src/lib.rs
@@ -43,6 +43,7 @@
 mod stage_port;
 mod staged;
 mod staging_area;
+mod succession;
 mod survey;
 mod upload_slots;
 mod weights_keeper;
--- a/crates/lift_stage/src/origin_monitor.rs
+++ b/crates/lift_stage/src/origin_monitor.rs
@@ -51,6 +51,19 @@
         is_new
     }
 
+    /// Finds out whether the origin accepts connections.
+    pub(crate) async fn check(&self, origin: net::SocketAddr) {
+        match (self.is_reached(origin).await, self.answers()) {
+            (true, false) => {
+                self.watch.lock().record_reached(lift_clock::now());
+            }
+            (false, true) => {
+                self.record_failure();
+            }
+            _ => {}
+        }
+    }
+
     /// Whether the origin accepts a connection now.
     pub(crate) async fn is_reached(&self, origin: net::SocketAddr) -> bool {
         self.counters.increment("agent.origin_probes");
--- a/crates/lift_stage/src/shared.rs
+++ b/crates/lift_stage/src/shared.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     engine_report, inventory, link_patience, origin_monitor, origin_port, piece_manifest,
-    stage_error, stage_port, staged, staging_area,
+    stage_error, stage_port, staged, staging_area, succession,
 };
 
 /// Time for one request to the backend server beside the agent.
@@ -45,6 +45,8 @@
     pub(crate) report: watch::Sender<Option<(engine_report::EngineReport, time::Instant)>>,
     /// The version that another agent asked for last, where this one does not work on it.
     pub(crate) asked: watch::Sender<Option<(lift_fleet::ModelName, lift_fleet::WeightsVersion)>>,
+    /// How a newer version was met while an older one was on its way.
+    pub(crate) succession: parking_lot::Mutex<succession::Succession>,
     /// The version that is or was brought to the staging area last.
     pub(crate) staged: watch::Sender<Option<sync::Arc<staged::Staged>>>,
 }
@@ -124,6 +126,16 @@
         within(BACKEND_TIMEOUT, reading).await
     }
 
+    /// Position of this agent among those of its region.
+    pub(crate) fn position(&self) -> usize {
+        let region = &self.card.location.region;
+        let agents = self.agents();
+        let before = agents.iter().filter(|agent| {
+            agent.location.region == *region && agent.location.host < self.card.location.host
+        });
+        before.count()
+    }
+
     /// When this agent may let the backend server load a newer version than `held`.
     pub(crate) fn load_turn(
         &self,
@@ -132,13 +144,8 @@
     ) -> lift_transfer::StaggeredLoad {
         let now = lift_clock::now();
         let time_left = self.named.borrow().time_left(now, model, held);
-        let region = &self.card.location.region;
-        let agents = self.agents();
-        let before = agents.iter().filter(|agent| {
-            agent.location.region == *region && agent.location.host < self.card.location.host
-        });
         lift_transfer::StaggeredLoad {
-            position: before.count(),
+            position: self.position(),
             time_left: time_left.unwrap_or_default(),
         }
     }
--- a/crates/lift_stage/src/staged.rs
+++ b/crates/lift_stage/src/staged.rs
@@ -1,6 +1,6 @@
 //! Pieces of one version in the staging area.
 
-use std::sync;
+use std::{sync, time};
 
 use sync::atomic;
 use tokio::sync::watch;
@@ -14,6 +14,12 @@
     held: parking_lot::Mutex<indexmap::IndexSet<lift_types::ChunkIndex>>,
     count: watch::Sender<usize>,
     is_looked_through: atomic::AtomicBool,
+    /// Pieces that are missing and that no agent is known to hold.
+    pub(crate) unseen: atomic::AtomicU32,
+    /// Whether the origin has dropped the version.
+    pub(crate) is_dropped: atomic::AtomicBool,
+    /// When the first and the last piece were added.
+    added: parking_lot::Mutex<Option<(time::Instant, time::Instant)>>,
 }
 
 impl Staged {
@@ -23,6 +29,9 @@
             held: parking_lot::Mutex::default(),
             count: watch::Sender::new(0),
             is_looked_through: atomic::AtomicBool::new(false),
+            unseen: atomic::AtomicU32::new(u32::MAX),
+            is_dropped: atomic::AtomicBool::new(false),
+            added: parking_lot::Mutex::default(),
         })
     }
 
@@ -44,6 +53,8 @@
 
     /// Notes that a piece is staged and was checked.
     pub(crate) fn add(&self, index: lift_types::ChunkIndex) {
+        let now = lift_clock::now();
+        self.added.lock().get_or_insert((now, now)).1 = now;
         let mut held = self.held.lock();
         held.insert(index);
         self.count.send_replace(held.len());
@@ -64,6 +75,14 @@
         self.held.lock().iter().copied().collect()
     }
 
+    /// Average time between two pieces so far, or `None` if there are too few.
+    pub(crate) fn piece_time(&self) -> Option<time::Duration> {
+        let (first, last) = (*self.added.lock())?;
+        let gaps = u32::try_from(self.all().len()).unwrap_or(u32::MAX);
+        let gaps = gaps.checked_sub(1).filter(|gaps| *gaps > 0)?;
+        Some(last.saturating_duration_since(first) / gaps)
+    }
+
     /// Whether all pieces are staged.
     pub(crate) fn is_whole(&self) -> bool {
         self.held.lock().len() == self.manifest.digests.len()
--- a/crates/lift_stage/src/weights_keeper.rs
+++ b/crates/lift_stage/src/weights_keeper.rs
@@ -10,6 +10,10 @@
 /// Pause between two looks while nothing is to be done.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
+/// Pause between two looks at the origin while an older version waits to be loaded before a newer
+/// one.
+const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(300);
+
 /// Pause after a step that failed.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(150);
 
@@ -30,6 +34,8 @@
     loop {
         match keep(&shared).await {
             Ok(()) => tokio::time::sleep(LOOK_INTERVAL).await,
+            // The newer version is fetched at once.
+            Err(e) if *e.current_context() == stage_error::StageError::Superseded => {}
             Err(e) => {
                 shared.counters.increment("agent.weights_failed");
                 slog::warn!(shared.log, "weights not in place"; "error" => %e);
@@ -55,7 +61,8 @@
         share(shared, &model, held, &origin).await?;
         return survey::survey(shared, &model, held).await;
     }
-    let staged = prepare(shared, &model, named, &origin).await?;
+    let target = shared.older_to_finish(&model, held).unwrap_or(named);
+    let staged = prepare(shared, &model, target, &origin).await?;
     fetch::Fetch::run(shared, sync::Arc::clone(&staged), &origin).await?;
     if held > 0 {
         wait_for_turn(shared, &staged, held).await;
@@ -136,22 +143,40 @@
     Ok(staged)
 }
 
-/// Waits until it is this agent's turn, or a newer version is named.
+/// Waits until it is this agent's turn, or this version is dropped for a newer one.
 async fn wait_for_turn(
     shared: &shared::Shared,
     staged: &staged::Staged,
     held: lift_fleet::WeightsVersion,
 ) {
     let delay = shared.load_turn(&staged.manifest.model, held).delay();
-    let _ = tokio::time::timeout(delay, superseded(shared, staged)).await;
+    let started = lift_clock::now();
+    while shared.is_newest(staged) {
+        let waited = lift_clock::now().saturating_duration_since(started);
+        let Some(left) = delay.checked_sub(waited).filter(|left| !left.is_zero()) else {
+            return;
+        };
+        tokio::time::sleep(left.min(LOOK_INTERVAL)).await;
+    }
+    // A newer version is named, which an older one may delay by one turn only.
+    let turn = shared.begin_finish_turn(staged);
+    let _ = tokio::time::timeout(turn, superseded(shared, staged)).await;
 }
 
-/// Waits until a newer version is named.
+/// Waits until a newer version is named for which this one is dropped.
 async fn superseded(shared: &shared::Shared, staged: &staged::Staged) {
-    let (model, version) = (&staged.manifest.model, staged.manifest.version);
-    let mut named = shared.named.subscribe();
-    let is_newer = named.wait_for(|named| named.newest(model) > version);
-    let _ = is_newer.await;
+    while !shared.is_superseded(staged) {
+        match shared
+            .origin_endpoint()
+            .filter(|_| !shared.is_newest(staged))
+        {
+            Some(origin) => {
+                shared.origin_monitor.check(origin.address).await;
+                tokio::time::sleep(CHECK_INTERVAL).await;
+            }
+            None => tokio::time::sleep(LOOK_INTERVAL).await,
+        }
+    }
 }
 
 /// Reads all pieces back, while no write is on its way. The backend server loads what lies there
@@ -189,7 +214,7 @@
     checks: piece_checks::PieceChecks,
 ) -> Result<()> {
     let (model, version) = (&staged.manifest.model, staged.manifest.version);
-    if shared.named(model) > version {
+    if shared.is_superseded(staged) {
         return Err(error_stack::Report::new(
             stage_error::StageError::Superseded,
         ));
@@ -199,6 +224,7 @@
     slog::info!(shared.log, "load ordered"; "model" => model, "version" => version,
         "answer" => ?answer);
     shared.counters.increment("agent.loads_ordered");
+    shared.note_finish(staged);
     match answer {
         order_answer::OrderAnswer::Begun => {}
         order_answer::OrderAnswer::InEffect => return Ok(()),
--- a/crates/lift_stage/tests/support/engine.rs
+++ b/crates/lift_stage/tests/support/engine.rs
@@ -75,6 +75,12 @@
         self.state.lock().version
     }
 
+    /// Versions that were ordered, in order.
+    pub(crate) fn ordered(&self) -> Vec<u64> {
+        let state = self.state.lock();
+        state.loaded.iter().map(|(version, _)| *version).collect()
+    }
+
     /// Loses what is loaded, as a crash does.
     pub(crate) fn restart(&self) {
         self.state.lock().version = 0;
--- a/crates/lift_stage/tests/support/fleet.rs
+++ b/crates/lift_stage/tests/support/fleet.rs
@@ -100,6 +100,17 @@
         subnet: u8,
         origin: &origin::Origin,
         engines: &[engine::Engine],
+    ) -> Self {
+        let grace = time::Duration::from_millis(500);
+        Self::start_with_grace(subnet, origin, engines, grace).await
+    }
+
+    /// Starts agents whose servers may use an older version for `grace`.
+    pub(crate) async fn start_with_grace(
+        subnet: u8,
+        origin: &origin::Origin,
+        engines: &[engine::Engine],
+        grace: time::Duration,
     ) -> Self {
         let ports = lift_feed::FeedPorts::new(17_700..=17_703).unwrap();
         let member = net::IpAddr::from([127, 0, subnet, 1]);
@@ -146,7 +157,7 @@
                 .backend(net::SocketAddr::from((host, 1)))
                 .stage(sync::Arc::new(engine.clone()))
                 .origin(sync::Arc::new(origin.clone()))
-                .weights_grace(time::Duration::from_millis(500))
+                .weights_grace(grace)
                 .start()
                 .await;
             agents.push(agent.unwrap());
--- a/crates/lift_transfer/src/chunk_sources.rs
+++ b/crates/lift_transfer/src/chunk_sources.rs
@@ -171,6 +171,11 @@
         self.holders[chunk as usize] -= u16::from(was_held && peer.is_neighbour);
     }
 
+    /// Returns whether any connected agent holds the chunk.
+    pub(crate) fn is_seen(&self, chunk: usize) -> bool {
+        self.peers.values().any(|peer| peer.have[chunk])
+    }
+
     pub(crate) fn add_in_flight(&mut self, source: source::Source) {
         let Some(peer) = self.peer_mut(source) else {
             return;
--- a/crates/lift_transfer/src/download.rs
+++ b/crates/lift_transfer/src/download.rs
@@ -87,6 +87,12 @@
         self.held_count
     }
 
+    /// Returns the number of chunks that neither this agent nor any connected one holds.
+    pub fn unseen_count(&self) -> usize {
+        let missing = (0..self.held.len()).filter(|i| !self.held[*i]);
+        missing.filter(|i| !self.sources.is_seen(*i)).count()
+    }
+
     /// Returns whether all chunks are held.
     pub fn is_complete(&self) -> bool {
         self.state == State::Complete
--- a/crates/lift_transfer/src/lib.rs
+++ b/crates/lift_transfer/src/lib.rs
@@ -8,7 +8,8 @@
 //! [`CongestionEstimator`] estimates how much chunk traffic a link can carry. An [`Activation`]
 //! decides when the engine gets a load order and which version the host advertises, and a
 //! [`StaggeredLoad`] computes the delay of a load, so that the backend servers of a region do
-//! not all load at once.
+//! not all load at once. A [`VersionChoice`] decides whether an older version is
+//! finished before a newer one is fetched.
 //!
 //! The crate does no I/O, reads no clock and encodes no messages: each state machine takes the
 //! time and an event and returns actions. See `docs/design.md`, section 7, and
@@ -47,6 +48,8 @@
 mod upload_queue;
 mod upload_reply;
 mod upstream;
+mod version_choice;
+mod version_decision;
 
 pub use activation::Activation;
 pub use activation_action::ActivationAction;
@@ -72,3 +75,5 @@
 pub use upload_queue::UploadQueue;
 pub use upload_reply::UploadReply;
 pub use upstream::Upstream;
+pub use version_choice::VersionChoice;
+pub use version_decision::VersionDecision;
