--- a/crates/lift_transfer/tests/successive_weights.rs
+++ b/crates/lift_transfer/tests/successive_weights.rs
@@ -77,3 +77,52 @@
         }
     }
 }
+
+#[test]
+fn hosts_behind_narrow_links_use_them() {
+    // Guards against hosts with a quarter of the usual rate that get pieces slower than their link
+    // carries them, and against others that wait for as long.
+    for play in [Play::first(), Play::second()] {
+        let play = Play {
+            narrow: vec![1, 6, 11],
+            ..play
+        };
+        let out = run(&play, LIMIT);
+        let bytes = f64::from(play.piece_bytes) * f64::from(play.pieces);
+        let copy = time::Duration::from_secs_f64(bytes * 4.0 / play.host_rate);
+        assert!(out.last() < copy.mul_f64(TARGET), "{:?}", out.last());
+        let others = out.whole.iter().filter(|(h, _)| !play.narrow.contains(h));
+        assert!(others.map(|(_, at)| *at).all(|at| at < copy));
+    }
+}
+
+#[test]
+fn corrupt_pieces_cost_the_reads_that_replace_them() {
+    // Guards against a corrupt piece that holds up the exchange or is read from the origin by many
+    // agents.
+    for play in [Play::first(), Play::second()] {
+        let play = Play {
+            corrupt_every: 8,
+            ..play
+        };
+        let out = run(&play, LIMIT);
+        let share = f64::from(out.origin_reads) / f64::from(play.pieces);
+        let limit = play.copy_time().mul_f64(TARGET * share);
+        assert!(out.last() < limit, "{:?}", out.last());
+        let sound = out.origin_reads - out.origin_reads / play.corrupt_every;
+        assert!(sound <= play.pieces * 21 / 20, "{sound}");
+    }
+}
+
+#[test]
+fn pieces_that_all_hosts_hold_are_not_sent() {
+    // Guards against a version that takes as long as a whole one although it shares pieces with
+    // the one before.
+    let play = Play {
+        shared: 24,
+        ..Play::second()
+    };
+    let out = run(&play, LIMIT);
+    assert_eq!(out.origin_reads, play.pieces - play.shared);
+    assert!(out.last() < play.copy_time(), "{:?}", out.last());
+}
