--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -92,6 +92,8 @@
         let result = fetch.follow().await;
         let took = lift_clock::now().saturating_duration_since(started);
         slog::info!(shared.log, "pieces fetched"; "version" => staged.manifest.version,
+            "named_for_ms" => shared.named_for_ms(&staged.manifest),
+            "is_whole" => staged.is_whole(),
             "held" => staged.all().len(), "took_ms" => took.as_millis() as u64,
             "from_origin" => fetch.from_origin.load(atomic::Ordering::Relaxed),
             "from_agents" => fetch.from_agents.load(atomic::Ordering::Relaxed));
--- a/crates/lift_stage/src/fetch_log.rs
+++ b/crates/lift_stage/src/fetch_log.rs
@@ -22,6 +22,7 @@
         if self.ticks.is_multiple_of(TICKS_PER_LINE) {
             slog::info!(fetch.shared.log, "pieces on their way";
                 "version" => fetch.staged.manifest.version,
+                "named_for_ms" => fetch.shared.named_for_ms(&fetch.staged.manifest),
                 "held" => fetch.staged.all().len(), "link_percent" => link_percent,
                 "from_origin" => fetch.from_origin.load(atomic::Ordering::Relaxed));
         }
--- a/crates/lift_stage/src/shared.rs
+++ b/crates/lift_stage/src/shared.rs
@@ -115,6 +115,15 @@
         self.named.borrow().newest(model)
     }
 
+    /// Milliseconds since a version was named, for the log.
+    pub(crate) fn named_for_ms(&self, manifest: &piece_manifest::PieceManifest) -> Option<u64> {
+        let before = manifest.version.checked_sub(1)?;
+        let now = lift_clock::now();
+        let named = self.named.borrow();
+        let named_for = named.superseded_for(now, &manifest.model, before)?;
+        Some(named_for.as_millis() as u64)
+    }
+
     /// Reads what is staged as a piece, or `None` where there is nothing. It is not checked.
     pub(crate) async fn staged_piece(
         &self,
--- a/crates/lift_stage/src/weights_keeper.rs
+++ b/crates/lift_stage/src/weights_keeper.rs
@@ -222,7 +222,7 @@
     let area = &shared.staging_area;
     let answer = area.load(permit, model, version, checks).await?;
     slog::info!(shared.log, "load ordered"; "model" => model, "version" => version,
-        "answer" => ?answer);
+        "answer" => ?answer, "named_for_ms" => shared.named_for_ms(&staged.manifest));
     shared.counters.increment("agent.loads_ordered");
     shared.note_finish(staged);
     match answer {
@@ -241,7 +241,9 @@
     });
     match tokio::time::timeout(LOAD_TIMEOUT, holds).await {
         Ok(Ok(report)) if report.is_some() => {
-            slog::info!(shared.log, "weights in place"; "model" => model, "version" => version);
+            let named_for_ms = shared.named_for_ms(&staged.manifest);
+            slog::info!(shared.log, "weights in place"; "model" => model, "version" => version,
+                "named_for_ms" => named_for_ms);
             Ok(())
         }
         Ok(_) => Err(error_stack::Report::new(stage_error::StageError::Backend)),
