Finishing an older version is bounded by twice the expected time

An agent that finishes an older version may wait for a piece that only agents which have dropped it were to read. It now drops the older version after twice the expected time and 0.3 s, unless the origin is away, and no later than before when its time runs out.

--- a/crates/lift_stage/src/succession.rs
+++ b/crates/lift_stage/src/succession.rs
@@ -20,6 +20,12 @@
     )>,
     /// Version that waits for its turn to be loaded before a newer one, and the end of that time.
     turn: Option<(lift_fleet::WeightsVersion, time::Instant)>,
+    /// Older and newer version, and when the older one must be complete.
+    finish_by: Option<(
+        lift_fleet::WeightsVersion,
+        lift_fleet::WeightsVersion,
+        time::Instant,
+    )>,
     /// Newest version when an older one was loaded before it.
     finished_before: Option<lift_fleet::WeightsVersion>,
 }
@@ -49,6 +55,13 @@
         }
         let decision = choice.decide();
         let decided = Some((version, newer, decision));
+        let now = lift_clock::now();
+        let is_same = matches!(succession.finish_by, Some((v, n, _)) if (v, n) == (version, newer));
+        // Nothing is lost by waiting while the origin does not answer.
+        if decision.is_older() && (!is_same || !choice.origin_answers) {
+            let finish_by = now + choice.max_finish_time();
+            succession.finish_by = Some((version, newer, finish_by));
+        }
         if succession.decided != decided {
             succession.decided = decided;
             let counter = match decision.is_older() {
@@ -113,6 +126,16 @@
         }
     }
 
+    fn is_overdue(
+        &self,
+        version: lift_fleet::WeightsVersion,
+        newer: lift_fleet::WeightsVersion,
+        now: time::Instant,
+    ) -> bool {
+        let finish_by = self.succession.lock().finish_by;
+        finish_by.is_some_and(|(v, n, by)| (v, n) == (version, newer) && now > by)
+    }
+
     fn version_choice(
         &self,
         staged: &staged::Staged,
@@ -138,6 +161,7 @@
             unseen: staged.unseen.load(atomic::Ordering::Relaxed).min(missing),
             pieces,
             origin_answers: self.origin_monitor.answers(),
+            is_overdue: self.is_overdue(manifest.version, newer, now),
             is_dropped: staged.is_dropped.load(atomic::Ordering::Relaxed),
             origin_piece_time,
             link_piece_time: staged.piece_time().unwrap_or(origin_piece_time),
--- a/crates/lift_stage/tests/successive_versions.rs
+++ b/crates/lift_stage/tests/successive_versions.rs
@@ -30,7 +30,10 @@
     })
     .await;
     fleet.name(3);
-    tokio::time::sleep(NAMING_TIME).await;
+    until("it finishes version 2 first", || {
+        fleet.counted("agent.older_finished_first") > 0
+    })
+    .await;
     last.release();
     until("it loads version 3", || engines[0].version() == 3).await;
     assert_eq!(engines[0].ordered(), [2, 3]);
@@ -58,3 +61,22 @@
     assert_eq!(engines[0].ordered(), [3]);
     assert!(engines[0].was_whole(&origin));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_whose_last_piece_does_not_come_is_dropped() {
+    // Guards against a host that waits for a piece of an older version as long as that has time,
+    // although the newer version can be read.
+    let origin = Origin::new(PIECES);
+    let engines = [Engine::holding(1)];
+    let fleet = Fleet::start_with_grace(64, &origin, &engines, GRACE).await;
+    let last = origin.hold_piece(2, PIECES - 1);
+    fleet.name(2);
+    until("one piece is missing", || {
+        last.is_reached() && origin.reads() >= PIECES
+    })
+    .await;
+    fleet.name(3);
+    until("it loads version 3", || engines[0].version() == 3).await;
+    assert_eq!(engines[0].ordered(), [3]);
+    assert!(engines[0].was_whole(&origin));
+}
--- a/crates/lift_transfer/src/version_choice.rs
+++ b/crates/lift_transfer/src/version_choice.rs
@@ -14,6 +14,12 @@
 /// more service is lost than saved where the origin goes away while the older one is loaded.
 const NEARLY_COMPLETE_FACTOR: u32 = 4;
 
+/// Longest time for finishing the older version, as a multiple of the expected one.
+const FINISH_FACTOR: u32 = 2;
+
+/// Time that is added to it for messages and writes of the last pieces.
+const FINISH_MARGIN: time::Duration = time::Duration::from_millis(300);
+
 /// What is known when a newer version is set while an older one is being fetched.
 ///
 /// The staging area holds one copy, so the older version is lost as soon as the newer one is
@@ -39,6 +45,8 @@
     pub turn: time::Duration,
     /// Time until the older version gets no more requests, which is that of the newer one.
     pub time_left: time::Duration,
+    /// Whether finishing the older version has taken longer than it may.
+    pub is_overdue: bool,
     /// Whether an older version has been loaded already before this newer one.
     pub has_finished: bool,
 }
@@ -55,6 +63,8 @@
         let in_place = older.saturating_add(self.turn + LOAD_TIME);
         if self.has_finished {
             Decision::NewerAfterFinish
+        } else if self.is_overdue && self.missing > 0 && self.origin_answers {
+            Decision::NewerOlderOverdue
         } else if self.unseen > 0 && self.is_dropped {
             Decision::NewerOlderDropped
         } else if in_place.saturating_add(MIN_USE) > self.time_left {
@@ -74,6 +84,14 @@
         }
     }
 
+    /// Longest time for which the older version is read on while the origin answers. Agents that
+    /// have dropped it may be those that were to read the missing pieces.
+    pub fn max_finish_time(&self) -> time::Duration {
+        self.older_time()
+            .saturating_mul(FINISH_FACTOR)
+            .saturating_add(FINISH_MARGIN)
+    }
+
     fn older_time(&self) -> time::Duration {
         let from_origin = self.origin_piece_time.saturating_mul(self.unseen);
         from_origin.max(self.link_piece_time.saturating_mul(self.missing))
--- a/crates/lift_transfer/src/version_decision.rs
+++ b/crates/lift_transfer/src/version_decision.rs
@@ -10,6 +10,8 @@
     OlderOriginAway,
     /// An older version has been loaded already before this newer one.
     NewerAfterFinish,
+    /// Finishing the older version took longer than expected.
+    NewerOlderOverdue,
     /// The origin has dropped the older version, and pieces of it are missing everywhere.
     NewerOlderDropped,
     /// The time of the older version would end before it has served for long enough.
--- a/crates/lift_transfer/tests/version_choice.rs
+++ b/crates/lift_transfer/tests/version_choice.rs
@@ -57,6 +57,7 @@
             pieces: PIECES as u32,
             origin_answers: !is_away,
             is_dropped: false,
+            is_overdue: false,
             origin_piece_time: STEP.div_f64(RATES.0),
             link_piece_time: STEP.div_f64(RATES.1),
             turn: complete_at.map_or(play.turn, |at| (at + play.turn).saturating_sub(now)),
@@ -191,6 +192,7 @@
         pieces: 48,
         origin_answers: true,
         is_dropped: false,
+        is_overdue: false,
         origin_piece_time: 44 * MS,
         link_piece_time: 54 * MS,
         turn: time::Duration::ZERO,
@@ -216,6 +218,10 @@
         is_dropped: true,
         ..choice()
     };
+    let overdue = VersionChoice {
+        is_overdue: true,
+        ..choice()
+    };
     let finished = VersionChoice {
         has_finished: true,
         ..choice()
@@ -239,6 +245,7 @@
     assert_eq!(far.decide(), Decision::NewerOlderIncomplete);
     assert_eq!(away.decide(), Decision::OlderOriginAway);
     assert_eq!(dropped.decide(), Decision::NewerOlderDropped);
+    assert_eq!(overdue.decide(), Decision::NewerOlderOverdue);
     assert_eq!(finished.decide(), Decision::NewerAfterFinish);
     assert_eq!(late.decide(), Decision::NewerOlderTooLate);
     assert_eq!(delaying.decide(), Decision::NewerWouldBeLate);
