--- a/crates/lift_dispatch/tests/shortage_load/fleet.rs
+++ b/crates/lift_dispatch/tests/shortage_load/fleet.rs
@@ -119,12 +119,12 @@
             }
             self.work(now_ms);
             self.report(now_ms);
-            for kind in 0..due.len() {
+            for (kind, due) in due.iter_mut().enumerate() {
                 if now_ms < LENGTH_MS {
-                    due[kind] += self.deployment.rate(kind, now_ms, scale) * self.exponential();
+                    *due += self.deployment.rate(kind, now_ms, scale) * self.exponential();
                 }
-                while due[kind] >= 1.0 {
-                    due[kind] -= 1.0;
+                while *due >= 1.0 {
+                    *due -= 1.0;
                     self.send(now_ms, kind);
                 }
             }
