--- a/crates/lift_gateway/src/lib.rs
+++ b/crates/lift_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod admissions;
 mod answer_body;
 mod answer_head;
+mod attempt_deadline;
 mod attempt_error;
 mod backend_call;
 mod backend_connection;
