--- a/crates/lift_dispatch/tests/shortage.rs
+++ b/crates/lift_dispatch/tests/shortage.rs
@@ -199,4 +199,11 @@
     for tally in &outcome.kinds {
         assert_eq!(tally.refused_first, 0, "{tally:?}");
     }
+    // With more gateways than servers a gateway often has none of the free places.
+    let mut few = Deployment::first()
+        .with_load(0.5)
+        .with_burst(MOST_URGENT, 4.0, 5_000, 7_000)
+        .with_burst(MOST_URGENT, 4.0, 10_000, 12_000);
+    few.engines = 6;
+    assert_eq!(play("6 servers", &few).needless, 0);
 }
