Servers of a restored failure domain count as cold

What callers saw: nothing yet; the two parts were built side by side. When a failure domain is restored, its servers may have become cold shortly before, and their own word of it comes up to a heartbeat later. All gateways would fill them at once.

Change: a gateway that learns of a restoration marks the servers of the failure domain as cold before it may select them.

Evidence: servers_of_a_restored_failure_domain_are_cold fails without the mark (more requests at once than the server tolerates) and passes with it.

--- a/crates/lift_gateway/src/cold_watch.rs
+++ b/crates/lift_gateway/src/cold_watch.rs
@@ -12,7 +12,6 @@
 impl shared::Shared {
     /// Counts the backend servers at `addresses` as cold from `now` on, for the time that a warm-up
     /// of their service takes or until an announcement says otherwise.
-    #[expect(dead_code, reason = "called once failure domains can be restored")]
     pub(crate) fn mark_cold(&self, now: time::Instant, addresses: &[net::SocketAddr]) {
         self.cold_servers.mark(now, addresses);
         self.note_turned_servers(now);
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -1,6 +1,6 @@
 //! State of the fleet.
 
-use std::{sync, time};
+use std::{net, sync, time};
 
 use crate::leaving;
 
@@ -204,6 +204,23 @@
         changed
     }
 
+    /// Addresses of the backend servers whose failure domains are evacuated and would not be by
+    /// `evacuations`.
+    pub(crate) fn addresses_restored_by(
+        &self,
+        evacuations: &lift_fleet::Evacuations,
+    ) -> Vec<net::SocketAddr> {
+        let directory = self.directory.lock();
+        let evacuated = self.evacuations.lock();
+        let is_restored =
+            |domain: &str| evacuated.contains(domain) && !evacuations.contains(domain);
+        let announcements = directory.records().map(|record| &record.announcement);
+        announcements
+            .filter(|announcement| is_restored(&announcement.failure_domain))
+            .map(|announcement| announcement.address)
+            .collect()
+    }
+
     /// Replaces the evacuated failure domains. Returns those before.
     pub(crate) fn set_evacuations(
         &self,
--- a/crates/lift_gateway/src/gateway_observer.rs
+++ b/crates/lift_gateway/src/gateway_observer.rs
@@ -43,6 +43,10 @@
 
     fn on_evacuations(&self, evacuations: &lift_fleet::Evacuations) {
         let shared = &self.shared;
+        // Servers of a restored failure domain may have become cold meanwhile. They count as cold
+        // before the first request can reach them.
+        let returning = shared.fleet.addresses_restored_by(evacuations);
+        shared.mark_cold(lift_clock::now(), &returning);
         let before = shared.fleet.set_evacuations(evacuations);
         let left_out = shared.fleet.backends().evacuated();
         shared
--- a/crates/lift_gateway/tests/cold_servers.rs
+++ b/crates/lift_gateway/tests/cold_servers.rs
@@ -90,6 +90,23 @@
     check_served(start, count(&call_at_once(&fleet).await, 200));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_of_a_restored_failure_domain_are_cold() {
+    // Guards against a crowd of requests at servers that were replaced while their failure domain
+    // was evacuated, and whose own announcements come later.
+    let server = Backend::start(&[]).await;
+    let fleet = Fleet::start(136, &[]).await;
+    fleet
+        .announce_cold(server.address, 1, time::Duration::ZERO)
+        .await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    fleet.evacuate(1, "d").await;
+    assert_eq!(count(&call_at_once(&fleet).await, 503), 60);
+    fleet.restore(2, "d").await;
+    let start = time::Instant::now();
+    check_served(start, count(&call_at_once(&fleet).await, 200));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_that_a_cold_server_refuses_with_421_do_not_count() {
     let refusals = vec![Reply::status(421); 2 * TOLERATED];
