A congested link does not count as an absence of the origin

Behind a congested link reads time out and connections take longer than a probe may. Such an agent would have stopped to read its pieces, which no other agent reads. As with other agents, it then concludes nothing from failures, and its probes have 3 s.

--- a/crates/lift_stage/src/fetch_origin.rs
+++ b/crates/lift_stage/src/fetch_origin.rs
@@ -21,7 +21,9 @@
             is_dropped.store(true, atomic::Ordering::Relaxed);
         }
         // An origin that has dropped the version answers.
-        if *error != stage_error::StageError::Dropped && self.shared.origin_monitor.record_failure()
+        let patience = self.shared.link_patience();
+        if *error != stage_error::StageError::Dropped
+            && self.shared.origin_monitor.record_failure(patience)
         {
             self.wait_for_origin();
         }
@@ -34,7 +36,8 @@
         }
         let fetch = sync::Arc::clone(self);
         let checking = async move {
-            if !fetch.shared.origin_monitor.is_reached(fetch.origin).await {
+            let monitor = &fetch.shared.origin_monitor;
+            if !monitor.is_reached(&fetch.shared, fetch.origin).await {
                 fetch.on_origin_failure(&stage_error::StageError::Timeout);
             }
         };
@@ -45,8 +48,8 @@
         self.step(lift_transfer::DownloadEvent::OriginAway);
         let fetch = sync::Arc::clone(self);
         let waiting = async move {
-            let back = fetch.shared.origin_monitor.wait_until_back(fetch.origin);
-            let away_for = back.await;
+            let monitor = &fetch.shared.origin_monitor;
+            let away_for = monitor.wait_until_back(&fetch.shared, fetch.origin).await;
             fetch.on_origin_back(away_for);
         };
         tokio::spawn(self.stop.clone().run_until_cancelled_owned(waiting));
--- a/crates/lift_stage/src/link_patience.rs
+++ b/crates/lift_stage/src/link_patience.rs
@@ -6,6 +6,7 @@
 const USUAL: LinkPatience = LinkPatience {
     connect: time::Duration::from_millis(600),
     silence: time::Duration::from_millis(1_100),
+    probe: time::Duration::from_millis(250),
     may_suspect: true,
 };
 
@@ -13,6 +14,7 @@
 const CONGESTED: LinkPatience = LinkPatience {
     connect: time::Duration::from_secs(3),
     silence: time::Duration::from_secs(5),
+    probe: time::Duration::from_secs(3),
     may_suspect: false,
 };
 
@@ -28,7 +30,11 @@
     /// Silence after which a connection is replaced. The other end sends a ping at least every
     /// 300 ms.
     pub silence: time::Duration,
-    /// Whether an agent that can't be reached or is silent counts as lost.
+    /// Time in which a probe of the origin must connect. Each probe is a connection of its own: one
+    /// that was begun while the host of the origin was down is retried by the system after seconds
+    /// only.
+    pub probe: time::Duration,
+    /// Whether an agent that can't be reached or is silent counts as lost, and the origin as away.
     pub may_suspect: bool,
 }
 
--- a/crates/lift_stage/src/manifest_source.rs
+++ b/crates/lift_stage/src/manifest_source.rs
@@ -84,10 +84,11 @@
     origin: &lift_fleet::OriginEndpoint,
     patience: time::Duration,
 ) {
-    shared.origin_monitor.record_failure();
+    let monitor = &shared.origin_monitor;
+    monitor.record_failure(shared.link_patience());
     let mut named = shared.named.subscribe();
     let waiting = async {
-        let away_for = shared.origin_monitor.wait_until_back(origin.address).await;
+        let away_for = monitor.wait_until_back(shared, origin.address).await;
         let pause = match away_for >= lift_transfer::MIN_ORIGIN_ABSENCE {
             true => patience,
             false => RETRY_PAUSE,
--- a/crates/lift_stage/src/origin_monitor.rs
+++ b/crates/lift_stage/src/origin_monitor.rs
@@ -2,11 +2,7 @@
 
 use std::{net, sync, time};
 
-use crate::{origin_port, shared};
-
-/// Time in which a probe must connect. Each probe is a connection of its own: one that was begun
-/// while the host of the origin was down is retried by the system after seconds only.
-const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+use crate::{link_patience, origin_port, shared};
 
 /// What an agent knows of the origin.
 #[derive(Debug)]
@@ -42,7 +38,11 @@
     }
 
     /// Records that a read failed. Returns whether the origin counts as away only from now on.
-    pub(crate) fn record_failure(&self) -> bool {
+    /// Behind a congested link it may only seem to be away, and is read on.
+    pub(crate) fn record_failure(&self, patience: link_patience::LinkPatience) -> bool {
+        if !patience.may_suspect {
+            return false;
+        }
         let is_new = self.watch.lock().record_failure(lift_clock::now());
         if is_new {
             self.counters.increment("agent.origin_away");
@@ -52,28 +52,38 @@
     }
 
     /// Finds out whether the origin accepts connections.
-    pub(crate) async fn check(&self, origin: net::SocketAddr) {
-        match (self.is_reached(origin).await, self.answers()) {
+    pub(crate) async fn check(&self, shared: &shared::Shared, origin: net::SocketAddr) {
+        match (self.is_reached(shared, origin).await, self.answers()) {
             (true, false) => {
                 self.watch.lock().record_reached(lift_clock::now());
             }
             (false, true) => {
-                self.record_failure();
+                self.record_failure(shared.link_patience());
             }
             _ => {}
         }
     }
 
     /// Whether the origin accepts a connection now.
-    pub(crate) async fn is_reached(&self, origin: net::SocketAddr) -> bool {
+    pub(crate) async fn is_reached(
+        &self,
+        shared: &shared::Shared,
+        origin: net::SocketAddr,
+    ) -> bool {
         self.counters.increment("agent.origin_probes");
         let reaching = self.origin.reach(origin);
-        shared::within(PROBE_TIMEOUT, reaching).await.is_ok()
+        shared::within(shared.link_patience().probe, reaching)
+            .await
+            .is_ok()
     }
 
     /// Probes the origin until it accepts a connection, and returns for how long it was away.
-    pub(crate) async fn wait_until_back(&self, origin: net::SocketAddr) -> time::Duration {
-        while !self.is_reached(origin).await {
+    pub(crate) async fn wait_until_back(
+        &self,
+        shared: &shared::Shared,
+        origin: net::SocketAddr,
+    ) -> time::Duration {
+        while !self.is_reached(shared, origin).await {
             let pause = {
                 let watch = self.watch.lock();
                 watch.next_probe(lift_clock::now(), &mut rand::rng())
--- a/crates/lift_stage/src/weights_keeper.rs
+++ b/crates/lift_stage/src/weights_keeper.rs
@@ -171,7 +171,8 @@
             .filter(|_| !shared.is_newest(staged))
         {
             Some(origin) => {
-                shared.origin_monitor.check(origin.address).await;
+                let monitor = &shared.origin_monitor;
+                monitor.check(shared, origin.address).await;
                 tokio::time::sleep(CHECK_INTERVAL).await;
             }
             None => tokio::time::sleep(LOOK_INTERVAL).await,
