Soak of evacuations: an operator evacuates and restores a failure domain

The soak gets a second failure domain with the last backend server of each kind. run_evacuations orders evacuations and restorations while gateways and control members are killed, paused, stopped and reset, all processes are killed and a disk is lost.

--- a/crates/lift_soak/src/cast.rs
+++ b/crates/lift_soak/src/cast.rs
@@ -28,6 +28,12 @@
 /// Backend servers without engines.
 pub(crate) const PLAIN_SERVERS: u8 = 2;
 
+/// Failure domain of all hosts but some backend servers.
+pub(crate) const DOMAIN: &str = "d";
+
+/// Failure domain of the last backend server of each kind.
+pub(crate) const EVACUATED_DOMAIN: &str = "e";
+
 /// First host numbers of the roles.
 const FIRST_CONTROL: u8 = 10;
 const FIRST_GATEWAY: u8 = 20;
@@ -87,6 +93,15 @@
         FIRST_PLAIN + i
     }
 
+    /// Failure domain of a backend server.
+    pub(crate) fn server_domain(host: u8) -> &'static str {
+        let last = [Self::agent(ENGINES - 1), Self::plain(PLAIN_SERVERS - 1)];
+        match last.contains(&host) {
+            true => EVACUATED_DOMAIN,
+            false => DOMAIN,
+        }
+    }
+
     /// Host of the origin.
     pub(crate) fn origin() -> u8 {
         ORIGIN
--- a/crates/lift_soak/src/lib.rs
+++ b/crates/lift_soak/src/lib.rs
@@ -18,6 +18,9 @@
 //! settings and of the configuration, in series and overlapping, while sound backend servers fall
 //! silent amid their answers. No request may end without an answer then.
 //!
+//! [`run_evacuations`] lets an operator evacuate and restore a failure domain during faults of
+//! gateways and control members. No request may reach the evacuated servers meanwhile.
+//!
 //! [`run_retry_storm`] plays one thing at length: backend servers fail while processes start anew
 //! in series, and the arrivals beyond the first of each request are counted over all gateways.
 
@@ -28,6 +31,7 @@
 mod control_calls;
 mod counts;
 mod ends;
+mod evacuation_run;
 mod fault;
 mod fault_plan;
 mod heartbeats;
@@ -71,6 +75,7 @@
 mod storm_server;
 mod work_plan;
 
+pub use evacuation_run::run_evacuations;
 pub use fault::Fault;
 pub use link_fault::LinkFault;
 pub use lost_disks::run_lost_disks;
--- a/crates/lift_soak/src/operator_order.rs
+++ b/crates/lift_soak/src/operator_order.rs
@@ -9,4 +9,8 @@
     Revoke,
     /// Names new weights.
     NameWeights,
+    /// Evacuates [`crate::cast::EVACUATED_DOMAIN`].
+    Evacuate,
+    /// Restores it.
+    Restore,
 }
--- a/crates/lift_soak/src/oracle.rs
+++ b/crates/lift_soak/src/oracle.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::atomic, time};
 
-use crate::{process_settings, request_kind};
+use crate::{cast, process_settings, request_kind};
 
 /// Shards of the book of requests.
 const SHARDS: usize = 16;
@@ -30,6 +30,9 @@
     revoked: parking_lot::Mutex<indexmap::IndexMap<String, time::Instant>>,
     /// Newest acknowledged configuration and since when.
     documents: parking_lot::Mutex<Vec<(u64, time::Instant)>>,
+    /// Since when [`cast::EVACUATED_DOMAIN`] is evacuated by an acknowledgement. `None` from the
+    /// order to restore it on.
+    evacuated_at: parking_lot::Mutex<Option<time::Instant>>,
     violations: parking_lot::Mutex<Vec<String>>,
     pub(crate) served: atomic::AtomicU64,
     pub(crate) refused: atomic::AtomicU64,
@@ -42,6 +45,7 @@
             requests: lift_shard::Shards::new(SHARDS, |_| indexmap::IndexMap::new()),
             revoked: parking_lot::Mutex::default(),
             documents: parking_lot::Mutex::default(),
+            evacuated_at: parking_lot::Mutex::default(),
             violations: parking_lot::Mutex::default(),
             served: atomic::AtomicU64::new(0),
             refused: atomic::AtomicU64::new(0),
@@ -115,6 +119,33 @@
             .with(id, |requests| requests.get(id).map_or(0, |note| note.runs))
     }
 
+    /// An evacuation of [`cast::EVACUATED_DOMAIN`] was acknowledged.
+    pub(crate) fn evacuate(&self) {
+        *self.evacuated_at.lock() = Some(time::Instant::now());
+    }
+
+    /// [`cast::EVACUATED_DOMAIN`] is to be restored.
+    pub(crate) fn restore(&self) {
+        *self.evacuated_at.lock() = None;
+    }
+
+    /// Time since the evacuation was acknowledged. `None` if there is none.
+    pub(crate) fn evacuated_for(&self) -> Option<time::Duration> {
+        self.evacuated_at.lock().map(|at| at.elapsed())
+    }
+
+    /// The request `id` has reached a backend server in `failure_domain`.
+    pub(crate) fn arrive(&self, id: &str, failure_domain: &str) {
+        let due = time::Duration::from_millis(process_settings::EVACUATE_MS);
+        let evacuated_for = self.evacuated_for().filter(|age| *age > due);
+        if let Some(age) = evacuated_for.filter(|_| failure_domain == cast::EVACUATED_DOMAIN) {
+            let age = age.as_millis();
+            self.violate(format!(
+                "{id} has reached a server {age} ms after its evacuation"
+            ));
+        }
+    }
+
     /// A configuration was acknowledged that no longer has `revoked`.
     pub(crate) fn acknowledge(&self, version: u64, revoked: Option<&str>) {
         let now = time::Instant::now();
--- a/crates/lift_soak/src/process_settings.rs
+++ b/crates/lift_soak/src/process_settings.rs
@@ -10,6 +10,9 @@
 /// Time after which a key that was taken away must not work anywhere, in milliseconds.
 pub(crate) const REVOKE_MS: u64 = 5_000;
 
+/// Time after which no request may reach an evacuated failure domain, in milliseconds.
+pub(crate) const EVACUATE_MS: u64 = 5_000;
+
 /// Time between heartbeats of a backend server, in milliseconds.
 pub(crate) const HEARTBEAT_MS: u64 = 500;
 
@@ -37,12 +40,13 @@
     let last_port = cast::FIRST_PORT + cast::PORTS - 1;
     let mut settings = serde_json::json!({
         "node": format!("h{host}"), "ip": cast.public(host),
-        "region": "r", "failure_domain": "d", "failure_domains": { "d": "r" },
+        "region": "r", "failure_domain": cast::DOMAIN,
+        "failure_domains": { cast::DOMAIN: "r", cast::EVACUATED_DOMAIN: "r" },
         "ports": [cast::FIRST_PORT, last_port], "seeds": cast.seeds().collect::<Vec<_>>(),
         "first_start": is_first_start, "links": "open", "log_level": "info",
         "bounds": {
             "grace_s": GRACE_S, "heartbeat_ms": HEARTBEAT_MS, "revoke_ms": REVOKE_MS,
-            "weights_ms": WEIGHTS_MS, "repeat_share": REPEAT_SHARE, "repeat_burst": REPEAT_BURST,
+            "evacuate_ms": EVACUATE_MS, "weights_ms": WEIGHTS_MS, "repeat_share": REPEAT_SHARE, "repeat_burst": REPEAT_BURST,
         },
     });
     let service = cast.service(host);
--- a/crates/lift_soak/src/soak_operator.rs
+++ b/crates/lift_soak/src/soak_operator.rs
@@ -59,6 +59,17 @@
                     self.send_document(Some(old)).await;
                 }
                 operator_order::OperatorOrder::NameWeights => self.name_weights().await,
+                operator_order::OperatorOrder::Evacuate => {
+                    self.insist(&evacuation_path(lift_peer::paths::EVACUATION_START), "")
+                        .await;
+                    self.callers.oracle.evacuate();
+                }
+                operator_order::OperatorOrder::Restore => {
+                    // It may be in force before its acknowledgement arrives.
+                    self.callers.oracle.restore();
+                    self.insist(&evacuation_path(lift_peer::paths::EVACUATION_FINISH), "")
+                        .await;
+                }
             }
         }
     }
@@ -124,6 +135,11 @@
     }
 }
 
+fn evacuation_path(call: &str) -> String {
+    let evacuation = lift_peer::paths::EVACUATION;
+    format!("{evacuation}/{}/{call}", cast::EVACUATED_DOMAIN)
+}
+
 fn guest_key(number: u64) -> String {
     format!("guest-{number}")
 }
--- a/crates/lift_soak/src/soak_server.rs
+++ b/crates/lift_soak/src/soak_server.rs
@@ -59,7 +59,7 @@
             id: format!("s{host}-0"),
             service: String::from(service),
             address: ends.public,
-            failure_domain: String::from("d"),
+            failure_domain: String::from(cast::Cast::server_domain(host)),
             slots: SLOTS,
             born: since_epoch(),
         };
@@ -154,6 +154,7 @@
                 .violate(format!("{id} carries a key or no workspace"));
         }
         self.oracle.run(&id, kind);
+        self.oracle.arrive(&id, &text.failure_domain);
         if is_stream && self.engine.as_ref().is_some_and(|e| e.lock().is_rotten) {
             self.oracle
                 .violate(format!("{id} is written on weights with a spoilt piece"));
--- a/crates/marjoramlift/examples/soak.rs
+++ b/crates/marjoramlift/examples/soak.rs
@@ -32,6 +32,9 @@
     /// Plays planned work only, in which no request may end without an answer.
     #[arg(long)]
     planned: bool,
+    /// Evacuates and restores a failure domain during faults of gateways and control members.
+    #[arg(long, conflicts_with = "planned")]
+    evacuations: bool,
     /// Soaks that are played at the same time.
     #[arg(long, default_value_t = 4)]
     jobs: u8,
@@ -39,7 +42,7 @@
 
 fn main() -> std::process::ExitCode {
     let args = Args::parse();
-    let planned = args.planned;
+    let (planned, evacuations) = (args.planned, args.evacuations);
     let play = |seed| {
         let network = args.network + (seed % NETWORKS) as u8;
         let options = lift_soak::SoakOptions {
@@ -48,7 +51,9 @@
             program: args.program.clone(),
         };
         async move {
-            let played = tokio::task::spawn_blocking(move || play_one(&options, network, planned));
+            let played = tokio::task::spawn_blocking(move || {
+                play_one(&options, network, planned, evacuations)
+            });
             let played = played.await;
             (seed, played.unwrap_or_else(|e| Err(e.to_string())))
         }
@@ -77,11 +82,13 @@
     options: &lift_soak::SoakOptions,
     network: u8,
     planned: bool,
+    evacuations: bool,
 ) -> Result<lift_soak::SoakReport, String> {
     let runtime = tokio::runtime::Runtime::new().map_err(|e| e.to_string())?;
-    let played = match planned {
-        true => runtime.block_on(lift_soak::run_planned(options, network)),
-        false => runtime.block_on(lift_soak::run(options, network)),
+    let played = match (planned, evacuations) {
+        (true, _) => runtime.block_on(lift_soak::run_planned(options, network)),
+        (false, true) => runtime.block_on(lift_soak::run_evacuations(options, network)),
+        (false, false) => runtime.block_on(lift_soak::run(options, network)),
     };
     runtime.shutdown_background();
     played.map_err(|e| e.to_string())
--- a/crates/marjoramlift/tests/soak.rs
+++ b/crates/marjoramlift/tests/soak.rs
@@ -66,3 +66,9 @@
     // The agent's check of all pieces took longer than a piece may have been spoilt.
     check(lift_soak::run_spoilt_pieces(&options(1, 0), 117));
 }
+
+#[test]
+fn nothing_reaches_an_evacuated_failure_domain() {
+    // Guards against an evacuation that a restarted or paused process, or a lost disk, undoes.
+    check(lift_soak::run_evacuations(&options(1, 6), 118));
+}
