--- a/crates/lift_soak/src/lib.rs
+++ b/crates/lift_soak/src/lib.rs
@@ -20,6 +20,8 @@
 //!
 //! [`run_revoked_keys`] takes all keys away in several ways while processes start anew. No request
 //! may run after that.
+//! [`run_evacuations`] lets an operator evacuate and restore a failure domain during faults of
+//! gateways and control members. No request may reach the evacuated servers meanwhile.
 //!
 //! [`run_retry_storm`] plays one thing at length: backend servers fail while processes start anew
 //! in series, and the arrivals beyond the first of each request are counted over all gateways.
@@ -31,6 +33,7 @@
 mod control_calls;
 mod counts;
 mod ends;
+mod evacuation_run;
 mod fault;
 mod fault_plan;
 mod heartbeats;
@@ -75,6 +78,7 @@
 mod storm_server;
 mod work_plan;
 
+pub use evacuation_run::run_evacuations;
 pub use fault::Fault;
 pub use link_fault::LinkFault;
 pub use lost_disks::run_lost_disks;
