Mend what a review of the merged parts found

A reader who did not write the parts found by reading: a route that a new document removes let a retry leave the regions of its workspace; a workspace that is listed twice lost the restriction of its first entry; two threads could store an older division of regions over a newer one; a document with a huge delay ended the program by an overflow; a stream that its caller resumes could be limited; Retry-After changed where all requests have the same priority; the state of routes that left the document stayed; routes of the same name shared it; a leader that has just been elected could confirm an older revision once; and the check of documents passed over an unknown region beside a known one.

Each is changed at its place. a_workspace_that_is_listed_twice_keeps_its_restrictions and a misspelt region in routes_that_never_match_are_found are new; the others have no test of their own yet.

Names: the costs of traffic between failure domains are LocalityCosts and the setting gateway.locality, instead of private words.

--- a/crates/lift_check/src/lib.rs
+++ b/crates/lift_check/src/lib.rs
@@ -12,6 +12,7 @@
 mod document_diff;
 mod finding;
 mod finding_kind;
+mod region_check;
 mod route_check;
 mod service_check;
 mod workspace_check;
--- a/crates/lift_check/src/route_check.rs
+++ b/crates/lift_check/src/route_check.rs
@@ -1,6 +1,6 @@
 //! Check of a route.
 
-use crate::{finding, finding_kind};
+use crate::{finding, finding_kind, region_check};
 
 /// Characters that end the path of a request, or that a path never holds as they are.
 const NOT_IN_PATHS: [char; 4] = ['?', '#', ' ', '\\'];
@@ -51,13 +51,7 @@
             ));
         }
     }
-    if !regions.is_empty()
-        && !regions
-            .iter()
-            .any(|r| route.allowed_regions.contains(Some(r)))
-    {
-        problems.push(String::from("none of its allowed regions is in the fleet"));
-    }
+    problems.extend(region_check::unknown(&route.allowed_regions, regions));
     let needs_key = table.is_key_required() && !route.is_auth_exempt;
     if needs_key && table.keys().next().is_none() {
         problems.push(String::from("it needs a key, and no workspace has one"));
--- a/crates/lift_check/tests/findings.rs
+++ b/crates/lift_check/tests/findings.rs
@@ -90,7 +90,11 @@
         allowed_regions: regions(&["east"]),
         ..route()
     };
-    for route in [in_query, with_port, elsewhere] {
+    let misspelt = Route {
+        allowed_regions: regions(&["north", "suoth"]),
+        ..route()
+    };
+    for route in [in_query, with_port, elsewhere, misspelt] {
         let table = table(1, route, service(), workspace());
         let expected = (FindingKind::NeverMatches, String::from("route a"));
         assert!(findings(&table).contains(&expected), "{table:?}");
--- a/crates/lift_dispatch/src/distances.rs
+++ b/crates/lift_dispatch/src/distances.rs
@@ -2,14 +2,13 @@
 
 use std::time;
 
-use crate::{backend, leave_prices};
+use crate::{backend, locality_costs};
 
-/// What it costs a gateway to send requests of one service to each failure domain, as a wait: a
-/// request leaves its failure domain if it is expected to save more elsewhere.
+/// What it costs a gateway to send requests of one service to each failure domain, as a wait.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Distances {
     own: lift_types::Location,
-    prices: leave_prices::LeavePrices,
+    costs: locality_costs::LocalityCosts,
     /// Delays to the failure domains for which they are known.
     delays: indexmap::IndexMap<lift_types::FailureDomainId, time::Duration>,
 }
@@ -18,7 +17,7 @@
     /// Creates the distances of a gateway at `own`. `delays` are those between all failure domains.
     pub fn new(
         own: &lift_types::Location,
-        prices: leave_prices::LeavePrices,
+        costs: locality_costs::LocalityCosts,
         delays: &[lift_fleet::DomainDelay],
     ) -> Self {
         let to = |delay: &lift_fleet::DomainDelay| {
@@ -31,24 +30,24 @@
         };
         Self {
             own: own.clone(),
-            prices,
+            costs,
             delays: delays.iter().filter_map(to).collect(),
         }
     }
 
-    /// Time on the way to a backend server and back, and the wait that the way is worth. A server
-    /// whose region is unknown counts as one of the own region.
+    /// Round trip to a backend server and the cost of its locality. A server whose region is unknown
+    /// counts as one of the own region.
     pub fn wait(&self, backend: &backend::Backend) -> time::Duration {
         if backend.failure_domain == self.own.failure_domain {
             return time::Duration::ZERO;
         }
         let delay = self.delays.get(&backend.failure_domain);
-        let way = delay.copied().unwrap_or_default() * 2;
+        let round_trip = delay.copied().unwrap_or_default().saturating_mul(2);
         let region = backend.region.as_deref();
-        let price = match region.is_some_and(|region| region != self.own.region) {
-            true => self.prices.region,
-            false => self.prices.domain,
+        let cost = match region.is_some_and(|region| region != self.own.region) {
+            true => self.costs.region,
+            false => self.costs.domain,
         };
-        way + price
+        round_trip.saturating_add(cost)
     }
 }
--- a/crates/lift_dispatch/src/region_balance.rs
+++ b/crates/lift_dispatch/src/region_balance.rs
@@ -2,17 +2,16 @@
 
 use crate::region_capacity;
 
-/// Part of each server's free places that is divided as if all regions had what they need, so that
-/// a region with a burst finds some elsewhere.
+/// Part of each server's free places that is shared by the other regions whatever their demand, so
+/// that a region with a burst finds some elsewhere.
 const COMMON_SHARE: f64 = 0.2;
 
 /// Which part of the free places of each region's servers the gateways of each region may use.
 ///
 /// Load: a region whose own servers are too few, because they were evacuated, lost, or are fewer
-/// than its callers need. Its gateways get the places that the other regions have beyond their own
-/// need. The division follows from the lists of servers and gateways, which all gateways know, so
-/// they agree without a message, and it changes only with those lists, so it does not oscillate
-/// with the load. See `docs/design/leaving-regions.md`.
+/// than its callers need. Its gateways get the surplus of the other regions. The division follows
+/// from the lists of servers and gateways, which all gateways know, so they agree without a message,
+/// and it changes only with those lists, so it does not oscillate with the load. See `docs/design/locality.md`.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RegionBalance {
     /// Shares by region of the servers and then by region of the gateways, both sorted.
@@ -31,18 +30,18 @@
         if slots <= 0.0 || gateways <= 0.0 {
             return Self::default();
         }
-        let needs: Vec<RegionNeed> = regions
+        let demands: Vec<RegionDemand> = regions
             .iter()
-            .map(|r| RegionNeed::new(r, slots, gateways))
+            .map(|r| RegionDemand::new(r, slots, gateways))
             .collect();
-        let lacking: f64 = needs.iter().map(RegionNeed::lack).sum();
-        let share_of = |servers: &RegionNeed, user: &RegionNeed| {
-            (1.0 - COMMON_SHARE) * needed_share(servers, user, lacking)
+        let deficits: f64 = demands.iter().map(RegionDemand::deficit).sum();
+        let share_of = |servers: &RegionDemand, user: &RegionDemand| {
+            (1.0 - COMMON_SHARE) * demanded_share(servers, user, deficits)
                 + COMMON_SHARE * common_share(servers, user, gateways)
         };
-        let with_servers = needs.iter().filter(|need| need.has > 0.0);
+        let with_servers = demands.iter().filter(|region| region.capacity > 0.0);
         let shares = with_servers.map(|servers| {
-            let users = needs.iter();
+            let users = demands.iter();
             let shares = users.map(|user| (user.region.clone(), share_of(servers, user)));
             (servers.region.clone(), shares.collect())
         });
@@ -65,51 +64,51 @@
     }
 }
 
-/// What a region has and needs, as parts of the servers of all regions.
+/// Capacity and demand of a region, as parts of the servers of all regions.
 #[derive(Debug)]
-struct RegionNeed {
+struct RegionDemand {
     region: lift_types::RegionId,
     gateways: f64,
-    has: f64,
-    needs: f64,
+    capacity: f64,
+    demand: f64,
 }
 
-impl RegionNeed {
+impl RegionDemand {
     fn new(region: &region_capacity::RegionCapacity, slots: f64, gateways: f64) -> Self {
         Self {
             region: region.region.clone(),
             gateways: region.gateways,
-            has: region.slots / slots,
-            needs: region.gateways / gateways,
+            capacity: region.slots / slots,
+            demand: region.gateways / gateways,
         }
     }
 
-    /// What it lacks.
-    fn lack(&self) -> f64 {
-        (self.needs - self.has).max(0.0)
+    /// Demand that its own servers can't serve.
+    fn deficit(&self) -> f64 {
+        (self.demand - self.capacity).max(0.0)
     }
 
-    /// What it has beyond its need.
+    /// Capacity beyond its own demand.
     fn surplus(&self) -> f64 {
-        (self.has - self.needs).max(0.0)
+        (self.capacity - self.demand).max(0.0)
     }
 }
 
-/// Part of the servers of a region that `user` needs: its own ones as far as it needs them, and of
-/// the others' surplus as much as it lacks in comparison with other regions.
-fn needed_share(servers: &RegionNeed, user: &RegionNeed, lacking: f64) -> f64 {
+/// Part of the servers of a region that serves the demand of `user`: of its own ones as much as its
+/// demand, and of the others' surplus in proportion to the deficits.
+fn demanded_share(servers: &RegionDemand, user: &RegionDemand, deficits: f64) -> f64 {
     if servers.region == user.region {
-        return servers.needs.min(servers.has) / servers.has;
+        return servers.demand.min(servers.capacity) / servers.capacity;
     }
-    if lacking <= 0.0 {
+    if deficits <= 0.0 {
         return 0.0;
     }
-    servers.surplus() / servers.has * user.lack() / lacking
+    servers.surplus() / servers.capacity * user.deficit() / deficits
 }
 
 /// Part of the servers of a region that is left to gateways of other regions, in proportion to
 /// their number. Without any, the gateways of the region have all.
-fn common_share(servers: &RegionNeed, user: &RegionNeed, gateways: f64) -> f64 {
+fn common_share(servers: &RegionDemand, user: &RegionDemand, gateways: f64) -> f64 {
     let others = gateways - servers.gateways;
     match (others > 0.0, servers.region == user.region) {
         (true, true) => 0.0,
--- a/crates/lift_dispatch/tests/leaving.rs
+++ b/crates/lift_dispatch/tests/locality.rs
@@ -8,7 +8,7 @@
 use std::time;
 
 use lift_dispatch::{
-    Distances, GatewayShares, LeavePrices, RegionBalance, RegionCapacity, SelectionError,
+    Distances, GatewayShares, LocalityCosts, RegionBalance, RegionCapacity, SelectionError,
 };
 use selection_case::{Case, MS, sample};
 
@@ -136,7 +136,7 @@
 /// A selection with a server here and one there, 20 ms away and back, whose way is worth 30 ms.
 fn priced_case() -> Case {
     let own = gateway_here();
-    let prices = LeavePrices {
+    let prices = LocalityCosts {
         domain: 10 * MS,
         region: 30 * MS,
     };
@@ -184,7 +184,7 @@
 #[test]
 fn the_price_of_a_region_is_not_that_of_a_failure_domain() {
     let own = gateway_here();
-    let prices = LeavePrices {
+    let prices = LocalityCosts {
         domain: 10 * MS,
         region: 30 * MS,
     };
--- a/crates/lift_fleet/src/allowed_regions.rs
+++ b/crates/lift_fleet/src/allowed_regions.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// The regions that are listed. None if all are allowed.
+    pub fn listed(&self) -> impl Iterator<Item = &lift_types::RegionId> {
+        self.regions.iter().flat_map(|regions| regions.iter())
+    }
+
     /// Whether no region is allowed.
     pub fn is_empty(&self) -> bool {
         self.regions.as_ref().is_some_and(|r| r.is_empty())
--- a/crates/lift_fleet/src/routing_table_builder.rs
+++ b/crates/lift_fleet/src/routing_table_builder.rs
@@ -31,8 +31,14 @@
         }
     }
 
-    /// Adds a service. A later one of the same name replaces it.
-    pub fn service(mut self, service: service::Service) -> Self {
+    /// Adds a service. A later one of the same name replaces it. Times of over a day are shortened to
+    /// one.
+    pub fn service(mut self, mut service: service::Service) -> Self {
+        if let Some(warmup) = &mut service.warmup {
+            warmup.duration = warmup.duration.min(MAX_TIME);
+        }
+        let delays = service.engine.iter_mut().flat_map(|e| &mut e.delays);
+        delays.for_each(|delay| delay.delay = delay.delay.min(MAX_TIME));
         self.table.services.insert(service.name.clone(), service);
         self
     }
@@ -54,9 +60,19 @@
         self
     }
 
-    /// Sets the terms of a workspace. Later ones of the same name replace them.
+    /// Adds the terms of a workspace. If it is listed more than once, all restrictions bind and the
+    /// first priority counts.
     pub fn workspace(mut self, terms: workspace::Workspace) -> Self {
-        self.table.workspaces.insert(terms.id.clone(), terms);
+        let workspaces = &mut self.table.workspaces;
+        let merged = match workspaces.get(&terms.id) {
+            Some(first) => workspace::Workspace {
+                allowed_regions: first.allowed_regions.intersect(&terms.allowed_regions),
+                priority: first.priority.or(terms.priority),
+                id: terms.id,
+            },
+            None => terms,
+        };
+        workspaces.insert(merged.id.clone(), merged);
         self
     }
 
--- a/crates/lift_fleet/tests/routing_table.rs
+++ b/crates/lift_fleet/tests/routing_table.rs
@@ -36,6 +36,31 @@
     }
 }
 
+/// Allowed regions of a table whose only workspace is listed with each of `lists`.
+fn listed_twice(lists: [&[&str]; 2]) -> lift_fleet::AllowedRegions {
+    let mut table = builder();
+    for list in lists {
+        table = table.workspace(lift_fleet::Workspace {
+            id: String::from("w"),
+            priority: None,
+            allowed_regions: lift_fleet::AllowedRegions::new(
+                list.iter().copied().map(String::from),
+            ),
+        });
+    }
+    let table = table.build().unwrap();
+    table.workspace_terms("w").unwrap().allowed_regions.clone()
+}
+
+#[test]
+fn a_workspace_that_is_listed_twice_keeps_its_restrictions() {
+    // Guards against a second entry without regions that lifts those of the first one.
+    let kept = listed_twice([&["a", "b"], &[]]);
+    assert!(kept.contains(Some("a")) && !kept.contains(Some("c")));
+    let common = listed_twice([&["a", "b"], &["b", "c"]]);
+    assert!(common.contains(Some("b")) && !common.contains(Some("a")));
+}
+
 fn builder() -> RoutingTableBuilder {
     RoutingTable::builder(7).service(service("s"))
 }
--- a/crates/lift_gateway/src/admissions.rs
+++ b/crates/lift_gateway/src/admissions.rs
@@ -20,7 +20,7 @@
 ];
 
 /// Admission of the requests of each service, and what is known of the callers of each route.
-/// Sharded by the name of the service or route.
+/// Sharded by the name of the service, or by host name and prefix of the route.
 #[derive(Debug)]
 pub(crate) struct Admissions {
     callers: lift_shard::Shards<indexmap::IndexMap<String, lift_dispatch::ReturningCallers>>,
@@ -41,18 +41,24 @@
     /// caller has probably been refused before.
     pub(crate) fn record_caller(
         &self,
-        route: &str,
+        route: &lift_fleet::Route,
         now: time::Instant,
         time_left: time::Duration,
     ) -> bool {
+        let key = route_key(route);
+        self.callers.with(&key, |routes| {
+            let callers = routes.entry(key.clone()).or_default();
+            callers.record(now, time_left)
+        })
+    }
+
+    /// Drops what is known of routes and services that are not in `table`.
+    pub(crate) fn retain(&self, table: &lift_fleet::RoutingTable) {
+        let keys: indexmap::IndexSet<_> = table.routes().map(|r| route_key(r)).collect();
         self.callers
-            .with(route, |routes| match routes.get_mut(route) {
-                Some(callers) => callers.record(now, time_left),
-                None => {
-                    let callers = routes.entry(String::from(route)).or_default();
-                    callers.record(now, time_left)
-                }
-            })
+            .for_each(|routes| routes.retain(|key, _| keys.contains(key)));
+        self.shards
+            .for_each(|services| services.retain(|name, _| table.service(name).is_some()));
     }
 
     /// Calls `update` with the admission of a service.
@@ -69,6 +75,11 @@
     }
 }
 
+/// Identifies a route. Its name may be that of another one too.
+fn route_key(route: &lift_fleet::Route) -> String {
+    format!("{}{}", route.host, route.prefix)
+}
+
 /// Counts the outcome `outcome` of the selections for requests at `place`.
 pub(crate) fn count(
     counters: &lift_obs::Counters,
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, time};
 
-use crate::leaving;
+use crate::locality;
 
 /// State of the fleet according to the feed. The routing table and the backend servers are
 /// replaced as a whole, so that readers only clone an `Arc`.
@@ -19,15 +19,15 @@
     gateways: parking_lot::RwLock<sync::Arc<lift_dispatch::GatewayShares>>,
     gateway_count: parking_lot::Mutex<lift_dispatch::GatewayCount>,
     regions: indexmap::IndexMap<lift_types::FailureDomainId, lift_types::RegionId>,
-    leaving: leaving::Leaving,
+    locality: locality::Locality,
 }
 
 impl FleetState {
-    /// Creates an empty state. `leaving` has no services yet. `regions` maps failure domains to their regions.
+    /// Creates an empty state. `locality` has no services yet. `regions` maps failure domains to their regions.
     pub(crate) fn new(
         weights_grace: time::Duration,
         regions: indexmap::IndexMap<lift_types::FailureDomainId, lift_types::RegionId>,
-        leaving: leaving::Leaving,
+        locality: locality::Locality,
     ) -> Self {
         Self {
             table: parking_lot::RwLock::default(),
@@ -42,7 +42,7 @@
             gateways: parking_lot::RwLock::default(),
             gateway_count: parking_lot::Mutex::default(),
             regions,
-            leaving,
+            locality,
         }
     }
 
@@ -74,12 +74,12 @@
     /// Costs of the ways to the backend servers of a service. `None` if another region has a fixed
     /// cost.
     pub(crate) fn distances(&self, service: &str) -> Option<sync::Arc<lift_dispatch::Distances>> {
-        self.leaving.distances(service)
+        self.locality.distances(service)
     }
 
     /// Division of the backend servers of a service between regions. `None` if it is fixed.
     pub(crate) fn balance(&self, service: &str) -> Option<sync::Arc<lift_dispatch::RegionBalance>> {
-        self.leaving.balance(service)
+        self.locality.balance(service)
     }
 
     /// Age of the last confirmation of the configuration. `None` before the first one.
@@ -155,7 +155,7 @@
     }
 
     pub(crate) fn set_table(&self, table: sync::Arc<lift_fleet::RoutingTable>) {
-        self.leaving.set_table(&table);
+        self.locality.set_table(&table);
         *self.ranks.write() = lift_dispatch::ServiceRanks::new(&table);
         *self.table.write() = Some(table);
     }
@@ -171,9 +171,8 @@
         gateways: lift_dispatch::GatewayShares,
     ) -> Option<u32> {
         let before = self.gateway_count.lock().record(now, gateways.total());
-        let gateways = sync::Arc::new(gateways);
-        *self.gateways.write() = sync::Arc::clone(&gateways);
-        self.leaving.balance_regions(&self.backends(), &gateways);
+        *self.gateways.write() = sync::Arc::new(gateways);
+        self.rebalance();
         before
     }
 
@@ -238,8 +237,13 @@
         let region_of = |domain: &str| self.regions.get(domain).cloned();
         let evacuations = self.evacuations.lock();
         let backends = lift_dispatch::ServiceBackends::new(directory, &evacuations, region_of);
-        let backends = sync::Arc::new(backends);
-        *self.backends.write() = sync::Arc::clone(&backends);
-        self.leaving.balance_regions(&backends, &self.gateways());
+        *self.backends.write() = sync::Arc::new(backends);
+        self.rebalance();
+    }
+
+    /// Divides the backend servers between regions by the newest lists.
+    fn rebalance(&self) {
+        let newest = || (self.backends(), self.gateways());
+        self.locality.balance_regions(&newest);
     }
 }
--- a/crates/lift_gateway/src/gateway_limits.rs
+++ b/crates/lift_gateway/src/gateway_limits.rs
@@ -19,7 +19,7 @@
     /// Requests that a cold backend server may get beyond that, within one second.
     pub cold_slack: f64,
     /// Prices of the ways out of a failure domain, if requests leave it by the expected wait.
-    pub leave_prices: Option<lift_dispatch::LeavePrices>,
+    pub locality_costs: Option<lift_dispatch::LocalityCosts>,
     /// Time after the start of a graceful stop for which new connections and requests are still
     /// accepted. At most half of the grace time is used.
     pub shutdown_delay: time::Duration,
@@ -42,7 +42,7 @@
             retry_burst: 50.0,
             cold_overage: 1.0,
             cold_slack: 0.0,
-            leave_prices: None,
+            locality_costs: None,
             shutdown_delay: time::Duration::from_millis(2_600),
             max_connections: 2_000,
             max_answer_bytes: 32 * 1024 * 1024,
--- a/crates/lift_gateway/src/gateway_observer.rs
+++ b/crates/lift_gateway/src/gateway_observer.rs
@@ -12,6 +12,7 @@
 
 impl lift_feed::FleetObserver for GatewayObserver {
     fn on_table(&self, table: sync::Arc<lift_fleet::RoutingTable>) {
+        self.shared.admissions.retain(&table);
         self.shared.fleet.set_table(table);
         self.shared.update_cold_servers(lift_clock::now());
     }
--- a/crates/lift_gateway/src/leaving.rs
+++ b/crates/lift_gateway/src/locality.rs
@@ -5,26 +5,32 @@
 /// What the selection needs to know of other failure domains, by service. It is made anew whenever
 /// the configuration, the backend servers or the gateways change, and read for each request.
 ///
-/// Nothing is known where the deployment sets no prices: then each region keeps a fixed part of its
-/// servers and another region has a fixed cost. See `docs/design/leaving-regions.md`.
+/// Nothing is known where the deployment sets no costs: then each region keeps a fixed part of its
+/// servers and another region has a fixed cost. See `docs/design/locality.md`.
 #[derive(Debug)]
-pub(crate) struct Leaving {
+pub(crate) struct Locality {
     location: lift_types::Location,
-    prices: Option<lift_dispatch::LeavePrices>,
+    costs: Option<lift_dispatch::LocalityCosts>,
     distances: parking_lot::RwLock<ByService<lift_dispatch::Distances>>,
     balances: parking_lot::RwLock<ByService<lift_dispatch::RegionBalance>>,
 }
 
+/// Backend servers and gateways that are known.
+type Lists = (
+    sync::Arc<lift_dispatch::ServiceBackends>,
+    sync::Arc<lift_dispatch::GatewayShares>,
+);
+
 type ByService<T> = indexmap::IndexMap<lift_types::ServiceId, sync::Arc<T>>;
 
-impl Leaving {
+impl Locality {
     pub(crate) fn new(
         location: lift_types::Location,
-        prices: Option<lift_dispatch::LeavePrices>,
+        costs: Option<lift_dispatch::LocalityCosts>,
     ) -> Self {
         Self {
             location,
-            prices,
+            costs,
             distances: parking_lot::RwLock::default(),
             balances: parking_lot::RwLock::default(),
         }
@@ -41,7 +47,7 @@
     }
 
     pub(crate) fn set_table(&self, table: &lift_fleet::RoutingTable) {
-        let Some(prices) = self.prices else {
+        let Some(costs) = self.costs else {
             return;
         };
         let distances = |service: &lift_fleet::Service| {
@@ -50,27 +56,26 @@
                 .as_ref()
                 .map(|engine| engine.delays.as_slice());
             let delays = delays.unwrap_or_default();
-            let distances = lift_dispatch::Distances::new(&self.location, prices, delays);
+            let distances = lift_dispatch::Distances::new(&self.location, costs, delays);
             (service.name.clone(), sync::Arc::new(distances))
         };
         *self.distances.write() = table.services().map(distances).collect();
     }
 
-    /// Divides the backend servers between the regions of the gateways anew.
-    pub(crate) fn balance_regions(
-        &self,
-        backends: &lift_dispatch::ServiceBackends,
-        gateways: &lift_dispatch::GatewayShares,
-    ) {
-        if self.prices.is_none() {
+    /// Divides the backend servers between the regions of the gateways anew. `newest` returns both
+    /// lists; it is called under the lock, so that an older division never replaces a newer one.
+    pub(crate) fn balance_regions(&self, newest: &dyn Fn() -> Lists) {
+        if self.costs.is_none() {
             return;
         }
+        let mut held = self.balances.write();
+        let (backends, gateways) = newest();
         let balances = backends.services().map(|(service, backends)| {
-            let capacities = capacities(backends, gateways);
+            let capacities = capacities(backends, &gateways);
             let balance = lift_dispatch::RegionBalance::new(&capacities);
             (String::from(service), sync::Arc::new(balance))
         });
-        *self.balances.write() = balances.collect();
+        *held = balances.collect();
     }
 }
 
--- a/crates/lift_gateway/src/request_admission.rs
+++ b/crates/lift_gateway/src/request_admission.rs
@@ -13,7 +13,7 @@
         let Some(place) = self.rank else {
             return;
         };
-        if !self.tried.is_empty() {
+        if !self.tried.is_empty() || self.head.last_event.is_some() {
             self.admission = lift_dispatch::Admission::Unlimited;
             return;
         }
@@ -43,7 +43,7 @@
             && self.head.timeout.is_some_and(|timeout| {
                 let admissions = &self.shared.admissions;
                 let timeout = timeout.min(self.route.timeout);
-                admissions.record_caller(&self.route.name, now, timeout)
+                admissions.record_caller(&self.route, now, timeout)
             })
     }
 
@@ -101,12 +101,12 @@
     }
 
     /// When the caller should come back after a rejection for `reason`. `None` if nothing better is
-    /// known than the usual time.
+    /// known than the usual time, or if all requests of the service have the same priority.
     pub(crate) fn retry_after(
         &self,
         reason: lift_dispatch::RejectionReason,
     ) -> Option<time::Duration> {
-        if reason != lift_dispatch::RejectionReason::Full {
+        if self.rank.is_none() || reason != lift_dispatch::RejectionReason::Full {
             return None;
         }
         let now = lift_clock::now();
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -261,13 +261,11 @@
         let Some(table) = changed else {
             return self.allowed_regions.clone();
         };
-        match table.find(&self.route.host, self.uri.path()) {
-            Some(route) => {
-                let allowed = table.allowed_regions(route, self.workspace.as_deref());
-                self.allowed_regions.intersect(&allowed)
-            }
-            None => self.allowed_regions.clone(),
-        }
+        // A route that is gone restricts nothing more, but the workspace may.
+        let route = table.find(&self.route.host, self.uri.path());
+        let route = route.unwrap_or(&self.route);
+        let allowed = table.allowed_regions(route, self.workspace.as_deref());
+        self.allowed_regions.intersect(&allowed)
     }
 
     fn build_request(
--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     admissions, backend_loads, backend_pool, byte_budget, cold_servers, dialect, fleet_state,
-    gateway_limits, leaving, part_guard, request_log,
+    gateway_limits, locality, part_guard, request_log,
 };
 
 /// Number of shards of the state of services.
@@ -58,13 +58,13 @@
         counters: sync::Arc<lift_obs::Counters>,
         latencies: sync::Arc<lift_obs::Histograms>,
     ) -> Self {
-        let leaving = leaving::Leaving::new(location.clone(), limits.leave_prices);
+        let locality = locality::Locality::new(location.clone(), limits.locality_costs);
         Self {
             cold_servers: cold_servers::ColdServers::new(&location, limits.confirmation.serving),
             location,
             limits,
             dialect,
-            fleet: fleet_state::FleetState::new(limits.weights_grace, regions, leaving),
+            fleet: fleet_state::FleetState::new(limits.weights_grace, regions, locality),
             loads: backend_loads::BackendLoads::new(),
             pool: backend_pool::BackendPool::new(),
             answer_bytes: byte_budget::ByteBudget::new(limits.max_answer_bytes),
--- a/crates/lift_node/src/fleet_node.rs
+++ b/crates/lift_node/src/fleet_node.rs
@@ -218,7 +218,7 @@
             retry_burst: bounds.repeat_burst * REPEAT_PART,
             cold_overage: bounds.cold_overage,
             cold_slack: bounds.cold_slack,
-            leave_prices: cfg.leaving.map(leave_prices),
+            locality_costs: cfg.locality.map(locality_costs),
             ..lift_gateway::GatewayLimits::default()
         };
         let mut builder = lift_gateway::Gateway::builder()
@@ -263,10 +263,10 @@
     }
 }
 
-fn leave_prices(leaving: lift_settings::FleetLeaving) -> lift_dispatch::LeavePrices {
-    lift_dispatch::LeavePrices {
-        domain: time::Duration::from_millis(leaving.domain_wait_ms),
-        region: time::Duration::from_millis(leaving.region_wait_ms),
+fn locality_costs(locality: lift_settings::FleetLocality) -> lift_dispatch::LocalityCosts {
+    lift_dispatch::LocalityCosts {
+        domain: time::Duration::from_millis(locality.domain_cost_ms),
+        region: time::Duration::from_millis(locality.region_cost_ms),
     }
 }
 
--- a/crates/lift_registry/src/registry_source.rs
+++ b/crates/lift_registry/src/registry_source.rs
@@ -41,9 +41,13 @@
     }
 
     fn confirm(&self) -> Option<lift_feed::Confirmation> {
+        // Read within one leadership: a member that has just begun to lead applies the commands that
+        // an earlier leader acknowledged before it may confirm.
+        let (_, leads_since) = self.current_log.leader_log().ok()?;
         let confirmation = self.state_machine.confirmation();
+        let (_, still_since) = self.current_log.leader_log().ok()?;
         let is_confirmed =
-            self.current_log.leader_log().is_ok() && self.state_machine.unreadable_commands() == 0;
+            leads_since == still_since && self.state_machine.unreadable_commands() == 0;
         is_confirmed.then_some(confirmation)
     }
 
--- a/crates/lift_settings/src/fleet_gateway.rs
+++ b/crates/lift_settings/src/fleet_gateway.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use crate::fleet_leaving;
+use crate::fleet_locality;
 
 /// Settings of a node that takes the requests of callers.
 #[derive(
@@ -17,5 +17,5 @@
     /// When requests leave their failure domain. Without it another region has a fixed cost, and
     /// keeps a fixed part of its servers to itself.
     #[serde(default)]
-    pub leaving: Option<fleet_leaving::FleetLeaving>,
+    pub locality: Option<fleet_locality::FleetLocality>,
 }
--- a/crates/lift_settings/src/fleet_leaving.rs
+++ b/crates/lift_settings/src/fleet_locality.rs
@@ -6,9 +6,9 @@
     Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize, schemars::JsonSchema,
 )]
 #[serde(deny_unknown_fields)]
-pub struct FleetLeaving {
+pub struct FleetLocality {
     /// Price of the way to another failure domain of the region, in milliseconds.
-    pub domain_wait_ms: u64,
+    pub domain_cost_ms: u64,
     /// Price of the way to another region, in milliseconds.
-    pub region_wait_ms: u64,
+    pub region_cost_ms: u64,
 }
