Tests: callers that make a process run out of memory or descriptors

What callers saw: a process that ran out of memory ended, or it held so many connections on a listener that others got none.

untrusted_callers starts a control member and a gateway, or a node of `marjoramlift run`, as processes on loopback, and plays a crowd against one listener: bodies that stop one byte short (whole, in pieces, in chunks of 64 KiB and of one byte), announced or sent far over the limit, heads that never end, connections without a request, and answers and events that are not read.

--- a/crates/marjoramlift/tests/support/mod.rs
+++ b/crates/marjoramlift/tests/support/mod.rs
@@ -1,13 +1,17 @@
 //! A node with all roles in a child process, with a plain backend server in this process.
 #![allow(dead_code, clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+pub mod crowd;
+pub mod footprint;
+pub mod peer_server;
 #[path = "../../../lift_node/tests/support/mod.rs"]
 pub mod ports;
+pub mod small_fleet;
 mod tls;
 pub mod trio;
 
 use std::{
-    fs,
+    env, fs,
     io::{self, Read as _, Write as _},
     net, process, thread, time,
 };
@@ -22,6 +26,12 @@
 /// its way hold.
 pub const LARGE_BYTES: usize = 12 * 1024 * 1024;
 
+/// The program under test. `MARJORAMLIFT_PROGRAM` names another build of it, for comparisons.
+pub fn program() -> String {
+    let built = || String::from(env!("CARGO_BIN_EXE_marjoramlift"));
+    env::var("MARJORAMLIFT_PROGRAM").unwrap_or_else(|_| built())
+}
+
 /// A running node. Dropping it ends the child.
 pub struct Node {
     pub child: process::Child,
@@ -58,7 +68,7 @@
             settings["entry"]["tls"] = tls::settings();
         }
         fs::write(&file, settings.to_string()).unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_marjoramlift"))
+        let child = process::Command::new(program())
             .args(["run", "--settings"])
             .arg(&file)
             .current_dir(dir.path())
