Bodies at marjoramlift run count against one budget

What callers saw: a node of `marjoramlift run` that ran out of memory when many callers or operators sent large bodies, or bodies in chunks of one byte.

Cause: bodies were bounded one by one only, 4 MiB for callers and 20 MiB at the administration, and heads at the administration could be 400 KB each.

Change: callers and administration read bodies with lift_listen::BodyReader within the budget of the process, two fifths of the new setting memory_mb (128 by default). A body without room gets 503 overloaded with Retry-After, before its request is admitted to a backend server. The callers' listener closes idle connections beyond its limit, and heads at the administration are limited to 32 KiB.

A node of `run` without memory_mb now refuses bodies beyond 51 MB together; deployments that hold more at once need the setting.

--- a/crates/lift_admin/src/admin_builder.rs
+++ b/crates/lift_admin/src/admin_builder.rs
@@ -20,6 +20,7 @@
     log: slog::Logger,
     token_file: Option<path::PathBuf>,
     tls: Option<(path::PathBuf, path::PathBuf)>,
+    budget: Option<sync::Arc<lift_listen::ByteBudget>>,
 }
 
 impl AdminBuilder {
@@ -36,6 +37,7 @@
             log: lift_obs::LogConfig::discard(),
             token_file: None,
             tls: None,
+            budget: None,
         }
     }
 
@@ -54,6 +56,13 @@
         self
     }
 
+    /// Counts bodies against the budget of the process. By default there is one of their own, for
+    /// the smallest host.
+    pub fn budget(mut self, budget: sync::Arc<lift_listen::ByteBudget>) -> Self {
+        self.budget = Some(budget);
+        self
+    }
+
     /// Requires a bearer token of this file, which is read again when it changes.
     pub fn token_file(mut self, file: path::PathBuf) -> Self {
         self.token_file = Some(file);
@@ -87,6 +96,16 @@
             Some((certificate, key)) => Some(crate::load_tls(certificate, key)?),
             None => None,
         };
+        let budget = self.budget.unwrap_or_else(|| {
+            lift_listen::ByteBudget::new(lift_listen::ByteBudget::DEFAULT_BYTES)
+        });
+        let bodies = lift_listen::BodyBudget::new(
+            "admin",
+            routes::MAX_BODY_BYTES,
+            budget,
+            sync::Arc::clone(&self.counters),
+            self.log.clone(),
+        );
         let state = admin_state::AdminState {
             control: self.control,
             fleet: self.fleet,
@@ -101,7 +120,8 @@
         let addr = socket
             .local_addr()
             .change_context(admin_error::AdminError::Listen)?;
-        let listener = listener::Listener::new(socket, tls, routes::routes(state), self.log);
+        let listener =
+            listener::Listener::new(socket, tls, bodies.limit(routes::routes(state)), self.log);
         Ok(admin::Admin::start(addr, listener))
     }
 }
--- a/crates/lift_admin/src/listener.rs
+++ b/crates/lift_admin/src/listener.rs
@@ -15,6 +15,9 @@
 /// Longest time until the head of a request has come.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
+/// Longest head of a request, in bytes. The HTTP library would take 400 KB of each connection.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
 /// Pause after a failed accept, as when the process has no free file descriptor.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
@@ -100,6 +103,7 @@
     builder
         .http1()
         .timer(rt::TokioTimer::new())
+        .max_buf_size(MAX_HEAD_BYTES)
         .header_read_timeout(HEAD_TIMEOUT);
     let service = service::TowerToHyperService::new(routes);
     let conn = builder.serve_connection(rt::TokioIo::new(stream), service);
--- a/crates/lift_admin/src/routes.rs
+++ b/crates/lift_admin/src/routes.rs
@@ -5,7 +5,7 @@
 use crate::{admin_state, control_routes, fleet_routes, policy_routes, version_routes};
 
 /// Longest body of a request, in bytes. A manifest of 250,000 chunks fits.
-const MAX_BODY_BYTES: usize = 20 * 1024 * 1024;
+pub(crate) const MAX_BODY_BYTES: usize = 20 * 1024 * 1024;
 
 /// Builds the routes.
 pub(crate) fn routes(state: admin_state::AdminState) -> axum::Router {
--- a/crates/lift_entry/src/caller_reply.rs
+++ b/crates/lift_entry/src/caller_reply.rs
@@ -15,6 +15,10 @@
 /// Body of the reply to a request that ran but whose answer was too long to be recorded.
 const BODY_NOT_KEPT: &str = r#"{"outcome":"ran","reason":"body_not_kept","repeat":false}"#;
 
+/// Time after which a caller that was refused for a lack of memory or of places may come back, in
+/// seconds.
+const RETRY_AFTER_S: &str = "1";
+
 /// Headers that the HTTP server sets itself.
 const RESERVED_HEADERS: [&str; 3] = ["content-length", "transfer-encoding", "connection"];
 
@@ -97,7 +101,11 @@
     };
     let body = serde_json::to_vec(&refusal).unwrap_or_default();
     let body = axum::body::Body::from(body);
-    build_response(shared, id, reason.http_status(), &json_header(), None, body)
+    let mut headers = json_header();
+    if reason == lift_types::RefusalReason::Overloaded {
+        headers.push((String::from("retry-after"), String::from(RETRY_AFTER_S)));
+    }
+    build_response(shared, id, reason.http_status(), &headers, None, body)
 }
 
 fn json_header() -> Vec<(String, String)> {
--- a/crates/lift_entry/src/caller_request.rs
+++ b/crates/lift_entry/src/caller_request.rs
@@ -2,8 +2,6 @@
 
 use std::time;
 
-use http_body_util::BodyExt as _;
-
 use crate::shared;
 
 /// Maximum length of a header value that the entry reads, in bytes. Control stores some of these
@@ -89,23 +87,27 @@
     ///
     /// # Errors
     ///
-    /// Returns `TooLarge` for a body over the limit, and `Malformed` for one that is not received
+    /// Returns `TooLarge` for a body over the limit, `Overloaded` if there is no memory for it,
+    /// and `Malformed` for one that is not received
     /// completely within the read timeout.
     pub(crate) async fn read_body(
         &mut self,
         shared: &shared::Shared,
+        headers: &http::HeaderMap,
         body: axum::body::Body,
     ) -> Result<(), Reason> {
-        let limited = http_body_util::Limited::new(body, shared.limits.max_body_bytes);
-        let read = tokio::time::timeout(shared.limits.read_timeout, limited.collect()).await;
-        let collected = match read {
-            Ok(Ok(collected)) => collected,
-            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-                return Err(Reason::TooLarge);
-            }
+        let reader = lift_listen::BodyReader {
+            max_bytes: shared.limits.max_body_bytes,
+            stall_timeout: shared.limits.read_timeout,
+        };
+        let held = shared.budget.hold(lift_listen::HeldKind::Body);
+        let reading = reader.read(headers, body, held);
+        self.body = match tokio::time::timeout(shared.limits.read_timeout, reading).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(lift_listen::BodyError::TooLong)) => return Err(Reason::TooLarge),
+            Ok(Err(lift_listen::BodyError::Overloaded)) => return Err(Reason::Overloaded),
             _ => return Err(Reason::Malformed),
         };
-        self.body = collected.to_bytes();
         let is_model = self.kind == lift_types::ServiceKind::Model;
         if is_model && self.prefix.is_none() {
             let length = self.body.len().min(PREFIX_BYTES);
--- a/crates/lift_entry/src/entry_builder.rs
+++ b/crates/lift_entry/src/entry_builder.rs
@@ -25,6 +25,7 @@
     http: net::SocketAddr,
     heartbeats: net::SocketAddr,
     limits: entry_limits::EntryLimits,
+    budget: Option<sync::Arc<lift_listen::ByteBudget>>,
     counters: sync::Arc<lift_obs::Counters>,
     logger: slog::Logger,
 }
@@ -40,6 +41,7 @@
             http: any_port,
             heartbeats: any_port,
             limits: entry_limits::EntryLimits::default(),
+            budget: None,
             counters: sync::Arc::default(),
             logger: lift_obs::LogConfig::discard(),
         }
@@ -81,6 +83,13 @@
         self
     }
 
+    /// Counts bodies against the budget of the process. By default there is one of their own, for
+    /// the smallest host.
+    pub fn budget(mut self, budget: sync::Arc<lift_listen::ByteBudget>) -> Self {
+        self.budget = Some(budget);
+        self
+    }
+
     /// Sets the limits on requests and connections.
     pub fn limits(mut self, limits: entry_limits::EntryLimits) -> Self {
         self.limits = limits;
@@ -151,6 +160,9 @@
             loads: sync::Arc::new(host_loads::HostLoads::new()),
             admission: sync::Arc::new(admission::Admission::new(self.limits.max_in_progress)),
             limits: self.limits,
+            budget: self.budget.unwrap_or_else(|| {
+                lift_listen::ByteBudget::new(lift_listen::ByteBudget::DEFAULT_BYTES)
+            }),
             workspaces: lift_shard::Shards::new(SHARDS, |_| indexmap::IndexMap::new()),
             prefixes: lift_shard::Shards::new(SHARDS, |_| indexmap::IndexMap::new()),
             counters: self.counters,
--- a/crates/lift_entry/src/http_router.rs
+++ b/crates/lift_entry/src/http_router.rs
@@ -35,7 +35,7 @@
         Err(reason) => return caller_reply::refused_head(&shared, id, &parts.headers, reason),
     };
     let giving_up = shared.giving_up.clone();
-    let handling = handle(sync::Arc::clone(&shared), request, body);
+    let handling = handle(sync::Arc::clone(&shared), request, parts.headers, body);
     let answered = giving_up.run_until_cancelled(handling).await;
     // The request may have reached an agent, which goes on with it.
     let in_doubt = || caller_reply::in_doubt(&shared, id, lift_types::RefusalReason::Draining);
@@ -45,6 +45,7 @@
 async fn handle(
     shared: Shared,
     mut request: caller_request::CallerRequest,
+    headers: http::HeaderMap,
     body: axum::body::Body,
 ) -> response::Response {
     if let Err(reason) = shared.readiness() {
@@ -55,7 +56,7 @@
         Ok(permit) => permit,
         Err(reason) => return refuse(shared, request, reason).await,
     };
-    if let Err(reason) = request.read_body(&shared, body).await {
+    if let Err(reason) = request.read_body(&shared, &headers, body).await {
         return refuse(shared, request, reason).await;
     }
     let request = sync::Arc::new(request);
--- a/crates/lift_entry/src/http_server.rs
+++ b/crates/lift_entry/src/http_server.rs
@@ -15,12 +15,19 @@
     router: axum::Router,
     closing: cancellation::CancellationToken,
 ) {
-    let max_connections = shared.limits.max_connections;
+    let idle = lift_listen::IdleConnections::new(
+        "callers",
+        shared.limits.max_connections,
+        sync::Arc::clone(&shared.counters),
+        shared.logger.clone(),
+    );
+    let limit = idle.accept_limit();
     let handler = sync::Arc::new(CallerConnections {
         shared: sync::Arc::clone(&shared),
         router,
+        idle,
     });
-    lift_listen::serve(listener, max_connections, handler, closing).await;
+    lift_listen::serve(listener, limit, handler, closing).await;
     shared.stopped.cancel();
 }
 
@@ -29,6 +36,7 @@
 struct CallerConnections {
     shared: sync::Arc<shared::Shared>,
     router: axum::Router,
+    idle: sync::Arc<lift_listen::IdleConnections>,
 }
 
 impl lift_listen::ConnectionHandler for CallerConnections {
@@ -45,8 +53,10 @@
             .unacknowledged_timeout(limits.write_timeout);
         let service = service::TowerToHyperService::new(self.router.clone());
         let stopped = self.shared.stopped.clone();
+        let idle = sync::Arc::clone(&self.idle);
+        let connections = lift_listen::ServiceConnections::new(service, connection, idle);
         Box::pin(async move {
-            let serving = connection.serve(stream, service, draining);
+            let serving = connections.serve(stream, draining);
             stopped.run_until_cancelled(serving).await;
         })
     }
--- a/crates/lift_entry/src/shared.rs
+++ b/crates/lift_entry/src/shared.rs
@@ -28,6 +28,8 @@
     pub(crate) policy: tokio::sync::watch::Receiver<lift_types::PolicyView>,
     pub(crate) platform: sync::Arc<dyn lift_border::Platform>,
     pub(crate) limits: entry_limits::EntryLimits,
+    /// Memory of the bodies of requests in progress.
+    pub(crate) budget: sync::Arc<lift_listen::ByteBudget>,
     pub(crate) directory: sync::Arc<directory::Directory>,
     pub(crate) links: links::Links,
     pub(crate) loads: sync::Arc<host_loads::HostLoads>,
--- a/crates/lift_node/src/body_budget.rs
+++ b/crates/lift_listen/src/body_budget.rs
@@ -4,8 +4,7 @@
 
 use axum::{body, extract, middleware, response};
 
-/// Longest body, in bytes. A document with some thousand routes is about 1 MiB.
-const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+use crate::{body_error, body_reader, byte_budget, held_kind};
 
 /// Time without a byte after which a body is given up, as that of callers in the document.
 const STALL_TIMEOUT: time::Duration = time::Duration::from_secs(15);
@@ -13,32 +12,53 @@
 /// Reads bodies before a router gets their requests, and refuses those that there is no memory
 /// for.
 #[derive(Clone, Debug)]
-pub(crate) struct BodyBudget {
-    pub(crate) budget: sync::Arc<lift_listen::ByteBudget>,
-    pub(crate) counters: sync::Arc<lift_obs::Counters>,
-    pub(crate) log: slog::Logger,
+pub struct BodyBudget {
+    name: &'static str,
+    max_bytes: usize,
+    budget: sync::Arc<byte_budget::ByteBudget>,
+    counters: sync::Arc<lift_obs::Counters>,
+    log: slog::Logger,
 }
 
 impl BodyBudget {
+    /// Limits bodies to `max_bytes` each, and all of them to `budget`. `name` is the subject of
+    /// the counter `NAME.refused.REASON`.
+    pub fn new(
+        name: &'static str,
+        max_bytes: usize,
+        budget: sync::Arc<byte_budget::ByteBudget>,
+        counters: sync::Arc<lift_obs::Counters>,
+        log: slog::Logger,
+    ) -> Self {
+        Self {
+            name,
+            max_bytes,
+            budget,
+            counters,
+            log,
+        }
+    }
+
     /// Adds the limit to a router.
-    pub(crate) fn limit(self, router: axum::Router) -> axum::Router {
+    pub fn limit(self, router: axum::Router) -> axum::Router {
         router.layer(middleware::from_fn_with_state(self, read_body))
     }
 
-    fn refuse(&self, path: &str, error: lift_listen::BodyError) -> response::Response {
+    fn refuse(&self, path: &str, error: body_error::BodyError) -> response::Response {
         let (status, reason) = match error {
-            lift_listen::BodyError::TooLong => {
+            body_error::BodyError::TooLong => {
                 (http::StatusCode::PAYLOAD_TOO_LARGE, "body_too_long")
             }
-            lift_listen::BodyError::Overloaded => {
+            body_error::BodyError::Overloaded => {
                 (http::StatusCode::SERVICE_UNAVAILABLE, "overloaded")
             }
-            lift_listen::BodyError::Stalled => (http::StatusCode::REQUEST_TIMEOUT, "body_stalled"),
-            lift_listen::BodyError::Broken => (http::StatusCode::BAD_REQUEST, "malformed"),
+            body_error::BodyError::Stalled => (http::StatusCode::REQUEST_TIMEOUT, "body_stalled"),
+            body_error::BodyError::Broken => (http::StatusCode::BAD_REQUEST, "malformed"),
         };
-        self.counters.increment_member("control.refused", reason);
-        slog::debug!(self.log, "call refused before it was read"; "path" => path,
-            "reason" => reason);
+        let counter = format!("{}.refused", self.name);
+        self.counters.increment_member(&counter, reason);
+        slog::debug!(self.log, "call refused before it was read"; "listener" => self.name,
+            "path" => path, "reason" => reason);
         let headers = [
             (http::header::CONNECTION, "close"),
             (http::header::RETRY_AFTER, "1"),
@@ -53,11 +73,11 @@
     next: middleware::Next,
 ) -> response::Response {
     let (parts, body) = req.into_parts();
-    let reader = lift_listen::BodyReader {
-        max_bytes: MAX_BODY_BYTES,
+    let reader = body_reader::BodyReader {
+        max_bytes: budget.max_bytes,
         stall_timeout: STALL_TIMEOUT,
     };
-    let held = budget.budget.hold(lift_listen::HeldKind::Body);
+    let held = budget.budget.hold(held_kind::HeldKind::Body);
     match reader.read(&parts.headers, body, held).await {
         Ok(bytes) => {
             let req = extract::Request::from_parts(parts, body::Body::from(bytes));
--- a/crates/lift_listen/src/held_buffer.rs
+++ b/crates/lift_listen/src/held_buffer.rs
@@ -9,7 +9,7 @@
 /// before it is allocated.
 #[derive(Debug)]
 pub struct HeldBuffer {
-    bytes: bytes::BytesMut,
+    bytes: Vec<u8>,
     held: held_bytes::HeldBytes,
     limit: usize,
 }
@@ -18,7 +18,7 @@
     /// Creates an empty buffer that never needs more than `limit` bytes.
     pub fn new(held: held_bytes::HeldBytes, limit: usize) -> Self {
         Self {
-            bytes: bytes::BytesMut::new(),
+            bytes: Vec::new(),
             held,
             limit,
         }
@@ -44,9 +44,8 @@
             if !self.held.set(capacity) {
                 return false;
             }
-            let mut grown = bytes::BytesMut::with_capacity(capacity);
-            grown.extend_from_slice(&self.bytes);
-            self.bytes = grown;
+            // The system can extend a large allocation in place.
+            self.bytes.reserve_exact(capacity - self.bytes.len());
         }
         self.bytes.extend_from_slice(data);
         true
--- a/crates/lift_listen/src/lib.rs
+++ b/crates/lift_listen/src/lib.rs
@@ -10,6 +10,7 @@
 //! `docs/design/untrusted-callers.md`.
 
 mod accept_loop;
+mod body_budget;
 mod body_error;
 mod body_reader;
 mod byte_budget;
@@ -24,6 +25,7 @@
 mod service_connections;
 
 pub use accept_loop::serve;
+pub use body_budget::BodyBudget;
 pub use body_error::BodyError;
 pub use body_reader::BodyReader;
 pub use byte_budget::ByteBudget;
--- a/crates/lift_node/src/demo_settings.rs
+++ b/crates/lift_node/src/demo_settings.rs
@@ -2,6 +2,9 @@
 
 use std::{net, path};
 
+/// Memory of a node of the demo, in megabytes.
+const MEMORY_MB: u64 = 128;
+
 /// Names of the regions, from the depots of the Cooperative.
 const REGIONS: [&str; 3] = ["delta-east", "piedmont", "plateau"];
 
@@ -128,6 +131,7 @@
             log_level: String::from("info"),
             metrics_receiver: None,
             grace_ms: 10_000,
+            memory_mb: MEMORY_MB,
             link_keys: lift_settings::LinkKeySettings {
                 current: lift_settings::KeyFile {
                     id: 1,
--- a/crates/lift_node/src/entry_role.rs
+++ b/crates/lift_node/src/entry_role.rs
@@ -135,6 +135,7 @@
         .http(http)
         .heartbeats(cfg.heartbeat_listener)
         .limits(limits)
+        .budget(sync::Arc::clone(&cx.budget))
         .counters(cx.counters.clone())
         .logger(cx.log.clone())
         .start()
@@ -172,8 +173,9 @@
 ) -> Result<lift_admin::Admin> {
     let fleet = entry_fleet::EntryFleet::new(entry.clone(), client.clone());
     let fleet = sync::Arc::new(fleet);
-    let mut builder =
-        lift_admin::Admin::builder(client.clone(), fleet, cx.counters.clone()).log(cx.log.clone());
+    let mut builder = lift_admin::Admin::builder(client.clone(), fleet, cx.counters.clone())
+        .budget(sync::Arc::clone(&cx.budget))
+        .log(cx.log.clone());
     if let Some(file) = &cfg.admin_token_file {
         builder = builder.token_file(file.clone());
     }
--- a/crates/lift_node/src/fleet_node.rs
+++ b/crates/lift_node/src/fleet_node.rs
@@ -6,7 +6,7 @@
 use hyper_util::service;
 use rand::RngExt as _;
 
-use crate::{body_budget, fleet_adapter, fleet_keys, fleet_metrics, node_error};
+use crate::{fleet_adapter, fleet_keys, fleet_metrics, node_error};
 
 /// Heartbeats of a backend server that may be missing before it counts as down.
 const SILENT_HEARTBEATS: u32 = 4;
@@ -39,6 +39,9 @@
 /// Bits in a megabit, over the bits in a byte.
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
+/// Longest body of an operator, in bytes. A document with some thousand routes is about 1 MiB.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+
 /// Connections of monitors that are open at once.
 const MAX_METRICS_CONNECTIONS: usize = 64;
 
@@ -277,11 +280,13 @@
             sync::Arc::clone(counters),
             self.log.clone(),
         );
-        let bodies = body_budget::BodyBudget {
-            budget: sync::Arc::clone(&self.budget),
-            counters: sync::Arc::clone(counters),
-            log: self.log.clone(),
-        };
+        let bodies = lift_listen::BodyBudget::new(
+            name,
+            MAX_BODY_BYTES,
+            sync::Arc::clone(&self.budget),
+            sync::Arc::clone(counters),
+            self.log.clone(),
+        );
         let limit = idle.accept_limit();
         let service = service::TowerToHyperService::new(bodies.limit(router));
         let connection = lift_listen::HttpConnection::for_operators();
--- a/crates/lift_node/src/lib.rs
+++ b/crates/lift_node/src/lib.rs
@@ -12,7 +12,6 @@
 //! platform.
 
 mod agent_role;
-mod body_budget;
 mod control_role;
 mod demo;
 mod demo_engine;
--- a/crates/lift_node/src/node_context.rs
+++ b/crates/lift_node/src/node_context.rs
@@ -13,6 +13,8 @@
     pub(crate) keys: lift_wire::LinkKeys,
     pub(crate) log: slog::Logger,
     pub(crate) counters: sync::Arc<lift_obs::Counters>,
+    /// Memory for what callers and operators send.
+    pub(crate) budget: sync::Arc<lift_listen::ByteBudget>,
 }
 
 impl NodeContext {
@@ -30,6 +32,9 @@
             keys,
             log,
             counters: sync::Arc::default(),
+            budget: lift_listen::ByteBudget::new(lift_listen::ByteBudget::bytes_for(
+                settings.memory_mb,
+            )),
         })
     }
 }
--- a/crates/lift_settings/src/check.rs
+++ b/crates/lift_settings/src/check.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     agent_settings, backend_kind, check_listeners, control_settings, entry_settings, role,
-    settings, settings_error,
+    settings, settings_error, settings_text,
 };
 
 /// Result of one check.
@@ -56,6 +56,7 @@
         let problem = format!("{:?} is not a log level", cfg.log_level);
         return fail("log_level", problem, &LOG_LEVELS.join(", "));
     }
+    settings_text::check_memory_mb(cfg.memory_mb)?;
     if !(1..=MAX_GRACE_MS).contains(&cfg.grace_ms) {
         let problem = format!("{} ms is out of range", cfg.grace_ms);
         return fail("grace_ms", problem, &format!("1 to {MAX_GRACE_MS}"));
--- a/crates/lift_settings/src/fleet_settings.rs
+++ b/crates/lift_settings/src/fleet_settings.rs
@@ -10,14 +10,6 @@
 /// Ports that are needed for the listeners between nodes.
 const NEEDED_PORTS: u16 = 4;
 
-/// Memory of a process, in megabytes. With less, a body of 4 MiB would find no room.
-const MEMORY_MB: std::ops::RangeInclusive<u64> = 64..=1_000_000;
-
-/// Memory of the smallest host that runs a process, in megabytes.
-fn default_memory_mb() -> u64 {
-    128
-}
-
 type Result<T> = std::result::Result<T, error_stack::Report<settings_error::SettingsError>>;
 
 /// Everything that `marjoramlift fleet` reads from its settings file.
@@ -59,7 +51,7 @@
     pub metrics: Option<net::SocketAddr>,
     /// Memory that the process may use, in megabytes. Two fifths of it are for what is held for
     /// callers, operators and backend servers.
-    #[serde(default = "default_memory_mb")]
+    #[serde(default = "settings_text::default_memory_mb")]
     pub memory_mb: u64,
     /// Times and shares that the deployment sets.
     #[serde(default)]
@@ -120,9 +112,7 @@
             let allowed = "at least one of gateway, control and agent";
             return fault("(file)", "no role is set", allowed);
         }
-        if !MEMORY_MB.contains(&self.memory_mb) {
-            return fault("memory_mb", "is out of range", "64 to 1000000");
-        }
+        settings_text::check_memory_mb(self.memory_mb)?;
         self.bounds.check()
     }
 
--- a/crates/lift_settings/src/settings.rs
+++ b/crates/lift_settings/src/settings.rs
@@ -34,6 +34,10 @@
     /// Longest time in milliseconds that a graceful shutdown takes.
     #[serde(default = "default_grace_ms")]
     pub grace_ms: u64,
+    /// Memory that the process may use, in megabytes. Two fifths of it are for the bodies of
+    /// callers and operators.
+    #[serde(default = "settings_text::default_memory_mb")]
+    pub memory_mb: u64,
     /// Keys of the links between nodes.
     pub link_keys: link_key_settings::LinkKeySettings,
     /// Settings of the entry role.
--- a/crates/lift_settings/src/settings_text.rs
+++ b/crates/lift_settings/src/settings_text.rs
@@ -4,6 +4,9 @@
 
 use crate::settings_error;
 
+/// Memory of a process, in megabytes. With less, a body of 4 MiB would find no room.
+const MEMORY_MB: std::ops::RangeInclusive<u64> = 64..=1_000_000;
+
 type Result<T> = std::result::Result<T, error_stack::Report<settings_error::SettingsError>>;
 
 /// Reads a settings file.
@@ -34,3 +37,23 @@
 pub(crate) fn default_log_level() -> String {
     String::from("info")
 }
+
+/// Memory of the smallest host that runs a process, in megabytes.
+pub(crate) fn default_memory_mb() -> u64 {
+    128
+}
+
+/// Checks the memory of a process.
+pub(crate) fn check_memory_mb(
+    memory_mb: u64,
+) -> std::result::Result<(), settings_error::SettingsError> {
+    if MEMORY_MB.contains(&memory_mb) {
+        return Ok(());
+    }
+    let problem = format!("{memory_mb} MB is out of range");
+    Err(settings_error::SettingsError::new(
+        "memory_mb",
+        problem,
+        "64 to 1000000",
+    ))
+}
--- a/crates/lift_settings/tests/fleet.rs
+++ b/crates/lift_settings/tests/fleet.rs
@@ -6,6 +6,7 @@
 /// Settings as the template of `deploy/settings.json` renders them for a control host.
 const RENDERED: &str = r#"{
   "control": { "listener": "10.1.0.42:8000", "data_dir": "/data/control" },
+  "memory_mb": 256,
   "bounds": { "heartbeat_ms": 1200, "revoke_ms": 5000, "weights_ms": 8000,
     "repeat_share": 0.2, "repeat_burst": 104, "grace_s": 8 },
   "failure_domains": { "delta-east-a": "delta-east", "plateau-a": "plateau" },
