--- a/crates/lift_settings/src/fleet_settings.rs
+++ b/crates/lift_settings/src/fleet_settings.rs
@@ -49,6 +49,10 @@
     /// Where counters and latencies are served as text over HTTP. Not served without it.
     #[serde(default)]
     pub metrics: Option<net::SocketAddr>,
+    /// Memory that the process may use, in megabytes. Two fifths of it are for what is held for
+    /// callers, operators and backend servers.
+    #[serde(default = "settings_text::default_memory_mb")]
+    pub memory_mb: u64,
     /// Times and shares that the deployment sets.
     #[serde(default)]
     pub bounds: fleet_bounds::FleetBounds,
@@ -108,6 +112,7 @@
             let allowed = "at least one of gateway, control and agent";
             return fault("(file)", "no role is set", allowed);
         }
+        settings_text::check_memory_mb(self.memory_mb)?;
         self.bounds.check()
     }
 
