Selections see cold servers while these are compared

A comparison of the warm-ups cleared may_be_cold until it had visited all servers, twice a second and at each changed record. Meanwhile a cold server whose share was used up counted as warm, so a request could select it three times and was refused with 503, although warm servers had room. Answers of a server that could not be reached were not recorded either.

Changes are counted now, and only a comparison that found no cold server records the count from before it.

--- a/crates/lift_gateway/src/cold_servers.rs
+++ b/crates/lift_gateway/src/cold_servers.rs
@@ -29,8 +29,11 @@
     /// request.
     shares: parking_lot::Mutex<lift_dispatch::ColdShares>,
     first_list_at: sync::OnceLock<time::Instant>,
-    /// Whether any server may be cold. Without one, selections take no lock here.
-    may_be_cold: atomic::AtomicBool,
+    /// Number of changes by which a server may have become cold.
+    changes: atomic::AtomicU64,
+    /// Value of `changes` before the last comparison that found no cold server. While both are equal,
+    /// selections take no lock here.
+    changes_without_cold: atomic::AtomicU64,
 }
 
 #[derive(Debug)]
@@ -49,7 +52,8 @@
             shards: lift_shard::Shards::new(SHARDS, |_| indexmap::IndexMap::new()),
             shares: parking_lot::Mutex::new(lift_dispatch::ColdShares::new(own, hold_time)),
             first_list_at: sync::OnceLock::new(),
-            may_be_cold: atomic::AtomicBool::new(false),
+            changes: atomic::AtomicU64::new(0),
+            changes_without_cold: atomic::AtomicU64::new(0),
         }
     }
 
@@ -59,7 +63,7 @@
         now: time::Instant,
         address: net::SocketAddr,
     ) -> lift_dispatch::ColdState {
-        if !self.may_be_cold.load(atomic::Ordering::Acquire) {
+        if !self.may_be_cold() {
             return lift_dispatch::ColdState::Warm;
         }
         self.shards
@@ -87,12 +91,12 @@
     /// Records that the server at `address` could not be reached at `now` or has ended.
     pub(crate) fn lose(&self, now: time::Instant, address: net::SocketAddr) {
         self.change(address, |server| server.lose(now));
-        self.may_be_cold.store(true, atomic::Ordering::Release);
+        self.record_change();
     }
 
     /// Records an answer of the server at `address`.
     pub(crate) fn reach(&self, now: time::Instant, address: net::SocketAddr) {
-        if self.may_be_cold.load(atomic::Ordering::Acquire) {
+        if self.may_be_cold() {
             self.change(address, |server| server.reach(now));
         }
     }
@@ -102,7 +106,7 @@
         for address in addresses {
             self.change(*address, |server| server.mark(now));
         }
-        self.may_be_cold.store(true, atomic::Ordering::Release);
+        self.record_change();
     }
 
     /// Takes in records that have changed.
@@ -118,7 +122,7 @@
                 });
             }
         }
-        self.may_be_cold.store(true, atomic::Ordering::Release);
+        self.record_change();
     }
 
     /// Records the gateways that are known.
@@ -148,8 +152,8 @@
         &self,
         now: time::Instant,
     ) -> Vec<(net::SocketAddr, bool, Option<time::Duration>)> {
-        // Before the comparison: a server that turns cold meanwhile sets it again.
-        self.may_be_cold.store(false, atomic::Ordering::Release);
+        // Read before the comparison, so that a server that turns cold meanwhile is not overlooked.
+        let changes = self.changes.load(atomic::Ordering::Acquire);
         let mut turned = Vec::new();
         let mut any_cold = false;
         self.shards.for_each(|entries| {
@@ -162,12 +166,26 @@
                 }
             }
         });
-        if any_cold {
-            self.may_be_cold.store(true, atomic::Ordering::Release);
+        match any_cold {
+            // A server may also have become cold by its limit.
+            true if !self.may_be_cold() => self.record_change(),
+            true => {}
+            false => self
+                .changes_without_cold
+                .store(changes, atomic::Ordering::Release),
         }
         turned
     }
 
+    fn may_be_cold(&self) -> bool {
+        let without_cold = self.changes_without_cold.load(atomic::Ordering::Acquire);
+        self.changes.load(atomic::Ordering::Acquire) != without_cold
+    }
+
+    fn record_change(&self) {
+        self.changes.fetch_add(1, atomic::Ordering::AcqRel);
+    }
+
     /// Changes a server that is listed.
     fn change(
         &self,
