Servers have their cold limit before they can be selected

Limits were set for servers that accept requests only, after these could be selected already. A server in a failure domain that had been evacuated for a minute, or since before the gateway started, had none when the failure domain was restored: it counted as warm and got all requests. A new server, or one that had just announced a warm-up, got requests without a limit until another thread had taken the record in, and two links could take two records of a server in the wrong order, so that an older one ended its warm-up.

Limits are now set for all servers in the directory that are not gone, records are taken in under its lock before the list of servers is replaced, and a document's limits are set before requests use it. A server that is marked as cold is added if it is unknown, and keeps the mark until its limit is known.

The order of two links has no test.

--- a/crates/lift_dispatch/src/cold_server.rs
+++ b/crates/lift_dispatch/src/cold_server.rs
@@ -23,6 +23,8 @@
     /// When it last could not be reached or has ended. `None` if it was reached since.
     lost_at: Option<time::Instant>,
     cold_until: Option<time::Instant>,
+    /// When a warm-up began whose duration was not known yet.
+    marked_at: Option<time::Instant>,
     /// `None` if its service has no warm-up.
     limit: Option<cold_limit::ColdLimit>,
     /// Part of the limit that this gateway may use.
@@ -35,6 +37,11 @@
     pub fn configure(&mut self, limit: Option<cold_limit::ColdLimit>, share: u32) {
         self.limit = limit;
         self.share = share;
+        if limit.is_some()
+            && let Some(at) = self.marked_at.take()
+        {
+            self.mark(at);
+        }
     }
 
     /// Takes in a record that was received at `now`. `was_running` tells whether the gateway ran
@@ -57,6 +64,7 @@
         if is_back || is_new {
             self.lost_at = None;
         }
+        self.marked_at = None;
         let announced = announcement.warmup_left.min(MAX_WARMUP);
         if !announced.is_zero() {
             self.cold_until = Some(now + announced);
@@ -68,10 +76,15 @@
     }
 
     /// Counts the server as cold from `now` on for the time that a warm-up takes, unless it is known
-    /// to be cold for longer.
+    /// to be cold for longer. Without a limit the warm-up counts once one is set.
     pub fn mark(&mut self, now: time::Instant) {
-        let duration = self.limit.map(|limit| limit.duration.min(MAX_WARMUP));
-        self.cold_until = self.cold_until.max(duration.map(|duration| now + duration));
+        match self.limit {
+            Some(limit) => {
+                let until = now + limit.duration.min(MAX_WARMUP);
+                self.cold_until = self.cold_until.max(Some(until));
+            }
+            None => self.marked_at = Some(now),
+        }
     }
 
     /// Records that the server could not be reached at `now` or has ended.
--- a/crates/lift_dispatch/tests/cold_server.rs
+++ b/crates/lift_dispatch/tests/cold_server.rs
@@ -111,6 +111,18 @@
     assert!(!server.take(now + 1_190 * MS));
 }
 
+/// A gateway that starts while a failure domain is evacuated may hear of the restoration before it
+/// knows the limits of the servers there.
+#[test]
+fn a_server_that_counts_as_cold_before_its_limit_is_known_is_cold() {
+    let now = time::Instant::now();
+    let mut server = ColdServer::default();
+    server.mark(now);
+    server.configure(Some(limit()), 2);
+    assert_eq!(server.state(now + 2_999 * MS), COLD);
+    assert_eq!(server.state(now + 3_000 * MS), WARM);
+}
+
 #[test]
 fn a_service_without_a_warm_up_has_no_limit() {
     let now = time::Instant::now();
--- a/crates/lift_gateway/src/cold_servers.rs
+++ b/crates/lift_gateway/src/cold_servers.rs
@@ -7,8 +7,8 @@
 /// Number of shards. More than the worker threads, to reduce lock contention.
 const SHARDS: usize = 16;
 
-/// Time for which a server that accepts no requests is kept, so that it does not count as new when
-/// it accepts them again.
+/// Time for which a server that is no longer known is kept, so that requests to an earlier process at
+/// its address count.
 const RETAIN_FOR: time::Duration = time::Duration::from_secs(60);
 
 /// Time from the first list of servers until an unknown server counts as started during traffic. The
@@ -104,7 +104,7 @@
     /// Counts the servers at `addresses` as cold from `now` on.
     pub(crate) fn mark(&self, now: time::Instant, addresses: &[net::SocketAddr]) {
         for address in addresses {
-            self.change(*address, |server| server.mark(now));
+            self.update(now, *address, |server| server.mark(now));
         }
         self.record_change();
     }
@@ -130,15 +130,14 @@
         self.shares.lock().record(now, gateways);
     }
 
-    /// Sets the limit of a server that accepts requests, `None` if its service has no warm-up.
+    /// Sets the limit of the server at `address`, `None` if its service has no warm-up.
     pub(crate) fn configure(
         &self,
         now: time::Instant,
-        backend: &lift_dispatch::Backend,
+        address: net::SocketAddr,
+        region: Option<&str>,
         limit: Option<lift_dispatch::ColdLimit>,
     ) {
-        let region = backend.region.as_deref();
-        let address = backend.address;
         let share = limit.map_or(0, |limit| {
             let shares = self.shares.lock();
             shares.share(now, address, region, limit.requests)
--- a/crates/lift_gateway/src/cold_watch.rs
+++ b/crates/lift_gateway/src/cold_watch.rs
@@ -17,22 +17,36 @@
         self.note_turned_servers(now);
     }
 
-    /// Takes in backend servers that have changed.
+    /// Takes in backend servers that have changed in `directory`, whose lock the caller holds: so
+    /// records count in the order in which the directory takes them, and a server has its limit
+    /// before it can be selected.
     pub(crate) fn announce_to_cold_servers(
         &self,
         now: time::Instant,
+        directory: &lift_fleet::Directory,
         changed: &[lift_fleet::BackendRecord],
     ) {
-        if !changed.is_empty() {
-            self.configure_cold_servers(now);
-            self.cold_servers.announce(now, changed);
-            self.note_turned_servers(now);
+        if let Some(table) = self.fleet.table() {
+            self.configure_cold_servers(now, &table, directory);
         }
+        self.cold_servers.announce(now, changed);
     }
 
-    /// Applies the configuration and the gateways that are known.
+    /// Applies the configuration in force and the gateways that are known.
     pub(crate) fn update_cold_servers(&self, now: time::Instant) {
-        self.configure_cold_servers(now);
+        if let Some(table) = self.fleet.table() {
+            self.apply_to_cold_servers(now, &table);
+        }
+    }
+
+    /// Applies the configuration `table` and the gateways that are known.
+    pub(crate) fn apply_to_cold_servers(
+        &self,
+        now: time::Instant,
+        table: &lift_fleet::RoutingTable,
+    ) {
+        self.fleet
+            .with_directory(|directory| self.configure_cold_servers(now, table, directory));
         self.note_turned_servers(now);
     }
 
@@ -108,24 +122,32 @@
         selected
     }
 
-    fn configure_cold_servers(&self, now: time::Instant) {
-        let Some(table) = self.fleet.table() else {
-            return;
-        };
-        let backends = self.fleet.backends();
-        for (service, backends) in backends.services() {
-            let warmup = table.service(service).and_then(|s| s.warmup);
-            let limit = warmup.map(|warmup| {
+    /// Sets the limits of all servers, also of those in evacuated failure domains: these must have
+    /// one before their failure domain is restored.
+    fn configure_cold_servers(
+        &self,
+        now: time::Instant,
+        table: &lift_fleet::RoutingTable,
+        directory: &lift_fleet::Directory,
+    ) {
+        let announcements = directory.records().map(|record| &record.announcement);
+        for announcement in announcements {
+            if announcement.state == lift_fleet::BackendState::Gone {
+                continue;
+            }
+            let service = table.service(&announcement.service);
+            let limit = service.and_then(|s| s.warmup).map(|warmup| {
                 let limits = &self.limits;
                 lift_dispatch::ColdLimit::new(&warmup, limits.cold_overage, limits.cold_slack)
             });
-            for backend in backends {
-                self.cold_servers.configure(now, backend, limit);
-            }
+            let region = self.fleet.region(&announcement.failure_domain);
+            self.cold_servers
+                .configure(now, announcement.address, region, limit);
         }
     }
 
-    fn note_turned_servers(&self, now: time::Instant) {
+    /// Counts and logs the servers that have become cold or warm.
+    pub(crate) fn note_turned_servers(&self, now: time::Instant) {
         for (address, is_cold, left) in self.cold_servers.compare(now) {
             if is_cold {
                 self.counters.increment("gateway.servers_cold");
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -189,21 +189,34 @@
             .set_target(now, model, version, set_at);
     }
 
-    /// Applies records of backend servers. Returns those that have changed.
+    /// Applies records of backend servers. Calls `take_in` with those that have changed before they
+    /// can be selected, in the order in which the directory takes them. Returns them.
     pub(crate) fn merge(
         &self,
         now: time::Instant,
         records: Vec<lift_fleet::BackendRecord>,
+        take_in: impl FnOnce(&lift_fleet::Directory, &[lift_fleet::BackendRecord]),
     ) -> Vec<lift_fleet::BackendRecord> {
         let mut directory = self.directory.lock();
         let mut changed = records;
         changed.retain(|record| directory.merge(now, record) == lift_fleet::UpdateOutcome::Changed);
         if !changed.is_empty() {
+            take_in(&directory, &changed);
             self.rebuild_backends(&directory);
         }
         changed
     }
 
+    /// Calls `read` with the directory of backend servers, evacuated ones included.
+    pub(crate) fn with_directory<R>(&self, read: impl FnOnce(&lift_fleet::Directory) -> R) -> R {
+        read(&self.directory.lock())
+    }
+
+    /// Region of a failure domain. `None` if it is unknown.
+    pub(crate) fn region(&self, failure_domain: &str) -> Option<&str> {
+        self.regions.get(failure_domain).map(String::as_str)
+    }
+
     /// Addresses of the backend servers whose failure domains are evacuated and would not be by
     /// `evacuations`.
     pub(crate) fn addresses_restored_by(
--- a/crates/lift_gateway/src/gateway_observer.rs
+++ b/crates/lift_gateway/src/gateway_observer.rs
@@ -12,8 +12,10 @@
 
 impl lift_feed::FleetObserver for GatewayObserver {
     fn on_table(&self, table: sync::Arc<lift_fleet::RoutingTable>) {
+        // Before requests use it, so that servers of a new service have their limits by then.
+        let now = lift_clock::now();
+        self.shared.apply_to_cold_servers(now, &table);
         self.shared.fleet.set_table(table);
-        self.shared.update_cold_servers(lift_clock::now());
     }
 
     fn on_confirmed(&self, at: time::Instant) {
@@ -22,8 +24,13 @@
 
     fn on_backends(&self, records: Vec<lift_fleet::BackendRecord>) {
         let now = lift_clock::now();
-        let changed = self.shared.fleet.merge(now, records);
-        self.shared.announce_to_cold_servers(now, &changed);
+        let shared = &self.shared;
+        let changed = shared.fleet.merge(now, records, |directory, changed| {
+            shared.announce_to_cold_servers(now, directory, changed);
+        });
+        if !changed.is_empty() {
+            shared.note_turned_servers(now);
+        }
         for record in &changed {
             let announcement = &record.announcement;
             slog::info!(self.shared.log.logger(), "backend server changed";
--- a/crates/lift_gateway/tests/cold_servers.rs
+++ b/crates/lift_gateway/tests/cold_servers.rs
@@ -107,6 +107,22 @@
     check_served(start, count(&call_at_once(&fleet).await, 200));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_that_are_first_known_while_evacuated_are_cold_after_the_restoration() {
+    // Guards against servers without a limit at a gateway that started during the evacuation, or
+    // after one that lasted so long that the gateway had removed their warm-ups.
+    let server = Backend::start(&[]).await;
+    let fleet = Fleet::start(137, &[]).await;
+    fleet.evacuate(1, "d").await;
+    fleet
+        .announce_cold(server.address, 1, time::Duration::ZERO)
+        .await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    fleet.restore(2, "d").await;
+    let start = time::Instant::now();
+    check_served(start, count(&call_at_once(&fleet).await, 200));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_that_a_cold_server_refuses_with_421_do_not_count() {
     let refusals = vec![Reply::status(421); 2 * TOLERATED];
