A gateway that starts leaves the others time to hear of it

A gateway used its share of a cold server 1.15 s after its first list of gateways, which is the time for which requests count. The others use their larger shares until the push of the new list arrives, so the sum could exceed the limit by what they sent meanwhile. The time now includes 50 ms for the push.

The added check failed before the change (40 at 1,199 ms).

--- a/crates/lift_dispatch/src/cold_shares.rs
+++ b/crates/lift_dispatch/src/cold_shares.rs
@@ -8,9 +8,14 @@
 /// Servers get most of their requests from these.
 const OWN_REGION_SHARE: f64 = 0.7;
 
-/// Time from the first list of gateways until this one uses its share. Within it, the others have
-/// heard of this gateway, and requests of an earlier process at its host are no longer counted.
-const SETTLE_TIME: time::Duration = send_window::WINDOW;
+/// Time in which control tells the others of a gateway after it has sent the first list to it. Two
+/// ways of 5 ms, and time for the processes to handle the messages.
+const MAX_PUSH_TIME: time::Duration = time::Duration::from_millis(50);
+
+/// Time from the first list of gateways until this one uses its share. By then the others have heard
+/// of this gateway, and the requests that they sent by larger shares before, or that an earlier
+/// process at its host sent, are no longer counted.
+const SETTLE_TIME: time::Duration = send_window::WINDOW.saturating_add(MAX_PUSH_TIME);
 
 /// The part of a cold backend server's limit that one gateway may use.
 ///
--- a/crates/lift_dispatch/tests/cold_limit.rs
+++ b/crates/lift_dispatch/tests/cold_limit.rs
@@ -137,6 +137,8 @@
     assert_eq!(share(&shares, 60_000), 0);
     shares.record(now, &[location(1)]);
     assert_eq!(share(&shares, 1_000), 0);
+    // Others use larger shares until they hear of it, and their requests count for 1,150 ms.
+    assert_eq!(share(&shares, 1_199), 0);
     assert_eq!(share(&shares, 1_200), 40);
     shares.record(now, &[location(1), location(4)]);
     assert_eq!(share(&shares, 1_200), 20);
