Shares of cold servers are computed when they change

With 6,200 servers and 200 gateways, each half second and each changed record took 1.2 million hashes. A thread also wrote its shares after it had released the lock under which it computed them, so an older, larger share could replace a newer one for up to half a second.

A share is computed again only if the list of gateways, the limit or the region has changed, and all are set under the lock of the shares.

--- a/crates/lift_dispatch/src/cold_shares.rs
+++ b/crates/lift_dispatch/src/cold_shares.rs
@@ -33,6 +33,8 @@
     hold_time: time::Duration,
     gateways: indexmap::IndexMap<lift_types::HostId, ActiveGateway>,
     known_since: Option<time::Instant>,
+    is_settled: bool,
+    revision: u64,
 }
 
 /// A gateway that may be active.
@@ -62,6 +64,8 @@
             hold_time,
             gateways: indexmap::IndexMap::from([(own.host, gateway)]),
             known_since: None,
+            is_settled: false,
+            revision: 0,
         }
     }
 
@@ -79,9 +83,25 @@
                 region: listed.region.clone(),
                 held_until: None,
             };
-            self.gateways.insert(listed.host, gateway);
+            let before = self.gateways.insert(listed.host, gateway);
+            if before.is_none_or(|before| before.region != listed.region) {
+                self.revision += 1;
+            }
         }
+        self.update(now);
+    }
+
+    /// Removes the gateways that no longer count at `now`. Returns a number that is another one after
+    /// each change of the shares, so that they need not be computed again without one.
+    pub fn update(&mut self, now: time::Instant) -> u64 {
+        let before = self.gateways.len();
         self.gateways.retain(|_, gateway| gateway.is_active(now));
+        let is_settled = self.has_settled(now);
+        let was_settled = std::mem::replace(&mut self.is_settled, is_settled);
+        if self.gateways.len() != before || was_settled != is_settled {
+            self.revision += 1;
+        }
+        self.revision
     }
 
     /// Requests that this gateway may send within one second to the cold server at `address` in
@@ -94,10 +114,8 @@
         region: Option<&str>,
         requests: u32,
     ) -> u32 {
-        let is_settled = self
-            .known_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= SETTLE_TIME);
-        let Some(own) = self.gateways.get(&self.own).filter(|_| is_settled) else {
+        let own = self.gateways.get(&self.own);
+        let Some(own) = own.filter(|_| self.has_settled(now)) else {
             return 0;
         };
         let is_near = |gateway: &ActiveGateway| region == Some(gateway.region.as_str());
@@ -122,6 +140,11 @@
         };
         part.saturating_sub(rank).div_ceil(group.max(1))
     }
+
+    fn has_settled(&self, now: time::Instant) -> bool {
+        self.known_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= SETTLE_TIME)
+    }
 }
 
 /// Place of a gateway in the order of gateways at one server. All gateways compute the same.
--- a/crates/lift_dispatch/tests/cold_limit.rs
+++ b/crates/lift_dispatch/tests/cold_limit.rs
@@ -147,3 +147,29 @@
     assert_eq!(share(&shares, 19_000), 20);
     assert_eq!(share(&shares, 20_000), 40);
 }
+
+/// A share that is not computed again after a change would exceed the limit.
+#[test]
+fn the_revision_changes_with_the_shares() {
+    let now = time::Instant::now();
+    let mut random = Random(11);
+    for _ in 0..200 {
+        let mut shares = lift_dispatch::ColdShares::new(&location(1), 20_000 * MS);
+        let share = |shares: &lift_dispatch::ColdShares, at: time::Instant| {
+            shares.share(at, cold_play::address(), Some("r1"), 40)
+        };
+        let mut at = now;
+        let mut known = (shares.update(at), share(&shares, at));
+        for _ in 0..40 {
+            at += MS * random.below(3_000) as u32;
+            if random.below(4) == 0 {
+                let listed: Vec<_> = (0..8).filter(|_| random.below(3) > 0).collect();
+                let listed: Vec<_> = listed.into_iter().map(location).collect();
+                shares.record(at, &listed);
+            }
+            let present = (shares.update(at), share(&shares, at));
+            assert!(present.0 != known.0 || present.1 == known.1);
+            known = present;
+        }
+    }
+}
--- a/crates/lift_gateway/src/cold_servers.rs
+++ b/crates/lift_gateway/src/cold_servers.rs
@@ -4,6 +4,8 @@
 
 use sync::atomic;
 
+use crate::{known_share, server_limit};
+
 /// Number of shards. More than the worker threads, to reduce lock contention.
 const SHARDS: usize = 16;
 
@@ -42,6 +44,8 @@
     listed_at: time::Instant,
     /// Whether it was cold when it was last compared.
     was_cold: bool,
+    /// `None` if its service has no warm-up.
+    known_share: Option<known_share::KnownShare>,
 }
 
 impl ColdServers {
@@ -130,19 +134,31 @@
         self.shares.lock().record(now, gateways);
     }
 
-    /// Sets the limit of the server at `address`, `None` if its service has no warm-up.
-    pub(crate) fn configure(
+    /// Sets the limits of `servers`, and the shares of this gateway where they may have changed.
+    pub(crate) fn configure<'a>(
         &self,
         now: time::Instant,
-        address: net::SocketAddr,
-        region: Option<&str>,
-        limit: Option<lift_dispatch::ColdLimit>,
+        servers: impl Iterator<Item = server_limit::ServerLimit<'a>>,
     ) {
-        let share = limit.map_or(0, |limit| {
-            let shares = self.shares.lock();
-            shares.share(now, address, region, limit.requests)
-        });
-        self.update(now, address, |server| server.configure(limit, share));
+        // Held until all are set, so that no thread writes older shares after newer ones.
+        let mut shares = self.shares.lock();
+        let revision = shares.update(now);
+        for server in servers {
+            self.update_entry(now, server.address, |entry| {
+                let known = entry.known_share.take();
+                entry.known_share = server.limit.map(|limit| {
+                    let valid = known.filter(|known| known.is_valid(revision, &server));
+                    valid.unwrap_or_else(|| known_share::KnownShare {
+                        revision,
+                        region: server.region.map(String::from),
+                        limit,
+                        share: shares.share(now, server.address, server.region, limit.requests),
+                    })
+                });
+                let share = entry.known_share.as_ref().map_or(0, |known| known.share);
+                entry.server.configure(server.limit, share);
+            });
+        }
     }
 
     /// Removes servers that are no longer listed. Returns those that have turned cold or warm since
@@ -204,15 +220,25 @@
         now: time::Instant,
         address: net::SocketAddr,
         update: impl FnOnce(&mut lift_dispatch::ColdServer),
+    ) {
+        self.update_entry(now, address, |entry| update(&mut entry.server));
+    }
+
+    fn update_entry(
+        &self,
+        now: time::Instant,
+        address: net::SocketAddr,
+        update: impl FnOnce(&mut Entry),
     ) {
         self.shards.with(&address, |entries| {
             let entry = entries.entry(address).or_insert_with(|| Entry {
                 server: lift_dispatch::ColdServer::default(),
                 listed_at: now,
                 was_cold: false,
+                known_share: None,
             });
             entry.listed_at = now;
-            update(&mut entry.server);
+            update(entry);
         });
     }
 }
--- a/crates/lift_gateway/src/cold_watch.rs
+++ b/crates/lift_gateway/src/cold_watch.rs
@@ -2,7 +2,7 @@
 
 use std::{cell, net, sync, time};
 
-use crate::shared;
+use crate::{server_limit, shared};
 
 /// Selections that may meet a server whose last place another request has just taken.
 const MAX_SELECTIONS: usize = 3;
@@ -131,19 +131,20 @@
         directory: &lift_fleet::Directory,
     ) {
         let announcements = directory.records().map(|record| &record.announcement);
-        for announcement in announcements {
-            if announcement.state == lift_fleet::BackendState::Gone {
-                continue;
-            }
+        let known = announcements.filter(|known| known.state != lift_fleet::BackendState::Gone);
+        let servers = known.map(|announcement| {
             let service = table.service(&announcement.service);
             let limit = service.and_then(|s| s.warmup).map(|warmup| {
                 let limits = &self.limits;
                 lift_dispatch::ColdLimit::new(&warmup, limits.cold_overage, limits.cold_slack)
             });
-            let region = self.fleet.region(&announcement.failure_domain);
-            self.cold_servers
-                .configure(now, announcement.address, region, limit);
-        }
+            server_limit::ServerLimit {
+                address: announcement.address,
+                region: self.fleet.region(&announcement.failure_domain),
+                limit,
+            }
+        });
+        self.cold_servers.configure(now, servers);
     }
 
     /// Counts and logs the servers that have become cold or warm.
