Requests to a cold server count from when they are sent

A request was counted when its server was selected, but opening the connection may take up to 400 ms, and the window allows for differences of 150 ms. So a burst that waited for its connections could arrive together with that of the next second, up to twice the share.

A request that needs a new connection now counts as sent when this is open, and until then from its selection.

--- a/crates/lift_dispatch/src/cold_server.rs
+++ b/crates/lift_dispatch/src/cold_server.rs
@@ -128,6 +128,15 @@
         self.sent.remove(sent_at);
     }
 
+    /// Counts a request that was taken at `taken_at` as sent at `now`, since its connection is open
+    /// only then. Until that it counts from when it was taken, so that no other takes its place.
+    pub fn send_later(&mut self, taken_at: time::Instant, now: time::Instant) {
+        if self.limit.is_some() {
+            self.sent.remove(taken_at);
+            self.sent.record(now);
+        }
+    }
+
     /// Time for which the server still counts as cold, `None` if that depends on its return.
     pub fn cold_left(&self, now: time::Instant) -> Option<time::Duration> {
         let left = self
--- a/crates/lift_dispatch/tests/cold_server.rs
+++ b/crates/lift_dispatch/tests/cold_server.rs
@@ -123,6 +123,25 @@
     assert_eq!(server.state(now + 3_000 * MS), WARM);
 }
 
+/// Opening a connection may take 400 ms. Requests that wait for that would arrive together with those
+/// of the next second if they counted from their selection.
+#[test]
+fn requests_count_from_when_their_connection_is_open() {
+    let now = time::Instant::now();
+    let mut server = known(now);
+    server.mark(now);
+    assert!(server.take(now) && server.take(now + 10 * MS));
+    server.send_later(now, now + 400 * MS);
+    // The other one counts while its connection is opened.
+    assert!(!server.take(now + 1_159 * MS));
+    server.send_later(now + 10 * MS, now + 410 * MS);
+    assert!(!server.take(now + 1_400 * MS));
+    assert!(server.take(now + 1_550 * MS));
+    assert!(!server.take(now + 1_555 * MS));
+    server.give_back(now + 410 * MS);
+    assert!(server.take(now + 1_555 * MS));
+}
+
 #[test]
 fn a_service_without_a_warm_up_has_no_limit() {
     let now = time::Instant::now();
--- a/crates/lift_gateway/src/cold_servers.rs
+++ b/crates/lift_gateway/src/cold_servers.rs
@@ -92,6 +92,16 @@
         self.change(address, |server| server.give_back(sent_at));
     }
 
+    /// Counts a request that was taken at `taken_at` as sent at `now`.
+    pub(crate) fn send_later(
+        &self,
+        taken_at: time::Instant,
+        now: time::Instant,
+        address: net::SocketAddr,
+    ) {
+        self.change(address, |server| server.send_later(taken_at, now));
+    }
+
     /// Records that the server at `address` could not be reached at `now` or has ended.
     pub(crate) fn lose(&self, now: time::Instant, address: net::SocketAddr) {
         self.change(address, |server| server.lose(now));
--- a/crates/lift_gateway/src/cold_watch.rs
+++ b/crates/lift_gateway/src/cold_watch.rs
@@ -64,19 +64,6 @@
         }
     }
 
-    /// Gives back the place of a request that was sent to `backend` at `sent_at`, if it does not
-    /// count.
-    pub(crate) fn give_place_back(
-        &self,
-        sent_at: time::Instant,
-        backend: &lift_dispatch::Backend,
-        failure: lift_dispatch::AttemptFailure,
-    ) {
-        if failure.is_uncounted() {
-            self.cold_servers.give_back(sent_at, backend.address);
-        }
-    }
-
     /// The score of the server at `address` if it may be cold. Sets `is_held_back` if it can't get
     /// the request for that reason.
     pub(crate) fn score_cold(
--- a/crates/lift_gateway/src/exchange.rs
+++ b/crates/lift_gateway/src/exchange.rs
@@ -4,7 +4,7 @@
 
 use http_body_util::BodyExt as _;
 
-use crate::{answer_head, backend_connection, in_flight_request, shared};
+use crate::{answer_head, backend_connection, cold_place, in_flight_request, shared};
 
 /// Idle time below which a connection may be used for a request that must not run twice. The
 /// backend server may just be closing a connection that was idle for longer, and then it is
@@ -28,21 +28,22 @@
 
 impl Exchange {
     /// Sends `req` and waits for the head of the answer until `deadline`. `id` identifies the
-    /// request.
+    /// request, and `place` counts it at its backend server.
     ///
     /// # Errors
     ///
     /// Returns an error if the request can't be sent, if the connection breaks or no head arrives
     /// in time, or if the head carries the identifier of another request or lacks one.
     pub(crate) async fn start(
-        shared: &shared::Shared,
+        place: &cold_place::ColdPlace<'_>,
         in_flight: in_flight_request::InFlightRequest,
         id: &str,
         req: Request,
         is_repeatable: bool,
         deadline: time::Instant,
     ) -> Result<Self, lift_dispatch::AttemptFailure> {
-        let sent = send(shared, &in_flight, req, is_repeatable, deadline).await;
+        let shared = place.shared();
+        let sent = send(place, &in_flight, req, is_repeatable, deadline).await;
         let (response, connection) = sent?;
         in_flight.receive_head();
         let (parts, body) = response.into_parts();
@@ -108,12 +109,13 @@
 /// Sends `req` on an idle connection or a new one, and waits until `deadline` for the head of its
 /// answer. If the deadline passes before a connection is open, the request was not sent.
 async fn send(
-    shared: &shared::Shared,
+    place: &cold_place::ColdPlace<'_>,
     in_flight: &in_flight_request::InFlightRequest,
     req: Request,
     is_repeatable: bool,
     deadline: time::Instant,
 ) -> Result<Sent, lift_dispatch::AttemptFailure> {
+    let shared = place.shared();
     let address = in_flight.backend().address;
     let max_idle = if is_repeatable {
         MAX_IDLE_REPEATABLE
@@ -133,6 +135,7 @@
     let connection = opened.ok().flatten();
     let connection = connection.ok_or(lift_dispatch::AttemptFailure::NotSent)?;
     shared.counters.increment("gateway.connections_opened");
+    place.send(lift_clock::now());
     match send_on(connection, req, deadline).await? {
         Outcome::Sent(sent) => Ok(sent),
         Outcome::Unsent(_) => Err(lift_dispatch::AttemptFailure::NotSent),
--- a/crates/lift_gateway/src/lib.rs
+++ b/crates/lift_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod byte_budget;
 mod caller_connection;
 mod caller_head;
+mod cold_place;
 mod cold_servers;
 mod cold_watch;
 mod dialect;
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt as _;
 
-use crate::{attempt_error, backend_call, exchange, in_flight_request, request_run};
+use crate::{attempt_error, backend_call, cold_place, exchange, in_flight_request, request_run};
 
 /// Divisor of the target latency that gives the longest time for which a request waits for a
 /// backend server that can accept it. After that, the request is rejected, since a rejected caller
@@ -112,13 +112,14 @@
         let deadline = self.attempt_deadline(now, version_held);
         let is_repeatable = self.route.kind.is_repeatable();
         let id = &self.head.id;
-        let exchange =
-            exchange::Exchange::start(&self.shared, in_flight, id, req, is_repeatable, deadline)
-                .await?;
-        match self.check_head(&exchange) {
+        let place = cold_place::ColdPlace::new(&self.shared, backend.address, now);
+        let started =
+            exchange::Exchange::start(&place, in_flight, id, req, is_repeatable, deadline).await;
+        let checked = started.and_then(|exchange| match self.check_head(&exchange) {
             None => Ok(exchange),
             Some(failure) => Err(failure),
-        }
+        });
+        checked.inspect_err(|failure| place.give_back_after(*failure))
     }
 
     /// Counts how far the request is sent, so that operators see what share leaves the failure domain.
--- a/crates/lift_gateway/src/request_records.rs
+++ b/crates/lift_gateway/src/request_records.rs
@@ -17,7 +17,6 @@
             false => self.unsent_attempts += 1,
         }
         self.may_have_run |= !failure.is_not_run();
-        self.shared.give_place_back(sent_at, backend, failure);
         self.record_failure(backend, failure);
         if failure == lift_dispatch::AttemptFailure::Silent {
             self.record_head_latency(backend, sent_at);
