--- a/crates/lift_dispatch/src/cold_server.rs
+++ b/crates/lift_dispatch/src/cold_server.rs
@@ -10,7 +10,7 @@
 /// Time for which a server that could not be reached counts as cold if nobody reaches it or hears of
 /// it. By then control has announced its new start or marked it as silent, or it has never ended. A
 /// gateway without a share could not find out.
-const LOST_TIME: time::Duration = time::Duration::from_secs(30);
+const UNREACHABLE_TIME: time::Duration = time::Duration::from_secs(30);
 
 /// Whether a backend server is cold as far as one gateway knows, and what the gateway has sent to it.
 ///
@@ -21,7 +21,7 @@
     process: Option<(lift_fleet::BackendId, time::SystemTime)>,
     is_silent: bool,
     /// When it last could not be reached or has ended. `None` if it was reached since.
-    lost_at: Option<time::Instant>,
+    failed_at: Option<time::Instant>,
     cold_until: Option<time::Instant>,
     /// When a warm-up began whose duration was not known yet.
     marked_at: Option<time::Instant>,
@@ -62,7 +62,7 @@
         }
         // Any other record of a server that could not be reached may be from before that.
         if is_back || is_new {
-            self.lost_at = None;
+            self.failed_at = None;
         }
         self.marked_at = None;
         let announced = announcement.warmup_left.min(MAX_WARMUP);
@@ -88,13 +88,13 @@
     }
 
     /// Records that the server could not be reached at `now` or has ended.
-    pub fn lose(&mut self, now: time::Instant) {
-        self.lost_at = Some(now);
+    pub fn record_failure(&mut self, now: time::Instant) {
+        self.failed_at = Some(now);
     }
 
     /// Records that the server has answered.
-    pub fn reach(&mut self, now: time::Instant) {
-        if self.lost_at.take().is_some() {
+    pub fn record_answer(&mut self, now: time::Instant) {
+        if self.failed_at.take().is_some() {
             self.mark(now);
         }
     }
@@ -102,7 +102,7 @@
     /// Whether the server counts as cold, and whether it may get one more request.
     pub fn state(&self, now: time::Instant) -> cold_state::ColdState {
         let is_cold = self.cold_until.is_some_and(|until| now < until);
-        if self.limit.is_none() || !(is_cold || self.is_away(now)) {
+        if self.limit.is_none() || !(is_cold || self.is_unreachable(now)) {
             cold_state::ColdState::Warm
         } else if self.sent.has_place(now, self.share) {
             cold_state::ColdState::Cold
@@ -142,12 +142,14 @@
         let left = self
             .cold_until
             .map(|until| until.saturating_duration_since(now));
-        left.filter(|_| !self.is_away(now))
+        left.filter(|_| !self.is_unreachable(now))
     }
 
     /// Whether the server is silent, or could not be reached and was not reached since.
-    fn is_away(&self, now: time::Instant) -> bool {
-        let lost_for = self.lost_at.map(|at| now.saturating_duration_since(at));
-        self.is_silent || lost_for.is_some_and(|lost_for| lost_for < LOST_TIME)
+    fn is_unreachable(&self, now: time::Instant) -> bool {
+        let has_failed = self
+            .failed_at
+            .is_some_and(|at| now.saturating_duration_since(at) < UNREACHABLE_TIME);
+        self.is_silent || has_failed
     }
 }
--- a/crates/lift_dispatch/src/send_window.rs
+++ b/crates/lift_dispatch/src/send_window.rs
@@ -13,7 +13,7 @@
 
 /// Times of the requests that this gateway has sent to one backend server within [`WINDOW`].
 ///
-/// The window slides with the time of each request, so idle time earns nothing.
+/// The window slides with the time of each request, so idle time does not add to the share.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SendWindow {
     /// In ascending order.
--- a/crates/lift_dispatch/tests/cold_server.rs
+++ b/crates/lift_dispatch/tests/cold_server.rs
@@ -54,12 +54,12 @@
 fn a_server_that_was_lost_is_cold_until_it_has_been_back_for_a_warm_up() {
     let now = time::Instant::now();
     let mut server = known(now);
-    server.lose(now);
-    server.lose(now + 80_000 * MS);
+    server.record_failure(now);
+    server.record_failure(now + 80_000 * MS);
     // What it sent before it was lost comes late.
     server.announce(now + 80_000 * MS, &record(1, time::Duration::ZERO), true);
     assert_eq!(server.state(now + 90_000 * MS), COLD);
-    server.reach(now + 90_000 * MS);
+    server.record_answer(now + 90_000 * MS);
     assert_eq!(server.state(now + 92_999 * MS), COLD);
     assert_eq!(server.state(now + 93_000 * MS), WARM);
     let silent = lift_fleet::BackendRecord {
@@ -79,7 +79,7 @@
     let now = time::Instant::now();
     let mut server = known(now);
     server.configure(Some(limit()), 0);
-    server.lose(now);
+    server.record_failure(now);
     assert_eq!(server.state(now + 29_999 * MS), ColdState::Full);
     assert_eq!(server.state(now + 30_000 * MS), WARM);
 }
@@ -148,7 +148,7 @@
     let mut server = known(now);
     server.configure(None, 0);
     server.announce(now, &record(2, 3_000 * MS), true);
-    server.lose(now);
+    server.record_failure(now);
     assert_eq!(server.state(now), WARM);
     assert!((0..1_000).all(|_| server.take(now)));
 }
--- a/crates/lift_gateway/src/cold_servers.rs
+++ b/crates/lift_gateway/src/cold_servers.rs
@@ -103,15 +103,15 @@
     }
 
     /// Records that the server at `address` could not be reached at `now` or has ended.
-    pub(crate) fn lose(&self, now: time::Instant, address: net::SocketAddr) {
-        self.change(address, |server| server.lose(now));
+    pub(crate) fn record_failure(&self, now: time::Instant, address: net::SocketAddr) {
+        self.change(address, |server| server.record_failure(now));
         self.record_change();
     }
 
     /// Records an answer of the server at `address`.
-    pub(crate) fn reach(&self, now: time::Instant, address: net::SocketAddr) {
+    pub(crate) fn record_answer(&self, now: time::Instant, address: net::SocketAddr) {
         if self.may_be_cold() {
-            self.change(address, |server| server.reach(now));
+            self.change(address, |server| server.record_answer(now));
         }
     }
 
@@ -171,15 +171,15 @@
         }
     }
 
-    /// Removes servers that are no longer listed. Returns those that have turned cold or warm since
+    /// Removes servers that are no longer listed. Returns those that have become cold or warm since
     /// the last call, with the time for which they stay cold if it is known.
     pub(crate) fn compare(
         &self,
         now: time::Instant,
     ) -> Vec<(net::SocketAddr, bool, Option<time::Duration>)> {
-        // Read before the comparison, so that a server that turns cold meanwhile is not overlooked.
+        // Read before the comparison, so that a server that becomes cold meanwhile is not overlooked.
         let changes = self.changes.load(atomic::Ordering::Acquire);
-        let mut turned = Vec::new();
+        let mut changed = Vec::new();
         let mut any_cold = false;
         self.shards.for_each(|entries| {
             entries.retain(|_, entry| now.saturating_duration_since(entry.listed_at) < RETAIN_FOR);
@@ -187,7 +187,7 @@
                 let is_cold = entry.server.state(now) != lift_dispatch::ColdState::Warm;
                 any_cold |= is_cold;
                 if std::mem::replace(&mut entry.was_cold, is_cold) != is_cold {
-                    turned.push((*address, is_cold, entry.server.cold_left(now)));
+                    changed.push((*address, is_cold, entry.server.cold_left(now)));
                 }
             }
         });
@@ -199,7 +199,7 @@
                 .changes_without_cold
                 .store(changes, atomic::Ordering::Release),
         }
-        turned
+        changed
     }
 
     fn may_be_cold(&self) -> bool {
--- a/crates/lift_gateway/src/cold_watch.rs
+++ b/crates/lift_gateway/src/cold_watch.rs
@@ -14,7 +14,7 @@
     /// of their service takes or until an announcement says otherwise.
     pub(crate) fn mark_cold(&self, now: time::Instant, addresses: &[net::SocketAddr]) {
         self.cold_servers.mark(now, addresses);
-        self.note_turned_servers(now);
+        self.record_state_changes(now);
     }
 
     /// Takes in backend servers that have changed in `directory`, whose lock the caller holds: so
@@ -47,7 +47,7 @@
     ) {
         self.fleet
             .with_directory(|directory| self.configure_cold_servers(now, table, directory));
-        self.note_turned_servers(now);
+        self.record_state_changes(now);
     }
 
     /// Records an attempt at `backend` that failed.
@@ -58,9 +58,9 @@
         failure: lift_dispatch::AttemptFailure,
     ) {
         if failure.may_have_ended() {
-            self.cold_servers.lose(now, backend.address);
+            self.cold_servers.record_failure(now, backend.address);
         } else if failure != lift_dispatch::AttemptFailure::Silent {
-            self.cold_servers.reach(now, backend.address);
+            self.cold_servers.record_answer(now, backend.address);
         }
     }
 
@@ -135,7 +135,7 @@
     }
 
     /// Counts and logs the servers that have become cold or warm.
-    pub(crate) fn note_turned_servers(&self, now: time::Instant) {
+    pub(crate) fn record_state_changes(&self, now: time::Instant) {
         for (address, is_cold, left) in self.cold_servers.compare(now) {
             if is_cold {
                 self.counters.increment("gateway.servers_cold");
--- a/crates/lift_gateway/src/gateway_observer.rs
+++ b/crates/lift_gateway/src/gateway_observer.rs
@@ -29,7 +29,7 @@
             shared.announce_to_cold_servers(now, directory, changed);
         });
         if !changed.is_empty() {
-            shared.note_turned_servers(now);
+            shared.record_state_changes(now);
         }
         for record in &changed {
             let announcement = &record.announcement;
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -40,7 +40,7 @@
                 self.may_have_run = true;
                 self.record_head_latency(&backend, now);
                 let cold_servers = &self.shared.cold_servers;
-                cold_servers.reach(lift_clock::now(), backend.address);
+                cold_servers.record_answer(lift_clock::now(), backend.address);
                 self.record_start(&exchange, now);
                 Ok(exchange)
             }
