--- a/crates/lift_check/src/service_check.rs
+++ b/crates/lift_check/src/service_check.rs
@@ -28,6 +28,7 @@
     let mut problems = Vec::new();
     if let Some(warmup) = service.warmup
         && warmup.duration.is_zero()
+        && warmup.requests_per_s.is_some()
     {
         problems.push(String::from(
             "cold servers have a limit on requests, but they are cold for no time",
--- a/crates/lift_check/tests/findings.rs
+++ b/crates/lift_check/tests/findings.rs
@@ -134,7 +134,7 @@
     let never_cold = Service {
         warmup: Some(Warmup {
             duration: time::Duration::ZERO,
-            requests_per_s: 8.0,
+            requests_per_s: Some(8.0),
         }),
         ..service()
     };
--- a/crates/lift_dispatch/src/cold_limit.rs
+++ b/crates/lift_dispatch/src/cold_limit.rs
@@ -11,20 +11,22 @@
 pub struct ColdLimit {
     /// Time for which a server counts as cold if it does not say for how long.
     pub duration: time::Duration,
-    /// Requests within one second.
-    pub requests: u32,
+    /// Requests within one second. `None` if any number may be sent.
+    pub requests: Option<u32>,
 }
 
 impl ColdLimit {
     /// Limit of a service with `warmup`. Its servers may get `overage` times the requests that they
     /// tolerate, and `slack` more.
     pub fn new(warmup: &lift_fleet::Warmup, overage: f64, slack: f64) -> Self {
-        let allowed = warmup.requests_per_s * overage + slack;
-        let used = (allowed * USED_SHARE).floor() as u32;
-        let least = u32::from(allowed >= 1.0);
+        let requests = warmup.requests_per_s.map(|tolerated| {
+            let allowed = tolerated * overage + slack;
+            let used = (allowed * USED_SHARE).floor() as u32;
+            used.max(u32::from(allowed >= 1.0))
+        });
         Self {
             duration: warmup.duration,
-            requests: used.max(least),
+            requests,
         }
     }
 }
--- a/crates/lift_dispatch/tests/cold_play/mod.rs
+++ b/crates/lift_dispatch/tests/cold_play/mod.rs
@@ -31,7 +31,7 @@
 pub(crate) fn limit() -> ColdLimit {
     let warmup = lift_fleet::Warmup {
         duration: 3_000 * MS,
-        requests_per_s: 32.0,
+        requests_per_s: Some(32.0),
     };
     ColdLimit::new(&warmup, 1.5, 5.0)
 }
@@ -223,7 +223,7 @@
         let limit = limit();
         let share = self
             .shares
-            .share(now, address(), Some("r0"), limit.requests);
+            .share(now, address(), Some("r0"), limit.requests.unwrap());
         self.server.configure(Some(limit), share);
         self.updated_at = now;
     }
--- a/crates/lift_dispatch/tests/cold_server.rs
+++ b/crates/lift_dispatch/tests/cold_server.rs
@@ -142,6 +142,23 @@
     assert!(server.take(now + 1_555 * MS));
 }
 
+/// A service may set a warm-up without a limit. Its cold servers are slow all the same.
+#[test]
+fn a_cold_server_without_a_limit_is_never_full() {
+    let now = time::Instant::now();
+    let mut server = known(now);
+    let warmup = lift_fleet::Warmup {
+        duration: 3_000 * MS,
+        requests_per_s: None,
+    };
+    let limit = lift_dispatch::ColdLimit::new(&warmup, 1.5, 5.0);
+    assert_eq!(limit.requests, None);
+    server.configure(Some(limit), u32::MAX);
+    server.mark(now);
+    assert!((0..1_000).all(|_| server.take(now)));
+    assert_eq!(server.state(now), COLD);
+}
+
 #[test]
 fn a_service_without_a_warm_up_has_no_limit() {
     let now = time::Instant::now();
--- a/crates/lift_fleet/src/warmup.rs
+++ b/crates/lift_fleet/src/warmup.rs
@@ -7,6 +7,6 @@
 pub struct Warmup {
     /// Time from its start during traffic until it has warmed up.
     pub duration: time::Duration,
-    /// Requests per second that it tolerates until then, over all gateways.
-    pub requests_per_s: f64,
+    /// Requests per second that it tolerates until then, over all gateways. `None` for no limit.
+    pub requests_per_s: Option<f64>,
 }
--- a/crates/lift_gateway/src/cold_servers.rs
+++ b/crates/lift_gateway/src/cold_servers.rs
@@ -162,7 +162,9 @@
                         revision,
                         region: server.region.map(String::from),
                         limit,
-                        share: shares.share(now, server.address, server.region, limit.requests),
+                        share: limit.requests.map_or(u32::MAX, |requests| {
+                            shares.share(now, server.address, server.region, requests)
+                        }),
                     })
                 });
                 let share = entry.known_share.as_ref().map_or(0, |known| known.share);
--- a/crates/lift_gateway/tests/support/codec.rs
+++ b/crates/lift_gateway/tests/support/codec.rs
@@ -35,7 +35,7 @@
             name: String::from(COLD_SERVICE),
             warmup: Some(lift_fleet::Warmup {
                 duration: time::Duration::from_secs(4),
-                requests_per_s: 10.0,
+                requests_per_s: Some(10.0),
             }),
             ..service.clone()
         };
