Pauses before reads from an origin that accepts connections and refuses reads

An agent that was first in its region read the manifest again without a pause: the probe succeeded at once, and its patience was zero.

The first probe of an absence now waits if the origin came back before and answered no read since. The pause doubles up to the interval of a long absence, which also bounds the log lines and the reads of pieces.

--- a/crates/lift_stage/src/manifest_source.rs
+++ b/crates/lift_stage/src/manifest_source.rs
@@ -90,7 +90,7 @@
     let waiting = async {
         let away_for = monitor.wait_until_back(shared, origin.address).await;
         let pause = match away_for >= lift_transfer::MIN_ORIGIN_ABSENCE {
-            true => patience,
+            true => patience.max(RETRY_PAUSE),
             false => RETRY_PAUSE,
         };
         tokio::time::sleep(pause).await;
--- a/crates/lift_stage/src/origin_monitor.rs
+++ b/crates/lift_stage/src/origin_monitor.rs
@@ -83,6 +83,8 @@
         shared: &shared::Shared,
         origin: net::SocketAddr,
     ) -> time::Duration {
+        let pause = self.watch.lock().first_probe(&mut rand::rng());
+        tokio::time::sleep(pause).await;
         while !self.is_reached(shared, origin).await {
             let pause = {
                 let watch = self.watch.lock();
--- a/crates/lift_stage/tests/origin_away.rs
+++ b/crates/lift_stage/tests/origin_away.rs
@@ -15,6 +15,9 @@
 /// Reads of one agent that are in progress when the origin goes away.
 const READS: u32 = 2;
 
+/// Reads of a manifest in [`ABSENCE`], at one in 100 ms.
+const MAX_MANIFEST_READS: u64 = 16;
+
 #[tokio::test(flavor = "multi_thread")]
 async fn pieces_are_not_read_while_the_origin_is_away() {
     // Guards against reads that are repeated every 100 ms by each agent, all of which begin at
@@ -55,3 +58,20 @@
     assert_eq!(origin.refused(), 0);
     assert!(engines.iter().all(|e| e.was_whole(&origin)));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_manifest_is_read_again_with_pauses() {
+    // Guards against an agent that reads the manifest again without a pause from an origin that
+    // accepts connections and refuses reads.
+    let origin = Origin::new(PIECES);
+    let engines = [Engine::holding(1)];
+    let fleet = Fleet::start(101, &origin, &engines).await;
+    origin.refuse_manifests();
+    fleet.name(2);
+    until("the manifest is read", || origin.manifest_reads() > 0).await;
+    tokio::time::sleep(ABSENCE).await;
+    let reads = origin.manifest_reads();
+    assert!(reads > 1, "{reads}");
+    assert!(u64::from(reads) <= MAX_MANIFEST_READS, "{reads}");
+    assert!(fleet.counted("agent.origin_probes") <= MAX_MANIFEST_READS);
+}
--- a/crates/lift_stage/tests/support/origin.rs
+++ b/crates/lift_stage/tests/support/origin.rs
@@ -26,6 +26,7 @@
     /// Reads of pieces while it was away.
     refused: atomic::AtomicU32,
     has_manifests: atomic::AtomicBool,
+    manifest_reads: atomic::AtomicU32,
     odd_manifests: parking_lot::Mutex<Vec<PieceManifest>>,
     /// A piece whose bytes are held back, with its version.
     held_piece: parking_lot::Mutex<Option<(u64, u32)>>,
@@ -43,6 +44,7 @@
             shared: atomic::AtomicU32::new(0),
             refused: atomic::AtomicU32::new(0),
             has_manifests: atomic::AtomicBool::new(true),
+            manifest_reads: atomic::AtomicU32::new(0),
             odd_manifests: parking_lot::Mutex::default(),
             held_piece: parking_lot::Mutex::default(),
             hold: hold::Hold::default(),
@@ -83,6 +85,11 @@
         }
     }
 
+    /// Reads of manifests that reached it.
+    pub(crate) fn manifest_reads(&self) -> u32 {
+        self.state.manifest_reads.load(atomic::Ordering::SeqCst)
+    }
+
     /// Hands out no manifest any more.
     pub(crate) fn refuse_manifests(&self) {
         self.state
@@ -132,6 +139,9 @@
         version: Option<u64>,
     ) -> Result<PieceManifest> {
         self.check()?;
+        self.state
+            .manifest_reads
+            .fetch_add(1, atomic::Ordering::SeqCst);
         if !self.state.has_manifests.load(atomic::Ordering::SeqCst) {
             return Err(error_stack::Report::new(StageError::Origin));
         }
--- a/crates/lift_transfer/src/origin_watch.rs
+++ b/crates/lift_transfer/src/origin_watch.rs
@@ -22,6 +22,8 @@
     /// First failure since the last answer.
     away_since: Option<time::Instant>,
     is_away: bool,
+    /// Times since the last answer that the origin counted as away and accepted a connection.
+    returns: u32,
 }
 
 impl OriginWatch {
@@ -40,7 +42,9 @@
     /// Records that the origin accepts connections, and returns for how long it has been away. The
     /// absence ends with an answer only: the origin may accept a connection and refuse the read.
     pub fn record_reached(&mut self, now: time::Instant) -> time::Duration {
-        self.is_away = false;
+        if std::mem::take(&mut self.is_away) {
+            self.returns = self.returns.saturating_add(1);
+        }
         let since = self.away_since.unwrap_or(now);
         now.saturating_duration_since(since)
     }
@@ -50,9 +54,23 @@
     pub fn record_answer(&mut self) {
         if !self.is_away {
             self.away_since = None;
+            self.returns = 0;
         }
     }
 
+    /// Returns the time until the first probe of an absence. An origin that accepts connections but
+    /// refuses reads is probed and read less and less often, or each refusal would at once lead to
+    /// the next read.
+    pub fn first_probe(&self, rng: &mut dyn rand::Rng) -> time::Duration {
+        let Some(doublings) = self.returns.checked_sub(1) else {
+            return time::Duration::ZERO;
+        };
+        let interval = PROBE_INTERVAL.saturating_mul(2_u32.saturating_pow(doublings));
+        interval
+            .min(LONG_PROBE_INTERVAL)
+            .mul_f64(rng.random_range(0.5..1.5))
+    }
+
     /// Returns the time until the next probe. It is random, so that the agents of a fleet don't
     /// connect at the same moment.
     pub fn next_probe(&self, now: time::Instant, rng: &mut dyn rand::Rng) -> time::Duration {
--- a/crates/lift_transfer/tests/origin_watch.rs
+++ b/crates/lift_transfer/tests/origin_watch.rs
@@ -51,3 +51,24 @@
         .sum();
     assert!(later / 100 > 400 * MS, "{later:?}");
 }
+
+#[test]
+fn an_origin_that_refuses_reads_is_probed_less_and_less_often() {
+    // Guards against probes and reads in a loop without pauses, where the origin accepts
+    // connections and refuses reads, and against a pause after an answer.
+    let now = time::Instant::now();
+    let mut rng = rand::rngs::SmallRng::seed_from_u64(2);
+    let mut watch = OriginWatch::default();
+    watch.record_failure(now);
+    assert!(watch.first_probe(&mut rng).is_zero());
+    for shortest in [75, 150, 300, 300, 300] {
+        watch.record_reached(now);
+        watch.record_failure(now);
+        let pause = watch.first_probe(&mut rng);
+        assert!(pause >= shortest * MS && pause <= 900 * MS, "{pause:?}");
+    }
+    watch.record_reached(now);
+    watch.record_answer();
+    watch.record_failure(now);
+    assert!(watch.first_probe(&mut rng).is_zero());
+}
