An agent leaves an origin that the configuration replaced

While a manifest could not be read, an agent probed the origin that it began with until a newer version was set. By reading; no test changes the configuration yet.

--- a/crates/lift_stage/src/manifest_source.rs
+++ b/crates/lift_stage/src/manifest_source.rs
@@ -72,6 +72,20 @@
     tokio::select! {
         manifest = from_agents(shared, &agents, model, version) => Ok(manifest),
         answer = asked => answer,
+        () = replaced(shared, origin) => {
+            Err(error_stack::Report::new(stage_error::StageError::OriginReplaced))
+        }
+    }
+}
+
+/// Waits until the configuration names another origin than `origin`.
+async fn replaced(shared: &shared::Shared, origin: &lift_fleet::OriginEndpoint) {
+    let mut table = shared.table.subscribe();
+    let is_same = |o: lift_fleet::OriginEndpoint| o.address == origin.address;
+    while shared.origin_endpoint().is_some_and(is_same) {
+        if table.changed().await.is_err() {
+            return;
+        }
     }
 }
 
--- a/crates/lift_stage/src/stage_error.rs
+++ b/crates/lift_stage/src/stage_error.rs
@@ -21,6 +21,9 @@
     /// The origin does not hand out the version any more.
     #[error("the origin has dropped the version")]
     Dropped,
+    /// The configuration names another origin.
+    #[error("the configuration names another origin of weights")]
+    OriginReplaced,
     /// No answer came in time.
     #[error("no answer came in time")]
     Timeout,
