--- a/crates/lift_stage/src/weights_keeper.rs
+++ b/crates/lift_stage/src/weights_keeper.rs
@@ -92,8 +92,19 @@
 ) -> Result<()> {
     let asked = shared.asked.borrow().clone();
     if asked.is_some_and(|(name, version)| name == model && version == held) {
-        prepare(shared, model, held, origin).await?;
-        shared.asked.send_replace(None);
+        // The manifest may take as long as the origin is away, and the server may restart meanwhile.
+        let mut report = shared.report.subscribe();
+        let is_other = report.wait_for(|report| {
+            let report = report.as_ref();
+            report.is_some_and(|(report, _)| report.version(model) != held)
+        });
+        tokio::select! {
+            prepared = prepare(shared, model, held, origin) => {
+                prepared?;
+                shared.asked.send_replace(None);
+            }
+            _ = is_other => {}
+        }
     }
     Ok(())
 }
@@ -225,10 +236,12 @@
     slog::info!(shared.log, "load ordered"; "model" => model, "version" => version,
         "answer" => ?answer, "named_for_ms" => shared.named_for_ms(&staged.manifest));
     shared.counters.increment("agent.loads_ordered");
-    shared.note_finish(staged);
     match answer {
-        order_answer::OrderAnswer::Begun => {}
-        order_answer::OrderAnswer::InEffect => return Ok(()),
+        order_answer::OrderAnswer::Begun => shared.note_finish(staged),
+        order_answer::OrderAnswer::InEffect => {
+            shared.note_finish(staged);
+            return Ok(());
+        }
         refused => {
             return Err(error_stack::Report::new(stage_error::StageError::Refused(
                 refused,
--- a/crates/lift_stage/tests/successive_versions.rs
+++ b/crates/lift_stage/tests/successive_versions.rs
@@ -40,6 +40,30 @@
     assert!(engines[0].was_whole(&origin));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_whose_order_is_refused_once_is_still_loaded() {
+    // Guards against a complete version that is dropped for a newer one because an order that the
+    // server refused counts as its load.
+    let origin = Origin::new(PIECES);
+    let engines = [Engine::holding(1)];
+    let fleet = Fleet::start_with_grace(65, &origin, &engines, GRACE).await;
+    let last = origin.hold_piece(2, PIECES - 1);
+    fleet.name(2);
+    until("one piece is missing", || {
+        last.is_reached() && origin.reads() >= PIECES
+    })
+    .await;
+    engines[0].refuse_order();
+    fleet.name(3);
+    until("it finishes version 2 first", || {
+        fleet.counted("agent.older_finished_first") > 0
+    })
+    .await;
+    last.release();
+    until("it loads version 3", || engines[0].version() == 3).await;
+    assert_eq!(engines[0].ordered(), [2, 3]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_version_whose_time_is_nearly_over_is_dropped() {
     // Guards against a newer version that comes late because an older one is finished that gets
--- a/crates/lift_stage/tests/support/engine.rs
+++ b/crates/lift_stage/tests/support/engine.rs
@@ -29,6 +29,8 @@
     /// Pieces that are spoilt once right after they were put.
     rot: u32,
     is_down: bool,
+    /// Orders that are refused next.
+    refusals: u32,
     /// Requests that it claims to run, and as many that wait.
     requests: u32,
     /// Positions that it claims to have staged besides the pieces that lie there.
@@ -94,6 +96,11 @@
         self.state.lock().is_down = false;
     }
 
+    /// Refuses the next order.
+    pub(crate) fn refuse_order(&self) {
+        self.state.lock().refusals = 1;
+    }
+
     /// Claims to run `requests` requests, and that as many wait.
     pub(crate) fn claim_requests(&self, requests: u32) {
         self.state.lock().requests = requests;
@@ -295,6 +302,9 @@
 
     async fn load(&self, _: &str, version: u64) -> Result<OrderAnswer> {
         self.check()?;
+        if std::mem::take(&mut self.state.lock().refusals) > 0 {
+            return Ok(OrderAnswer::Conflict);
+        }
         let engine = self.clone();
         let ordering = tokio::spawn(async move {
             engine.order_hold.pass().await;
