The time of a piece is measured from fetched pieces only

Pieces found in the staging area were all added at one moment and counted, so the expected time of both versions was too short where versions share pieces. By reading; no test of its own.

--- a/crates/lift_stage/src/staged.rs
+++ b/crates/lift_stage/src/staged.rs
@@ -18,8 +18,16 @@
     pub(crate) unseen: atomic::AtomicU32,
     /// Whether the origin has dropped the version.
     pub(crate) is_dropped: atomic::AtomicBool,
-    /// When the first and the last piece were added.
-    added: parking_lot::Mutex<Option<(time::Instant, time::Instant)>>,
+    /// Pieces that were fetched.
+    fetched: parking_lot::Mutex<Option<Fetched>>,
+}
+
+/// Pieces that were fetched, after the first one.
+#[derive(Clone, Copy, Debug)]
+struct Fetched {
+    first: time::Instant,
+    last: time::Instant,
+    later: u32,
 }
 
 impl Staged {
@@ -31,7 +39,7 @@
             is_looked_through: atomic::AtomicBool::new(false),
             unseen: atomic::AtomicU32::new(u32::MAX),
             is_dropped: atomic::AtomicBool::new(false),
-            added: parking_lot::Mutex::default(),
+            fetched: parking_lot::Mutex::default(),
         })
     }
 
@@ -53,13 +61,30 @@
 
     /// Notes that a piece is staged and was checked.
     pub(crate) fn add(&self, index: lift_types::ChunkIndex) {
-        let now = lift_clock::now();
-        self.added.lock().get_or_insert((now, now)).1 = now;
         let mut held = self.held.lock();
         held.insert(index);
         self.count.send_replace(held.len());
     }
 
+    /// Notes that a fetched piece is staged.
+    pub(crate) fn add_fetched(&self, index: lift_types::ChunkIndex) {
+        let now = lift_clock::now();
+        match &mut *self.fetched.lock() {
+            Some(fetched) => {
+                fetched.last = now;
+                fetched.later += 1;
+            }
+            none => {
+                *none = Some(Fetched {
+                    first: now,
+                    last: now,
+                    later: 0,
+                });
+            }
+        }
+        self.add(index);
+    }
+
     /// Notes that a piece is missing or spoilt.
     pub(crate) fn remove(&self, index: lift_types::ChunkIndex) {
         self.held.lock().shift_remove(&index);
@@ -75,12 +100,12 @@
         self.held.lock().iter().copied().collect()
     }
 
-    /// Average time between two pieces so far, or `None` if there are too few.
+    /// Average time between two fetched pieces so far, or `None` if there are too few. Pieces that
+    /// were staged before took no time and don't count.
     pub(crate) fn piece_time(&self) -> Option<time::Duration> {
-        let (first, last) = (*self.added.lock())?;
-        let gaps = u32::try_from(self.all().len()).unwrap_or(u32::MAX);
-        let gaps = gaps.checked_sub(1).filter(|gaps| *gaps > 0)?;
-        Some(last.saturating_duration_since(first) / gaps)
+        let fetched = (*self.fetched.lock())?;
+        let took = fetched.last.saturating_duration_since(fetched.first);
+        took.checked_div(fetched.later)
     }
 
     /// Whether all pieces are staged.
--- a/crates/lift_stage/src/staging_area.rs
+++ b/crates/lift_stage/src/staging_area.rs
@@ -100,7 +100,7 @@
                 if let Some(digest) = version.manifest.digests.get(index as usize) {
                     inventory.record(model, index, *digest);
                 }
-                version.add(index);
+                version.add_fetched(index);
                 Ok(())
             };
             self.carry_out("write", (access, slot), putting).await
