Servers whose turn is later fetch the newer version at once

Where the origin answers, half of the agents finished an older version and dropped it with its last piece, so the newer one began later. The decision no longer waits for the last piece. The case failed in the test of the reasons before the change.

--- a/crates/lift_transfer/src/version_choice.rs
+++ b/crates/lift_transfer/src/version_choice.rs
@@ -76,7 +76,7 @@
             Decision::OlderOriginAway
         } else if older.saturating_mul(NEARLY_COMPLETE_FACTOR) > newer {
             Decision::NewerOlderIncomplete
-        } else if self.missing == 0 && !self.turn.is_zero() && self.origin_answers {
+        } else if !self.turn.is_zero() && self.origin_answers {
             // Half of the servers load the older version, which is enough if the origin goes away.
             Decision::NewerOlderWaits
         } else {
--- a/crates/lift_transfer/src/version_decision.rs
+++ b/crates/lift_transfer/src/version_decision.rs
@@ -18,7 +18,7 @@
     NewerOlderTooLate,
     /// The newer version would not be in place in its own time.
     NewerWouldBeLate,
-    /// The older version is complete, but it is not this server's turn to load it, and the newer
+    /// It is not this server's turn to load the older version once that is complete, and the newer
     /// one can be read meanwhile.
     NewerOlderWaits,
     /// Too much of the older version is missing.
--- a/crates/lift_transfer/tests/version_choice.rs
+++ b/crates/lift_transfer/tests/version_choice.rs
@@ -240,7 +240,14 @@
         turn: 1_000 * MS,
         ..choice()
     };
+    let waiting_incomplete = VersionChoice {
+        turn: 1_900 * MS,
+        time_left: 11_390 * MS,
+        ..choice()
+    };
     assert_eq!(waiting.decide(), Decision::NewerOlderWaits);
+    // Its last pieces would be fetched only to be dropped when they are there.
+    assert_eq!(waiting_incomplete.decide(), Decision::NewerOlderWaits);
     assert_eq!(choice().decide(), Decision::OlderNearlyComplete);
     assert_eq!(far.decide(), Decision::NewerOlderIncomplete);
     assert_eq!(away.decide(), Decision::OlderOriginAway);
