A piece that came from the origin is not lost when its read is cancelled

The return of the origin cancelled the whole task, also where the bytes had come and only the write waited for a slot. Only the read is cancelled now. By reading; no test of its own.

--- a/crates/lift_stage/src/arrival.rs
+++ b/crates/lift_stage/src/arrival.rs
@@ -14,6 +14,7 @@
     pub(crate) async fn read_origin(self: &sync::Arc<Self>, chunk: lift_types::ChunkIndex) {
         let source = lift_transfer::Source::Origin;
         let manifest = &self.staged.manifest;
+        let reads = self.reads.lock().clone();
         let reading = self.shared.origin.piece(
             self.origin,
             &manifest.model,
@@ -21,7 +22,10 @@
             chunk,
             manifest.max_piece_bytes(),
         );
-        match shared::within(ORIGIN_TIMEOUT, reading).await {
+        // Only the read is cancelled: a piece that came is kept while its write waits.
+        let reading = reads.run_until_cancelled(shared::within(ORIGIN_TIMEOUT, reading));
+        let Some(read) = reading.await else { return };
+        match read {
             Ok(bytes) => {
                 self.shared.counters.increment("agent.pieces_from_origin");
                 self.shared.origin_monitor.record_answer();
--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -234,8 +234,7 @@
             lift_transfer::Source::Origin => {
                 let fetch = sync::Arc::clone(self);
                 let reading = async move { fetch.read_origin(chunk).await };
-                let reads = self.reads.lock().clone();
-                tokio::spawn(reads.run_until_cancelled_owned(reading));
+                tokio::spawn(self.stop.clone().run_until_cancelled_owned(reading));
             }
         }
     }
