One check of the origin at a time, and only after a time-out

Each cancelled read from the origin led to a connection there, also for pieces that another source had delivered. A check that ends an absence now writes the line "origin of weights back", and a probe of an origin that was not away writes none.

--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -203,6 +203,8 @@
     /// Takes in an event and carries out what follows.
     pub(crate) fn step(self: &sync::Arc<Self>, event: lift_transfer::DownloadEvent) {
         let now = lift_clock::now();
+        // Requests time out at ticks. Other events cancel reads of pieces that are there already.
+        let is_tick = matches!(event, lift_transfer::DownloadEvent::Tick { .. });
         let actions = self.download.lock().step(now, event, &mut rand::rng());
         for action in actions {
             match action {
@@ -211,7 +213,7 @@
                 }
                 // An answer that is no longer needed is dropped when it comes.
                 lift_transfer::DownloadAction::Cancel { source, .. } => {
-                    if source == lift_transfer::Source::Origin {
+                    if is_tick && source == lift_transfer::Source::Origin {
                         self.check_origin();
                     }
                 }
--- a/crates/lift_stage/src/fetch_origin.rs
+++ b/crates/lift_stage/src/fetch_origin.rs
@@ -37,7 +37,8 @@
         let fetch = sync::Arc::clone(self);
         let checking = async move {
             let monitor = &fetch.shared.origin_monitor;
-            if !monitor.is_reached(&fetch.shared, fetch.origin).await {
+            let is_reached = monitor.check_reached(&fetch.shared, fetch.origin).await;
+            if is_reached == Some(false) {
                 fetch.on_origin_failure(&stage_error::StageError::Timeout);
             }
         };
--- a/crates/lift_stage/src/origin_monitor.rs
+++ b/crates/lift_stage/src/origin_monitor.rs
@@ -9,6 +9,8 @@
 pub(crate) struct OriginMonitor {
     origin: sync::Arc<dyn origin_port::OriginPort>,
     watch: parking_lot::Mutex<lift_transfer::OriginWatch>,
+    /// Held during a check, so that reads that time out together lead to one connection.
+    checking: tokio::sync::Mutex<()>,
     log: slog::Logger,
     counters: sync::Arc<lift_obs::Counters>,
 }
@@ -22,6 +24,7 @@
         Self {
             origin,
             watch: parking_lot::Mutex::default(),
+            checking: tokio::sync::Mutex::default(),
             log,
             counters,
         }
@@ -53,23 +56,29 @@
 
     /// Finds out whether the origin accepts connections.
     pub(crate) async fn check(&self, shared: &shared::Shared, origin: net::SocketAddr) {
-        match (self.is_reached(shared, origin).await, self.answers()) {
-            (true, false) => {
-                self.watch.lock().record_reached(lift_clock::now());
+        match (self.check_reached(shared, origin).await, self.answers()) {
+            (Some(true), false) => {
+                self.record_reached();
             }
-            (false, true) => {
+            (Some(false), true) => {
                 self.record_failure(shared.link_patience());
             }
             _ => {}
         }
     }
 
-    /// Whether the origin accepts a connection now.
-    pub(crate) async fn is_reached(
+    /// Whether the origin accepts a connection now, or `None` if another check is in progress.
+    pub(crate) async fn check_reached(
         &self,
         shared: &shared::Shared,
         origin: net::SocketAddr,
-    ) -> bool {
+    ) -> Option<bool> {
+        let _checking = self.checking.try_lock().ok()?;
+        Some(self.is_reached(shared, origin).await)
+    }
+
+    /// Whether the origin accepts a connection now.
+    async fn is_reached(&self, shared: &shared::Shared, origin: net::SocketAddr) -> bool {
         self.counters.increment("agent.origin_probes");
         let reaching = self.origin.reach(origin);
         shared::within(shared.link_patience().probe, reaching)
@@ -92,8 +101,19 @@
             };
             tokio::time::sleep(pause).await;
         }
-        let away_for = self.watch.lock().record_reached(lift_clock::now());
-        slog::info!(self.log, "origin of weights back"; "away_ms" => away_for.as_millis() as u64);
+        self.record_reached()
+    }
+
+    /// Records that the origin accepts connections, and returns for how long it was away.
+    fn record_reached(&self) -> time::Duration {
+        let (was_away, away_for) = {
+            let mut watch = self.watch.lock();
+            (!watch.answers(), watch.record_reached(lift_clock::now()))
+        };
+        if was_away {
+            let away_ms = away_for.as_millis() as u64;
+            slog::info!(self.log, "origin of weights back"; "away_ms" => away_ms);
+        }
         away_for
     }
 }
