--- a/crates/lift_stage/src/succession.rs
+++ b/crates/lift_stage/src/succession.rs
@@ -62,8 +62,11 @@
             let finish_by = now + choice.max_finish_time();
             succession.finish_by = Some((version, newer, finish_by));
         }
-        if succession.decided != decided {
-            succession.decided = decided;
+        // The reason may change at each look while the older version is read on.
+        let is_same_version = matches!(succession.decided,
+            Some((v, n, d)) if (v, n) == (version, newer) && d.is_older() == decision.is_older());
+        succession.decided = decided;
+        if !is_same_version {
             let counter = match decision.is_older() {
                 true => "agent.older_finished_first",
                 false => "agent.older_dropped",
