A connection of an older version does not change the inventory

A piece that was replaced by one of a newer version was counted as spoilt, and its correct digest was dropped. A survey that fails is now repeated; it was marked as done before it began. By reading; no test of its own.

--- a/crates/lift_stage/src/inventory.rs
+++ b/crates/lift_stage/src/inventory.rs
@@ -55,12 +55,17 @@
         state.digests.get(&index).copied().filter(|_| is_model)
     }
 
-    /// Whether the pieces that lay there when the process started have been read. The second call
-    /// for a model returns `true`.
-    pub(crate) fn set_surveyed(&self, model: &str) -> bool {
+    /// Whether the pieces that were staged when the process started have been read.
+    pub(crate) fn is_surveyed(&self, model: &str) -> bool {
+        let state = self.state.lock();
+        state.model == model && state.is_surveyed
+    }
+
+    /// Records that the pieces that were staged when the process started have been read.
+    pub(crate) fn set_surveyed(&self, model: &str) {
         let mut state = self.state.lock();
         state.select(model);
-        std::mem::replace(&mut state.is_surveyed, true)
+        state.is_surveyed = true;
     }
 }
 
--- a/crates/lift_stage/src/piece_server.rs
+++ b/crates/lift_stage/src/piece_server.rs
@@ -236,6 +236,16 @@
         if self.staged.manifest.matches(index, &bytes) {
             return Some(bytes);
         }
+        let is_current = {
+            let current = self.shared.staged.borrow();
+            let current = current.as_ref();
+            current.is_some_and(|current| sync::Arc::ptr_eq(current, &self.staged))
+        };
+        if !is_current {
+            // A piece of the newer version has taken its place.
+            self.staged.remove(index);
+            return None;
+        }
         let model = &self.staged.manifest.model;
         self.shared.inventory.forget(model, index);
         self.shared.counters.increment("agent.pieces_spoilt");
--- a/crates/lift_stage/src/survey.rs
+++ b/crates/lift_stage/src/survey.rs
@@ -19,7 +19,7 @@
     model: &str,
     held: lift_fleet::WeightsVersion,
 ) -> Result<()> {
-    if shared.inventory.set_surveyed(model) {
+    if shared.inventory.is_surveyed(model) {
         return Ok(());
     }
     // What an earlier process has written must have taken effect.
@@ -40,6 +40,7 @@
         shared.inventory.record(model, index, digest);
         tokio::time::sleep(READ_PAUSE).await;
     }
+    shared.inventory.set_surveyed(model);
     Ok(())
 }
 
