A transfer ends when the configuration names another origin

Its probes and reads went to the address that it began with. By reading; no test changes the configuration yet.

--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -163,6 +163,11 @@
                 stage_error::StageError::Superseded,
             ));
         }
+        let is_replaced = |o: lift_fleet::OriginEndpoint| o.address != self.origin;
+        if self.shared.origin_endpoint().is_some_and(is_replaced) {
+            let replaced = stage_error::StageError::OriginReplaced;
+            return Err(error_stack::Report::new(replaced));
+        }
         Ok(())
     }
 
