--- a/crates/lift_stage/src/inventory.rs
+++ b/crates/lift_stage/src/inventory.rs
@@ -1,4 +1,4 @@
-//! What lies in the staging area.
+//! Digests of the pieces in the staging area.
 
 use crate::piece_digest;
 
@@ -8,8 +8,8 @@
 /// Digests of the pieces in the staging area, as far as this process has read or written them.
 ///
 /// A newer version is fetched at once: without the digests all pieces of the version before it
-/// would be read and compared first. A piece may have turned bad since, so all pieces are still read
-/// back before an order to load.
+/// would be read and compared first. A piece may have turned bad since, so all pieces are still
+/// read back before an order to load.
 #[derive(Debug, Default)]
 pub(crate) struct Inventory {
     state: parking_lot::Mutex<State>,
@@ -55,12 +55,17 @@
         state.digests.get(&index).copied().filter(|_| is_model)
     }
 
-    /// Whether the pieces that lay there when the process started have been read. The second call
-    /// for a model returns `true`.
-    pub(crate) fn set_surveyed(&self, model: &str) -> bool {
+    /// Whether the pieces that were staged when the process started have been read.
+    pub(crate) fn is_surveyed(&self, model: &str) -> bool {
+        let state = self.state.lock();
+        state.model == model && state.is_surveyed
+    }
+
+    /// Records that the pieces that were staged when the process started have been read.
+    pub(crate) fn set_surveyed(&self, model: &str) {
         let mut state = self.state.lock();
         state.select(model);
-        std::mem::replace(&mut state.is_surveyed, true)
+        state.is_surveyed = true;
     }
 }
 
