Wording and structure after a newcomer's reading

A reader who had seen nothing but the code named what stopped them. Names that said something else than the code does are changed (send_later, pressed_at, is_in_vain, wait as a cost), comments that had to be read twice are rewritten, and lines over 100 columns are wrapped.

Two things that the reader found are more than wording: the counter of requests to other regions counted servers of an unknown region, which their cost does not, and the test of revoked keys did not report a gateway that never refuses.

--- a/crates/lift_border/src/http_client.rs
+++ b/crates/lift_border/src/http_client.rs
@@ -58,9 +58,9 @@
         }
     }
 
-    /// Returns a client that shares the connections of this one and reads bodies of answers of up to
-    /// `bytes` only. A server in trouble may send without end, on as many connections as there are
-    /// requests, so each kind of request needs a limit that fits its answers.
+    /// Returns a client that shares the connections of this one and reads bodies of answers of up
+    /// to `bytes` only. A server in trouble may send without end, on as many connections as there
+    /// are requests, so each kind of request needs a limit that fits its answers.
     pub fn with_max_body_bytes(&self, bytes: usize) -> Self {
         Self {
             max_body_bytes: bytes,
--- a/crates/lift_dispatch/src/admission_level.rs
+++ b/crates/lift_dispatch/src/admission_level.rs
@@ -8,8 +8,8 @@
 /// served at least a quarter as often as all requests.
 const MIN_SHARE: f64 = 0.3;
 
-/// Part of the range by which the level rises when a request finds no place. A burst lasts 4 s or
-/// more, and a gateway must act on it within a few of its requests.
+/// Part of the range by which the level rises when a request finds no place. Bursts last 4 s
+/// and more (`docs/design/hard-load.md`), so a gateway must act within a few of its requests.
 const RISE: f64 = 0.2;
 
 /// Part of the range by which the level rises when a request must wait for a place. Most find one,
@@ -24,8 +24,8 @@
 /// places than the reserved ones.
 const LIMITED_FALL: f64 = 0.02;
 
-/// Part of the range by which the level may rise within [`SETTLE_TIME`], but by at least one rank. It
-/// limits the next rank only when the limits of those below had time to show.
+/// Part of the range by which the level may rise within [`SETTLE_TIME`], at least one rank, so that
+/// the limit on one rank takes effect before the next rank is limited.
 const SETTLE_RISE: f64 = 0.5;
 
 /// Time until requests that were admitted before a rise have left their places.
@@ -45,9 +45,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AdmissionLevel {
     level: f64,
-    /// When a request that it protects was last refused or had to wait.
-    pressed_at: Option<time::Instant>,
-    /// How far it may rise now.
+    /// When a protected request was last refused or had to wait.
+    last_shortage_at: Option<time::Instant>,
+    /// How far the level may still rise now, in ranks. It is refilled over [`SETTLE_TIME`].
     allowance: f64,
     updated: Option<time::Instant>,
 }
@@ -71,8 +71,8 @@
         self.rise(now, place, WAIT_RISE);
     }
 
-    /// Records that a request at `place` found a place, as `is_limited` tells with the reserved ones
-    /// left free.
+    /// Records that a request at `place` found a place. `is_limited` tells whether it had to leave
+    /// the reserved places free.
     pub fn record_placement(
         &mut self,
         now: time::Instant,
@@ -96,7 +96,7 @@
 
     fn rise(&mut self, now: time::Instant, place: rank_place::RankPlace, part: f64) {
         self.recover(now, place);
-        self.pressed_at = Some(now);
+        self.last_shortage_at = Some(now);
         let highest = place.less_urgent() as f64;
         let rise = (part * range(place)).min(highest - self.level);
         let rise = rise.min(self.allowance).max(0.0);
@@ -108,7 +108,7 @@
         let since = self.updated.unwrap_or(now);
         let elapsed = now.saturating_duration_since(since).as_secs_f64();
         let is_quiet = self
-            .pressed_at
+            .last_shortage_at
             .is_some_and(|at| now.saturating_duration_since(at) >= QUIET_TIME);
         let recovery_time = match is_quiet {
             true => QUIET_RECOVERY_TIME,
--- a/crates/lift_dispatch/src/admission_rates.rs
+++ b/crates/lift_dispatch/src/admission_rates.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-/// Time over which the rates are averaged. A burst lasts 4 s or more.
+/// Time over which the rates are averaged. Bursts last 4 s and more (`docs/design/hard-load.md`).
 const AVERAGING_TIME: time::Duration = time::Duration::from_millis(1_500);
 
 /// Fewest recent refusals from which anything is concluded.
@@ -29,9 +29,10 @@
         }
     }
 
-    /// Time after which there is room for a request that is refused now, if a place is taken for
-    /// `place_time`: in that time all places are given out once. Those that are refused compete for
-    /// them, also with those that come then, so it takes a further turn. `None` if too little is known.
+    /// Estimates when a request that is refused now finds a place. Each place is free again after
+    /// `place_time`. The estimate adds one such time for new requests that compete, and more in
+    /// proportion to the refused requests for each admitted one. `None` if there are too few
+    /// refusals.
     pub fn room_after(
         &mut self,
         now: time::Instant,
--- a/crates/lift_dispatch/src/admission_terms.rs
+++ b/crates/lift_dispatch/src/admission_terms.rs
@@ -5,8 +5,8 @@
 use crate::{admission, rank_place};
 
 /// Share of a server's slots that limited requests of the least urgent rank leave free. More urgent
-/// requests then find places for the time that a burst takes to be noticed by all gateways, and more
-/// than half of the slots stay usable.
+/// requests then find places for the time that a burst takes to be noticed by all gateways, and
+/// more than half of the slots stay usable.
 const RESERVED_SHARE: f64 = 0.4;
 
 /// Shortest target latency that applies to less urgent requests, as a share of their own. A rare
--- a/crates/lift_dispatch/src/attempt_failure.rs
+++ b/crates/lift_dispatch/src/attempt_failure.rs
@@ -35,8 +35,8 @@
         )
     }
 
-    /// Whether the request does not count in the limit of a cold backend server: it was not sent, or
-    /// was answered with 421.
+    /// Whether the request does not count in the limit of a cold backend server: it was not sent,
+    /// or was answered with 421.
     pub fn is_uncounted(self) -> bool {
         matches!(self, Self::NotSent | Self::WrongServer | Self::WrongWeights)
     }
--- a/crates/lift_dispatch/src/backend_cost.rs
+++ b/crates/lift_dispatch/src/backend_cost.rs
@@ -5,8 +5,8 @@
 use crate::{backend, backend_load, backend_selector};
 
 /// Cost of a backend server in another region where no distances are set, as a share of its slots:
-/// it is selected only if it is less loaded by at least this much. Links between regions are narrow and cost money,
-/// and at peak load a quarter of the slots is taken within a second.
+/// it is selected only if it is less loaded by at least this much. Links between regions are narrow
+/// and cost money, and at peak load a quarter of the slots is taken within a second.
 const REMOTE_REGION_PENALTY: f64 = 0.25;
 
 /// Cost of a backend server all of whose recent attempts failed, as a share of its slots.
@@ -46,7 +46,7 @@
     ) -> f64 {
         let is_remote = backend.region.as_deref().is_some_and(|r| r != self.region);
         let distance = match self.distances {
-            Some(distances) => self.wait_cost(distances.wait(backend)),
+            Some(distances) => self.wait_cost(distances.cost(backend)),
             None if is_remote => REMOTE_REGION_PENALTY,
             None => 0.0,
         };
--- a/crates/lift_dispatch/src/cold_cost.rs
+++ b/crates/lift_dispatch/src/cold_cost.rs
@@ -3,8 +3,8 @@
 use crate::{backend_score, cold_state, selection_error};
 
 /// Cost of a cold backend server, as a share of its slots. Its first answers are late, but it
-/// must get requests to relieve the others. Below the fixed cost of another region; the cost of a
-/// way by configured delays and prices may be lower or higher.
+/// must get requests to relieve the others. Below the fixed cost of another region,
+/// so that a cold local server is preferred to a remote one where no locality costs are configured.
 const COLD_PENALTY: f64 = 0.2;
 
 impl backend_score::BackendScore {
--- a/crates/lift_dispatch/src/cold_server.rs
+++ b/crates/lift_dispatch/src/cold_server.rs
@@ -7,15 +7,16 @@
 /// Longest time for which an announcement makes a server count as cold.
 const MAX_WARMUP: time::Duration = time::Duration::from_secs(3_600);
 
-/// Time for which a server that could not be reached counts as cold if nobody reaches it or hears of
-/// it. By then control has announced its new start or marked it as silent, or it has never ended. A
-/// gateway without a share could not find out.
+/// Time for which an unreachable server counts as cold if nothing more is heard of it. Control
+/// announces a restart or silence sooner than this. The time is limited because a gateway with a
+/// share of 0 sends nothing, and so never learns that the server answers.
 const UNREACHABLE_TIME: time::Duration = time::Duration::from_secs(30);
 
-/// Whether a backend server is cold as far as one gateway knows, and what the gateway has sent to it.
+/// Whether a backend server is cold as far as one gateway knows, and what the gateway has sent to
+/// it.
 ///
-/// What a gateway hears is late, so a server that can't be reached counts as cold, and a server that
-/// comes back does for the time that a warm-up takes.
+/// Announcements arrive late, so an unreachable server already counts as cold, and stays cold for
+/// one warm-up after it answers again.
 #[derive(Clone, Debug, Default)]
 pub struct ColdServer {
     process: Option<(lift_fleet::BackendId, time::SystemTime)>,
@@ -75,8 +76,8 @@
         }
     }
 
-    /// Counts the server as cold from `now` on for the time that a warm-up takes, unless it is known
-    /// to be cold for longer. Without a limit the warm-up counts once one is set.
+    /// Counts the server as cold from `now` on for the time that a warm-up takes, unless it is
+    /// known to be cold for longer. Without a limit the warm-up counts once one is set.
     pub fn mark(&mut self, now: time::Instant) {
         match self.limit {
             Some(limit) => {
@@ -111,8 +112,8 @@
         }
     }
 
-    /// Counts a request that is sent at `now`. Returns `false` if it must not be sent. Requests to a
-    /// warm server are counted too, since it may be found to be cold within the second.
+    /// Counts a request that is sent at `now`. Returns `false` if it must not be sent. Requests to
+    /// a warm server are counted too, since it may be found to be cold within the second.
     pub fn take(&mut self, now: time::Instant) -> bool {
         if self.state(now) == cold_state::ColdState::Full {
             return false;
@@ -130,7 +131,7 @@
 
     /// Counts a request that was taken at `taken_at` as sent at `now`, since its connection is open
     /// only then. Until that it counts from when it was taken, so that no other takes its place.
-    pub fn send_later(&mut self, taken_at: time::Instant, now: time::Instant) {
+    pub fn update_send_time(&mut self, taken_at: time::Instant, now: time::Instant) {
         if self.limit.is_some() {
             self.sent.remove(taken_at);
             self.sent.record(now);
--- a/crates/lift_dispatch/src/cold_shares.rs
+++ b/crates/lift_dispatch/src/cold_shares.rs
@@ -12,21 +12,22 @@
 /// ways of 5 ms, and time for the processes to handle the messages.
 const MAX_PUSH_TIME: time::Duration = time::Duration::from_millis(50);
 
-/// Time from the first list of gateways until this one uses its share. By then the others have heard
-/// of this gateway, and the requests that they sent by larger shares before, or that an earlier
-/// process at its host sent, are no longer counted.
+/// Time from the first list of gateways until this one uses its share. By then the others have
+/// heard of this gateway, and the requests that they sent by larger shares before, or that an
+/// earlier process at its host sent, are no longer counted.
 const SETTLE_TIME: time::Duration = send_window::WINDOW.saturating_add(MAX_PUSH_TIME);
 
 /// The part of a cold backend server's limit that one gateway may use.
 ///
-/// Gateways agree on no order of time, so a share holds for any window of one second. It depends on
-/// the gateways that may be active and on the rank of this one among them, which is another one for
-/// each server. With more gateways than requests, those with the first ranks get one request each
-/// and the others none.
+/// Gateways do not coordinate their sending times, so each share limits every window of one second.
+/// It depends on the active gateways and on this gateway's rank among them, which differs from
+/// server to server. With more gateways than requests, those with the first ranks get one request
+/// each and the others none.
 ///
 /// A gateway that knows of more gateways than others do gets at most the share that it would have
-/// on their list: a share grows neither with the number of gateways nor with the rank. So the shares
-/// of all add up to the limit at most, as long as each list holds all the gateways that are active.
+/// on their list: a share grows neither with the number of gateways nor with the rank. The
+/// shares together never exceed the limit, as long as the list of each gateway contains all active
+/// ones.
 #[derive(Clone, Debug)]
 pub struct ColdShares {
     own: lift_types::HostId,
@@ -91,8 +92,8 @@
         self.update(now);
     }
 
-    /// Removes the gateways that no longer count at `now`. Returns a number that is another one after
-    /// each change of the shares, so that they need not be computed again without one.
+    /// Removes the gateways that no longer count at `now`. Returns a number that is another one
+    /// after each change of the shares, so that they need not be computed again without one.
     pub fn update(&mut self, now: time::Instant) -> u64 {
         let before = self.gateways.len();
         self.gateways.retain(|_, gateway| gateway.is_active(now));
--- a/crates/lift_dispatch/src/crash_log.rs
+++ b/crates/lift_dispatch/src/crash_log.rs
@@ -27,8 +27,8 @@
         self.crashes.is_empty()
     }
 
-    /// Adds a request that was at a backend server when it ended. Returns whether it is new evidence
-    /// against a part.
+    /// Adds a request that was at a backend server when it ended. Returns whether it is new
+    /// evidence against a part.
     pub(crate) fn add(&mut self, crash: part_crash::PartCrash) -> bool {
         if self.is_explained(&crash.backend, crash.at) {
             return false;
@@ -103,8 +103,8 @@
         parts
     }
 
-    /// The suspected parts that stood beside `part` in a request at each backend server that ended on
-    /// it, itself included. No request tells them apart.
+    /// The suspected parts that stood beside `part` in a request at each backend server that ended
+    /// on it, itself included. No request tells them apart.
     pub(crate) fn companions(&self, part: &str) -> indexmap::IndexSet<&str> {
         let mut beside = indexmap::IndexMap::<&str, indexmap::IndexSet<&str>>::new();
         let with_part = self.crashes.iter().filter(|c| c.suspects.contains(part));
--- a/crates/lift_dispatch/src/distances.rs
+++ b/crates/lift_dispatch/src/distances.rs
@@ -35,9 +35,9 @@
         }
     }
 
-    /// Round trip to a backend server and the cost of its locality. A server whose region is unknown
-    /// counts as one of the own region.
-    pub fn wait(&self, backend: &backend::Backend) -> time::Duration {
+    /// Cost of a request to a backend server: the round trip and the cost of its locality. A server
+    /// whose region is unknown counts as one of the own region.
+    pub fn cost(&self, backend: &backend::Backend) -> time::Duration {
         if backend.failure_domain == self.own.failure_domain {
             return time::Duration::ZERO;
         }
--- a/crates/lift_dispatch/src/rank_place.rs
+++ b/crates/lift_dispatch/src/rank_place.rs
@@ -17,7 +17,8 @@
 }
 
 impl RankPlace {
-    /// Priority for the engine, from 0, the most urgent, to 9. More than ten ranks share the values.
+    /// Priority for the engine, from 0, the most urgent, to 9. More than ten ranks share the
+    /// values.
     pub fn engine_priority(&self) -> u8 {
         let last = self.count.saturating_sub(1);
         let priority = match last > MAX_ENGINE_PRIORITY {
--- a/crates/lift_dispatch/src/region_balance.rs
+++ b/crates/lift_dispatch/src/region_balance.rs
@@ -8,10 +8,10 @@
 
 /// Which part of the free places of each region's servers the gateways of each region may use.
 ///
-/// Load: a region whose own servers are too few, because they were evacuated, lost, or are fewer
-/// than its callers need. Its gateways get the surplus of the other regions. The division follows
-/// from the lists of servers and gateways, which all gateways know, so they agree without a message,
-/// and it changes only with those lists, so it does not oscillate with the load. See `docs/design/locality.md`.
+/// Gateways of a region with too few servers (evacuated, lost, or fewer than its callers need) use
+/// the surplus of other regions. The division follows from the lists of servers and gateways, which
+/// all gateways know, so they agree without a message, and it changes only with those lists, so it
+/// does not oscillate with the load. See `docs/design/locality.md`.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RegionBalance {
     /// Shares by region of the servers and then by region of the gateways, both sorted.
@@ -51,8 +51,8 @@
     }
 
     /// Section of the free places of servers in `server_region` that the gateways of
-    /// `gateway_region` may use: its start and its end, both from 0 to 1. Each section starts exactly
-    /// where the one before it ends. `None` for a region that is not known.
+    /// `gateway_region` may use: its start and its end, both from 0 to 1. Each section starts
+    /// exactly where the one before it ends. `None` for a region that is not known.
     pub fn section(&self, server_region: &str, gateway_region: &str) -> Option<(f64, f64)> {
         let shares = self.shares.get(server_region)?;
         let position = shares.get_index_of(gateway_region)?;
@@ -94,8 +94,8 @@
     }
 }
 
-/// Part of the servers of a region that serves the demand of `user`: of its own ones as much as its
-/// demand, and of the others' surplus in proportion to the deficits.
+/// Part of the servers of a region that serves the demand of `user`: its own servers up to its
+/// demand, and the surplus of other regions in proportion to the deficits.
 fn demanded_share(servers: &RegionDemand, user: &RegionDemand, deficits: f64) -> f64 {
     if servers.region == user.region {
         return servers.demand.min(servers.capacity) / servers.capacity;
--- a/crates/lift_dispatch/src/service_latency.rs
+++ b/crates/lift_dispatch/src/service_latency.rs
@@ -5,7 +5,8 @@
 /// Weight of the newest request in the moving averages.
 const NEWEST_WEIGHT: f64 = 0.02;
 
-/// Assumed time to the first event, as a multiple of the average one. It leaves room for longer prompts and for other prompts that are read before.
+/// Assumed time to the first event, as a multiple of the average one. It leaves room for longer
+/// prompts and for other prompts that are read before.
 const FIRST_EVENT_MARGIN: f64 = 1.3;
 
 /// Length of the queue before the first request of the service has succeeded, as a share of the
--- a/crates/lift_dispatch/tests/cold_server.rs
+++ b/crates/lift_dispatch/tests/cold_server.rs
@@ -131,10 +131,10 @@
     let mut server = known(now);
     server.mark(now);
     assert!(server.take(now) && server.take(now + 10 * MS));
-    server.send_later(now, now + 400 * MS);
+    server.update_send_time(now, now + 400 * MS);
     // The other one counts while its connection is opened.
     assert!(!server.take(now + 1_159 * MS));
-    server.send_later(now + 10 * MS, now + 410 * MS);
+    server.update_send_time(now + 10 * MS, now + 410 * MS);
     assert!(!server.take(now + 1_400 * MS));
     assert!(server.take(now + 1_550 * MS));
     assert!(!server.take(now + 1_555 * MS));
--- a/crates/lift_dispatch/tests/locality.rs
+++ b/crates/lift_dispatch/tests/locality.rs
@@ -190,6 +190,6 @@
     };
     let distances = Distances::new(&own, prices, &[]);
     let case = Case::new(&["here", "there"]);
-    let waits: Vec<_> = case.backends().iter().map(|b| distances.wait(b)).collect();
+    let waits: Vec<_> = case.backends().iter().map(|b| distances.cost(b)).collect();
     assert_eq!(waits, [time::Duration::ZERO, 30 * MS]);
 }
--- a/crates/lift_dispatch/tests/returning_callers.rs
+++ b/crates/lift_dispatch/tests/returning_callers.rs
@@ -72,7 +72,7 @@
         answer_time: MS * 1_000,
         time_left: MS * 6_000,
     };
-    assert!(time.is_in_vain());
+    assert!(time.misses_deadline());
     assert!(time.choose(0.0) >= MS * 5_500);
 }
 
--- a/crates/lift_entry/src/entry.rs
+++ b/crates/lift_entry/src/entry.rs
@@ -110,9 +110,9 @@
     }
 
     /// Drains and stops the entry: reports to the platform that it is not ready, refuses new
-    /// requests and completes those in progress. Those without an answer shortly before `limit` runs
-    /// out are answered that their outcome is in doubt. Returns the number of requests that were
-    /// still in progress then.
+    /// requests and completes those in progress. Those without an answer shortly before `limit`
+    /// runs out are answered that their outcome is in doubt. Returns the number of requests that
+    /// were still in progress then.
     pub async fn stop(&self, limit: time::Duration) -> usize {
         let started = tokio::time::Instant::now();
         let deadline = started + limit;
--- a/crates/lift_feed/src/lib.rs
+++ b/crates/lift_feed/src/lib.rs
@@ -1,11 +1,12 @@
 //! State of the fleet, pushed from control members to the other nodes.
 //!
-//! A [`FeedServer`] runs beside each control member. A [`FeedClient`] runs in every node and
-//! keeps a connection to each control member that it knows of: it starts from a few seeds and
-//! learns the others. The client passes the routing table, backend servers, target versions,
-//! evacuated failure domains and other nodes to a [`FleetObserver`]. It also passes the last time
-//! at which the configuration and the evacuations were confirmed to be in force ([`Confirmation`]). Only the leader confirms that, under its lease; an
-//! [`AskSchedule`] for each connection keeps the questions to the others few.
+//! A [`FeedServer`] runs beside each control member. A [`FeedClient`] runs in every node and keeps
+//! a connection to each control member that it knows of: it starts from a few seeds and learns the
+//! others. The client passes the routing table, backend servers, target versions, evacuated failure
+//! domains and other nodes to a [`FleetObserver`]. It also passes the last time at which the
+//! configuration and the evacuations were confirmed to be in force ([`Confirmation`]). Only the
+//! leader confirms that, under its lease; an [`AskSchedule`] for each connection keeps the
+//! questions to the others few.
 //!
 //! Gateways tell each other through the members which parts of prompts seem to crash backend
 //! servers ([`lift_fleet::PartSighting`]). A [`SightingLog`] at each gateway and member keeps the
--- a/crates/lift_feed/src/questions.rs
+++ b/crates/lift_feed/src/questions.rs
@@ -4,8 +4,8 @@
 
 use crate::ask_schedule;
 
-/// Longest round trip of a question that is used to date what came with its answer. Over a congested
-/// link the time of the question is too early, and a later question tells.
+/// Longest round trip of a question that is used to date what came with its answer. Over a
+/// congested link the time of the question is too early, and a later question tells.
 const MAX_DATING_ROUND_TRIP: time::Duration = time::Duration::from_millis(200);
 
 /// Questions that are on their way over one connection, and the last one that was answered.
@@ -28,8 +28,8 @@
         self.last_nonce
     }
 
-    /// When the question was asked that the answer `nonce` belongs to. Earlier ones are dropped with
-    /// it. `None` if no such question is on its way.
+    /// When the question was asked that the answer `nonce` belongs to. Earlier ones are dropped
+    /// with it. `None` if no such question is on its way.
     pub(crate) fn answer(&mut self, now: time::Instant, nonce: u64) -> Option<time::Instant> {
         let position = self.asked.iter().position(|(n, _)| *n == nonce)?;
         let (_, at) = self.asked.drain(..=position).next_back()?;
--- a/crates/lift_fleet/src/lib.rs
+++ b/crates/lift_fleet/src/lib.rs
@@ -4,9 +4,9 @@
 //! the document with the highest version, the target version of each model's weights, and the
 //! [`Evacuations`] of failure domains. A [`RoutingTable`] is a decoded and checked document: it
 //! finds the [`Route`] of a request and the workspace of a key. A [`Directory`] merges the
-//! announcements of backend servers, which may arrive late and out of order.
-//! [`MembershipAction`] decides on the next change to the set of control members. A [`PartSighting`] is what gateways tell each other about a [`PromptPart`]
-//! that may crash backend servers.
+//! announcements of backend servers, which may arrive late and out of order. [`MembershipAction`]
+//! decides on the next change to the set of control members. A [`PartSighting`] is what gateways
+//! tell each other about a [`PromptPart`] that may crash backend servers.
 //!
 //! Every function takes `now` where it needs the time. See `docs/platform.md`.
 
--- a/crates/lift_fleet/src/routing_table_builder.rs
+++ b/crates/lift_fleet/src/routing_table_builder.rs
@@ -31,8 +31,8 @@
         }
     }
 
-    /// Adds a service. A later one of the same name replaces it. Times of over a day are shortened to
-    /// one.
+    /// Adds a service. A later one of the same name replaces it. Times of over a day are shortened
+    /// to one.
     pub fn service(mut self, mut service: service::Service) -> Self {
         if let Some(warmup) = &mut service.warmup {
             warmup.duration = warmup.duration.min(MAX_TIME);
--- a/crates/lift_gateway/src/admissions.rs
+++ b/crates/lift_gateway/src/admissions.rs
@@ -24,7 +24,7 @@
 #[derive(Debug)]
 pub(crate) struct Admissions {
     callers: lift_shard::Shards<indexmap::IndexMap<String, lift_dispatch::ReturningCallers>>,
-    shards: lift_shard::Shards<
+    services: lift_shard::Shards<
         indexmap::IndexMap<lift_types::ServiceId, lift_dispatch::ServiceAdmission>,
     >,
 }
@@ -33,7 +33,7 @@
     pub(crate) fn new() -> Self {
         Self {
             callers: lift_shard::Shards::new(SHARDS, |_| indexmap::IndexMap::new()),
-            shards: lift_shard::Shards::new(SHARDS, |_| indexmap::IndexMap::new()),
+            services: lift_shard::Shards::new(SHARDS, |_| indexmap::IndexMap::new()),
         }
     }
 
@@ -57,7 +57,7 @@
         let keys: indexmap::IndexSet<_> = table.routes().map(|r| route_key(r)).collect();
         self.callers
             .for_each(|routes| routes.retain(|key, _| keys.contains(key)));
-        self.shards
+        self.services
             .for_each(|services| services.retain(|name, _| table.service(name).is_some()));
     }
 
@@ -67,7 +67,7 @@
         service: &str,
         update: impl FnOnce(&mut lift_dispatch::ServiceAdmission) -> R,
     ) -> R {
-        self.shards
+        self.services
             .with(service, |services| match services.get_mut(service) {
                 Some(admission) => update(admission),
                 None => update(services.entry(String::from(service)).or_default()),
@@ -75,17 +75,17 @@
     }
 }
 
-/// Identifies a route. Its name may be that of another one too.
+/// Key of a route. Routes may share a name, so host name and prefix are used.
 fn route_key(route: &lift_fleet::Route) -> String {
     format!("{}{}", route.host, route.prefix)
 }
 
-/// Counts the outcome `outcome` of the selections for requests at `place`.
+/// Increments `event` in the counters of the rank at `place`.
 pub(crate) fn count(
     counters: &lift_obs::Counters,
     place: lift_dispatch::RankPlace,
-    outcome: &'static str,
+    event: &'static str,
 ) {
     let group = RANK_COUNTERS[usize::from(place.engine_priority()) % RANK_COUNTERS.len()];
-    counters.increment_member(group, outcome);
+    counters.increment_member(group, event);
 }
--- a/crates/lift_gateway/src/cold_place.rs
+++ b/crates/lift_gateway/src/cold_place.rs
@@ -35,7 +35,7 @@
     pub(crate) fn send(&self, now: time::Instant) {
         let mut counted_at = self.counted_at.lock();
         let cold_servers = &self.shared.cold_servers;
-        cold_servers.send_later(*counted_at, now, self.address);
+        cold_servers.update_send_time(*counted_at, now, self.address);
         *counted_at = now;
     }
 
--- a/crates/lift_gateway/src/cold_servers.rs
+++ b/crates/lift_gateway/src/cold_servers.rs
@@ -9,12 +9,12 @@
 /// Number of shards. More than the worker threads, to reduce lock contention.
 const SHARDS: usize = 16;
 
-/// Time for which a server that is no longer known is kept, so that requests to an earlier process at
-/// its address count.
+/// Time for which a server that is no longer known is kept, so that requests to an earlier process
+/// at its address count.
 const RETAIN_FOR: time::Duration = time::Duration::from_secs(60);
 
-/// Time from the first list of servers until an unknown server counts as started during traffic. The
-/// lists of all control members arrive within it.
+/// Time from the first list of servers until an unknown server counts as started during traffic.
+/// The lists of all control members arrive within it.
 const START_TIME: time::Duration = time::Duration::from_secs(3);
 
 /// Shortest time for which a gateway that is no longer listed keeps its share. The same as for the
@@ -33,8 +33,8 @@
     first_list_at: sync::OnceLock<time::Instant>,
     /// Number of changes by which a server may have become cold.
     changes: atomic::AtomicU64,
-    /// Value of `changes` before the last comparison that found no cold server. While both are equal,
-    /// selections take no lock here.
+    /// Value of `changes` before the last comparison that found no cold server. While both are
+    /// equal, selections take no lock here.
     changes_without_cold: atomic::AtomicU64,
 }
 
@@ -77,8 +77,8 @@
             })
     }
 
-    /// Counts a request that is sent to the server at `address`. Returns `false` if this gateway has
-    /// used its share.
+    /// Counts a request that is sent to the server at `address`. Returns `false` if this gateway
+    /// has used its share.
     pub(crate) fn take(&self, now: time::Instant, address: net::SocketAddr) -> bool {
         self.shards
             .with(&address, |entries| match entries.get_mut(&address) {
@@ -93,13 +93,13 @@
     }
 
     /// Counts a request that was taken at `taken_at` as sent at `now`.
-    pub(crate) fn send_later(
+    pub(crate) fn update_send_time(
         &self,
         taken_at: time::Instant,
         now: time::Instant,
         address: net::SocketAddr,
     ) {
-        self.change(address, |server| server.send_later(taken_at, now));
+        self.change(address, |server| server.update_send_time(taken_at, now));
     }
 
     /// Records that the server at `address` could not be reached at `now` or has ended.
@@ -179,7 +179,8 @@
         &self,
         now: time::Instant,
     ) -> Vec<(net::SocketAddr, bool, Option<time::Duration>)> {
-        // Read before the comparison, so that a server that becomes cold meanwhile is not overlooked.
+        // Read before the comparison, so that a server that becomes cold meanwhile is not
+        // overlooked.
         let changes = self.changes.load(atomic::Ordering::Acquire);
         let mut changed = Vec::new();
         let mut any_cold = false;
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -23,7 +23,8 @@
 }
 
 impl FleetState {
-    /// Creates an empty state. `locality` has no services yet. `regions` maps failure domains to their regions.
+    /// Creates an empty state. `locality` has no services yet. `regions` maps failure domains to
+    /// their regions.
     pub(crate) fn new(
         weights_grace: time::Duration,
         regions: indexmap::IndexMap<lift_types::FailureDomainId, lift_types::RegionId>,
--- a/crates/lift_gateway/src/request_admission.rs
+++ b/crates/lift_gateway/src/request_admission.rs
@@ -7,8 +7,8 @@
 use crate::{admissions, request_run};
 
 impl request_run::RequestRun {
-    /// Decides which places the request may use, at its first selection. A retry and a resumed stream
-    /// may use all, since they have been admitted before.
+    /// Decides which places the request may use, at its first selection. A retry and a resumed
+    /// stream may use all, since they have been admitted before.
     pub(crate) fn admit(&mut self) {
         let Some(place) = self.rank else {
             return;
@@ -47,8 +47,8 @@
             })
     }
 
-    /// Whether the request may wait for a place at the gateway. A limited one would take the wake-ups
-    /// of requests that may use the place.
+    /// Whether the request may wait for a place at the gateway. A limited one would take the
+    /// wake-ups of requests that may use the place.
     pub(crate) fn may_wait(&self) -> bool {
         self.admission == lift_dispatch::Admission::Unlimited
     }
@@ -124,7 +124,7 @@
         };
         self.shared
             .counters
-            .increment(match retry_time.is_in_vain() {
+            .increment(match retry_time.misses_deadline() {
                 true => "gateway.retry_after_deadline",
                 false => "gateway.retry_after_room",
             });
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -66,8 +66,8 @@
         Err(attempt_error::AttemptError::Rejected(reason))
     }
 
-    /// What a request that is sent to `backend` at `now` tells it, and the version of the weights that
-    /// it holds, if that is known.
+    /// What a request that is sent to `backend` at `now` tells it, and the version of the weights
+    /// that it holds, if that is known.
     fn call(
         &self,
         now: time::Instant,
@@ -122,10 +122,12 @@
         checked.inspect_err(|failure| place.give_back_after(*failure))
     }
 
-    /// Counts how far the request is sent, so that operators see what share leaves the failure domain.
+    /// Counts how far the request is sent, so that operators see what share leaves the failure
+    /// domain.
     fn count_way(&self, backend: &lift_dispatch::Backend) {
         let own = &self.shared.location;
-        let is_own_region = backend.region.as_deref() == Some(own.region.as_str());
+        // A server whose region is unknown counts as one of the own region, as in its cost.
+        let is_own_region = backend.region.as_deref().is_none_or(|r| r == own.region);
         let way = match (backend.failure_domain == own.failure_domain, is_own_region) {
             (true, _) => "own_domain",
             (false, true) => "other_domain",
--- a/crates/lift_gateway/src/request_records.rs
+++ b/crates/lift_gateway/src/request_records.rs
@@ -54,8 +54,8 @@
     }
 
     /// Records a request that has started on weights for which a newer target version is set, and
-    /// logs one that has started after the time in which such requests are sent. `docs/OPERATIONS.md`
-    /// uses the line to find requests that wait too long at a backend server.
+    /// logs one that has started after the time in which such requests are sent.
+    /// `docs/OPERATIONS.md` uses the line to find requests that wait too long at a backend server.
     pub(crate) fn record_start(&self, exchange: &exchange::Exchange, sent_at: time::Instant) {
         let now = lift_clock::now();
         let fleet = &self.shared.fleet;
@@ -118,8 +118,8 @@
             .record("gateway.request", <&str>::from(self.route.kind), took);
     }
 
-    /// Records the end of `backend` as evidence against the parts of the prompt, if an attempt broke
-    /// because the backend server has ended.
+    /// Records the end of `backend` as evidence against the parts of the prompt, if an attempt
+    /// broke because the backend server has ended.
     pub(crate) async fn record_break(
         &self,
         backend: &lift_dispatch::Backend,
--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -96,8 +96,8 @@
         self.is_stopping.load(atomic::Ordering::Acquire)
     }
 
-    /// Whether a request that may last until `deadline` is sure to have ended before a graceful stop
-    /// gives it up.
+    /// Whether a request that may last until `deadline` is sure to have ended before a graceful
+    /// stop gives it up.
     pub(crate) fn can_end_before_stop(&self, deadline: time::Instant) -> bool {
         self.stop_end.get().is_none_or(|end| deadline <= *end)
     }
@@ -136,8 +136,8 @@
         if !self.is_confirmed(lift_clock::now()) {
             return Err(lift_dispatch::RejectionReason::Unconfirmed);
         }
-        // A gateway whose servers are all evacuated stays ready. The others know the same, so without
-        // it callers would get no answer instead of a refusal.
+        // A gateway whose servers are all evacuated stays ready. The others know the same, so
+        // without it callers would get no answer instead of a refusal.
         let backends = self.fleet.backends();
         if backends.is_empty() && backends.evacuated() == 0 {
             return Err(lift_dispatch::RejectionReason::NoBackend);
--- a/crates/lift_listen/src/byte_budget.rs
+++ b/crates/lift_listen/src/byte_budget.rs
@@ -14,6 +14,7 @@
 /// Largest holding that counts as small, in bytes. Prompts and answers of ordinary size are below.
 pub(crate) const SMALL_BYTES: usize = 64 * 1024;
 
+/// Number of variants of [`held_kind::HeldKind`].
 const KINDS: usize = 2;
 
 /// Bytes that a process holds for callers, operators and backend servers together.
--- a/crates/lift_listen/src/idle_connections.rs
+++ b/crates/lift_listen/src/idle_connections.rs
@@ -10,8 +10,9 @@
 /// Time between two log lines about a full listener.
 const LOG_INTERVAL: time::Duration = time::Duration::from_secs(10);
 
-/// Part of the usual connections that may be open beyond them while others are being closed.
-const SPARE: usize = 8;
+/// Divisor of the usual connections that gives how many more may be open while others are being
+/// closed.
+const SPARE_DIVISOR: usize = 8;
 
 /// Identifier of a connection of one listener.
 pub(crate) type ConnectionId = u64;
@@ -54,7 +55,7 @@
 
     /// Most connections that may be accepted, with those that are being closed.
     pub fn accept_limit(&self) -> usize {
-        self.max_connections + self.max_connections / SPARE + 1
+        self.max_connections + self.max_connections / SPARE_DIVISOR + 1
     }
 
     /// Records a new connection, and closes an idle one if there are too many. The token is
--- a/crates/lift_node/src/fleet_node.rs
+++ b/crates/lift_node/src/fleet_node.rs
@@ -6,23 +6,11 @@
 use hyper_util::service;
 use rand::RngExt as _;
 
-use crate::{fleet_adapter, fleet_keys, fleet_metrics, node_error};
+use crate::{fleet_adapter, fleet_keys, fleet_limits, fleet_metrics, node_error};
 
 /// Heartbeats of a backend server that may be missing before it counts as down.
 const SILENT_HEARTBEATS: u32 = 4;
 
-/// Part of the time in which a key must be refused, or an evacuated failure domain left, that the
-/// confirmation of the configuration and the evacuations may be old. The rest is for requests on their way to a backend server.
-const CONFIRMATION_PERCENT: u32 = 80;
-
-/// Part of the time in which new weights must be in place for which older ones are accepted.
-/// The rest is for requests that wait on a narrow link and in the queue of a backend server.
-const WEIGHTS_PERCENT: u32 = 85;
-
-/// Part of the repeats that the deployment allows that is used. The rest covers the
-/// differences between gateways and the ends of the window in which they are counted.
-const REPEAT_PART: f64 = 0.7;
-
 /// Part of the grace time for requests in progress. The rest is for closing files.
 const DRAIN_PERCENT: u32 = 88;
 
@@ -222,29 +210,12 @@
         let Some(cfg) = &self.settings.gateway else {
             return Ok(None);
         };
-        let bounds = &self.settings.bounds;
-        let unconfirmed_ms = bounds
-            .evacuate_ms
-            .map_or(bounds.revoke_ms, |ms| ms.min(bounds.revoke_ms));
-        let limits = lift_gateway::GatewayLimits {
-            confirmation: lift_dispatch::ConfirmationLimits {
-                serving: percent(unconfirmed_ms, CONFIRMATION_PERCENT),
-                denial: time::Duration::from_millis(bounds.apply_ms),
-            },
-            weights_grace: percent(bounds.weights_ms, WEIGHTS_PERCENT),
-            retry_ratio: bounds.repeat_share * REPEAT_PART,
-            retry_burst: bounds.repeat_burst * REPEAT_PART,
-            cold_overage: bounds.cold_overage,
-            cold_slack: bounds.cold_slack,
-            locality_costs: cfg.locality.map(locality_costs),
-            ..lift_gateway::GatewayLimits::default()
-        };
         let mut builder = lift_gateway::Gateway::builder()
             .node(self.node(lift_feed::NodeKind::Gateway)?)
             .callers(cfg.callers)
             .readiness(cfg.readiness)
             .dialect(self.adapter.dialect())
-            .limits(limits)
+            .limits(fleet_limits::gateway(&self.settings.bounds, cfg))
             .budget(sync::Arc::clone(&self.budget))
             .latencies(self.metrics.latencies.clone());
         for (domain, region) in &self.settings.failure_domains {
@@ -262,7 +233,7 @@
         let started = lift_stage::StageAgent::builder()
             .node(self.node(lift_feed::NodeKind::Agent)?)
             .backend(cfg.backend)
-            .weights_grace(percent(self.settings.bounds.weights_ms, WEIGHTS_PERCENT))
+            .weights_grace(fleet_limits::weights_grace(&self.settings.bounds))
             .link_bytes_per_s(cfg.link_mbps.map(|rate| (rate * BYTES_PER_MEGABIT) as u64))
             .stage(self.adapter.stage(cfg.backend))
             .origin(self.adapter.origin())
@@ -306,14 +277,3 @@
         Ok(())
     }
 }
-
-fn locality_costs(locality: lift_settings::FleetLocality) -> lift_dispatch::LocalityCosts {
-    lift_dispatch::LocalityCosts {
-        domain: time::Duration::from_millis(locality.domain_cost_ms),
-        region: time::Duration::from_millis(locality.region_cost_ms),
-    }
-}
-
-fn percent(ms: u64, percent: u32) -> time::Duration {
-    time::Duration::from_millis(ms) * percent / 100
-}
--- a/crates/lift_node/src/lib.rs
+++ b/crates/lift_node/src/lib.rs
@@ -29,6 +29,7 @@
 mod entry_role;
 mod fleet_adapter;
 mod fleet_keys;
+mod fleet_limits;
 mod fleet_metrics;
 mod fleet_node;
 mod fleet_run;
--- a/crates/lift_registry/src/lib.rs
+++ b/crates/lift_registry/src/lib.rs
@@ -2,10 +2,11 @@
 //! and the directory of backend servers, which announce themselves.
 //!
 //! A [`ControlMember`] runs three parts: the replicated log, which stores the document in force,
-//! the target versions of weights and the evacuated failure domains ([`FleetStateMachine`]); the directory of backend servers,
-//! which the members exchange; and the feed for all other nodes. A host with an empty disk becomes
-//! a member by a join request, and so does one whose member was removed, also if it was one of the
-//! first. The leader removes a voter that stopped answering if the number of voters is even.
+//! the target versions of weights and the evacuated failure domains ([`FleetStateMachine`]); the
+//! directory of backend servers, which the members exchange; and the feed for all other nodes. A
+//! host with an empty disk becomes a member by a join request, and so does one whose member was
+//! removed, also if it was one of the first. The leader removes a voter that stopped answering if
+//! the number of voters is even.
 //!
 //! [`FleetControl`] has the operations for operators and backend servers. It does not depend on
 //! the front end that receives the calls.
--- a/crates/lift_registry/src/registry_source.rs
+++ b/crates/lift_registry/src/registry_source.rs
@@ -41,8 +41,8 @@
     }
 
     fn confirm(&self) -> Option<lift_feed::Confirmation> {
-        // Read within one leadership: a member that has just begun to lead applies the commands that
-        // an earlier leader acknowledged before it may confirm.
+        // Read within one leadership: a member that has just begun to lead applies the commands
+        // that an earlier leader acknowledged before it may confirm.
         let (_, leads_since) = self.current_log.leader_log().ok()?;
         let confirmation = self.state_machine.confirmation();
         let (_, still_since) = self.current_log.leader_log().ok()?;
--- a/crates/lift_soak/src/process_settings.rs
+++ b/crates/lift_soak/src/process_settings.rs
@@ -46,7 +46,8 @@
         "first_start": is_first_start, "links": "open", "log_level": "info",
         "bounds": {
             "grace_s": GRACE_S, "heartbeat_ms": HEARTBEAT_MS, "revoke_ms": REVOKE_MS,
-            "evacuate_ms": EVACUATE_MS, "weights_ms": WEIGHTS_MS, "repeat_share": REPEAT_SHARE, "repeat_burst": REPEAT_BURST,
+            "evacuate_ms": EVACUATE_MS, "weights_ms": WEIGHTS_MS,
+            "repeat_share": REPEAT_SHARE, "repeat_burst": REPEAT_BURST,
         },
     });
     let service = cast.service(host);
--- a/crates/lift_soak/src/revoked_keys.rs
+++ b/crates/lift_soak/src/revoked_keys.rs
@@ -11,16 +11,16 @@
 const REVOKE_TIME: time::Duration = time::Duration::from_millis(process_settings::REVOKE_MS);
 
 /// Time limit of one request.
-const PATIENCE: time::Duration = time::Duration::from_secs(2);
+const REQUEST_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// Pause between two looks at the gateways.
-const LOOK_PAUSE: time::Duration = time::Duration::from_millis(100);
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
 /// Time in which the gateways must serve a key again that was given back.
 const SERVE_LIMIT: time::Duration = time::Duration::from_secs(20);
 
 /// Documents in quick succession, so that control members write a snapshot of the last one.
-const SUCCESSION: u64 = 40;
+const RAPID_UPDATES: u64 = 40;
 
 /// A key that no document ever held.
 const UNKNOWN_KEY: &str = "unknown";
@@ -30,8 +30,8 @@
 /// Takes the only key away in several ways: by an empty list of tenants, by a tenant without keys,
 /// by two changes in a row, by a change that races with one that keeps it, and while a gateway
 /// stands still. After each, gateways, control members or all of them are killed, and one member
-/// loses its disk. Returns a line for each request that was answered with success. Uses the loopback
-/// network `network`, as [`crate::run`] does.
+/// loses its disk. Returns a line for each request that was answered with success. Uses the
+/// loopback network `network`, as [`crate::run`] does.
 ///
 /// # Errors
 ///
@@ -139,7 +139,7 @@
                 tokio::join!(fleet.put(&empty), fleet.put(&kept));
             }
             Way::Succession => {
-                for _ in 0..SUCCESSION {
+                for _ in 0..RAPID_UPDATES {
                     fleet.put(&self.next(None)).await;
                 }
             }
@@ -157,7 +157,7 @@
                 kind.prefix(),
                 kind.route_kind(),
                 kind.service(),
-                PATIENCE,
+                REQUEST_TIMEOUT,
             );
         if let Some(keys) = keys {
             let keys: Vec<String> = keys.iter().copied().map(String::from).collect();
@@ -166,8 +166,8 @@
         document.text()
     }
 
-    /// Sends requests with the key, an unknown one and none to each gateway, until all of them
-    /// have confirmed the document and refuse for good.
+    /// Sends requests with the key, an unknown one and none to each gateway, until all of them have
+    /// confirmed the document and refuse for good. While one is paused, the others are asked once.
     async fn expect_refusals(&mut self, fleet: &mut storm_fleet::StormFleet, way: Way) {
         let until = time::Instant::now() + SERVE_LIMIT;
         loop {
@@ -186,11 +186,15 @@
                 }
             }
             let is_paused = fleet.has_paused();
-            let is_over = !self.violations.is_empty() || time::Instant::now() > until;
-            if have_all_refused || is_paused || is_over {
+            if have_all_refused || is_paused || !self.violations.is_empty() {
                 return;
             }
-            tokio::time::sleep(LOOK_PAUSE).await;
+            if time::Instant::now() > until {
+                let problem = format!("{way:?}: not all gateways refuse");
+                self.violations.push(problem);
+                return;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
@@ -206,7 +210,7 @@
                 if time::Instant::now() > until {
                     return Err(soak_error::SoakError::Start(SERVE_LIMIT.as_secs()));
                 }
-                tokio::time::sleep(LOOK_PAUSE).await;
+                tokio::time::sleep(POLL_INTERVAL).await;
             }
         }
         Ok(())
@@ -220,7 +224,10 @@
         self.requests += 1;
         let id = format!("revoked-{}", self.requests);
         let sending = send(gateway, key, &id);
-        tokio::time::timeout(PATIENCE, sending).await.ok().flatten()
+        tokio::time::timeout(REQUEST_TIMEOUT, sending)
+            .await
+            .ok()
+            .flatten()
     }
 }
 
@@ -230,7 +237,7 @@
         host: soak_caller::HOST,
         id,
         key: key.unwrap_or_default(),
-        patience: PATIENCE,
+        patience: REQUEST_TIMEOUT,
         model: None,
     };
     let prefix = request_kind::RequestKind::Read.prefix();
--- a/crates/lift_soak/src/spoilt_pieces.rs
+++ b/crates/lift_soak/src/spoilt_pieces.rs
@@ -19,8 +19,8 @@
 );
 
 /// Plays a naming while reads of the staging areas are slow and a piece of each turns bad right
-/// after it was read. `options` gives the program and the seed of the callers; no other soak may use
-/// the loopback network `network` meanwhile.
+/// after it was read. `options` gives the program and the seed of the callers; no other soak may
+/// use the loopback network `network` meanwhile.
 ///
 /// # Errors
 ///
--- a/crates/lift_stage/src/piece_manifest.rs
+++ b/crates/lift_stage/src/piece_manifest.rs
@@ -17,8 +17,8 @@
     pub digests: Vec<piece_digest::PieceDigest>,
 }
 
-/// Limit of a piece that is read, where the manifest names a smaller one. It leaves room for servers
-/// whose pieces are longer than they say; digests decide which are right.
+/// Limit of a piece that is read, where the manifest names a smaller one. It leaves room for
+/// servers whose pieces are longer than they say; digests decide which are right.
 const MIN_PIECE_LIMIT_BYTES: usize = 1024 * 1024;
 
 impl PieceManifest {
--- a/crates/lift_standin/src/control_standin.rs
+++ b/crates/lift_standin/src/control_standin.rs
@@ -78,8 +78,8 @@
         state.homes.clear();
     }
 
-    /// Sets whether renewals of leases and grants fail, as while control has no leader. Agents still
-    /// register, and the policy stays confirmed.
+    /// Sets whether renewals of leases and grants fail, as while control has no leader. Agents
+    /// still register, and the policy stays confirmed.
     pub fn withhold_leases(&self, withholds: bool) {
         self.state.lock().withholds_leases = withholds;
     }
--- a/crates/lift_wire/src/frame_reader.rs
+++ b/crates/lift_wire/src/frame_reader.rs
@@ -11,8 +11,8 @@
 /// Length of the head of a frame, in bytes.
 const HEAD_BYTES: usize = 4;
 
-/// Size by which the read buffer grows, in bytes. The space of a longer frame is not kept: a process
-/// has many connections, each of which carries a long message now and then.
+/// Size by which the read buffer grows, in bytes. The space of a longer frame is not kept: a
+/// process has many connections, each of which carries a long message now and then.
 const READ_BYTES: usize = 16 * 1024;
 
 /// Reads frames from one direction of a connection.
