--- a/crates/lift_gateway/src/cold_watch.rs
+++ b/crates/lift_gateway/src/cold_watch.rs
@@ -45,7 +45,7 @@
         failure: lift_dispatch::AttemptFailure,
     ) {
         if failure.may_have_ended() {
-            self.cold_servers.lose(backend.address);
+            self.cold_servers.lose(now, backend.address);
         } else if failure != lift_dispatch::AttemptFailure::Silent {
             self.cold_servers.reach(now, backend.address);
         }
@@ -79,7 +79,7 @@
     }
 
     /// Calls `select` and counts the request at the selected backend server, in case it is cold.
-    /// Counts a request if `is_held_back` is set by then.
+    /// Counts the selection if `is_held_back` is set by then.
     ///
     /// # Errors
     ///
--- a/crates/lift_gateway/src/lib.rs
+++ b/crates/lift_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod admissions;
 mod answer_body;
 mod answer_head;
+mod attempt_deadline;
 mod attempt_error;
 mod backend_call;
 mod backend_connection;
@@ -42,6 +43,7 @@
 mod held_bytes;
 mod http_server;
 mod in_flight_request;
+mod leaving;
 mod limited_stream;
 mod load_receiver;
 mod part_guard;
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -11,14 +11,6 @@
 /// can retry sooner than one that waits in vain.
 const SLOT_WAIT_DIVISOR: u32 = 8;
 
-/// Timeout for the head of the answer to an idempotent request, in multiples of the target latency.
-/// After it, the request may be retried at another backend server.
-const HEAD_TIMEOUT_FACTOR: u32 = 2;
-
-/// Timeout for the head of a resumable stream, in multiples of the target latency. Reading a long
-/// prompt after other prompts takes twice the target latency.
-const STREAM_HEAD_TIMEOUT_FACTOR: u32 = 3;
-
 impl request_run::RequestRun {
     /// Selects a backend server and sends the request to it. `last_event` is the number of the last
     /// event of the stream that the caller has received.
@@ -47,7 +39,8 @@
                 self.servers_reached += 1;
                 self.may_have_run = true;
                 self.record_head_latency(&backend, now);
-                self.shared.cold_servers.reach(now, backend.address);
+                let cold_servers = &self.shared.cold_servers;
+                cold_servers.reach(lift_clock::now(), backend.address);
                 self.record_start(&exchange, now);
                 Ok(exchange)
             }
@@ -113,6 +106,7 @@
         version_held: Option<lift_fleet::WeightsVersion>,
     ) -> Result<exchange::Exchange, lift_dispatch::AttemptFailure> {
         let req = self.build_request(call);
+        self.count_way(backend);
         let in_flight =
             in_flight_request::InFlightRequest::start(&self.shared, sync::Arc::clone(backend));
         let deadline = self.attempt_deadline(now, version_held);
@@ -127,6 +121,18 @@
         }
     }
 
+    /// Counts how far the request is sent, so that operators see what share leaves the failure domain.
+    fn count_way(&self, backend: &lift_dispatch::Backend) {
+        let own = &self.shared.location;
+        let is_own_region = backend.region.as_deref() == Some(own.region.as_str());
+        let way = match (backend.failure_domain == own.failure_domain, is_own_region) {
+            (true, _) => "own_domain",
+            (false, true) => "other_domain",
+            (false, false) => "other_region",
+        };
+        self.shared.counters.increment_member("sent", way);
+    }
+
     /// Checks that no part of the prompt is quarantined.
     fn check_parts(&self) -> Result<(), attempt_error::AttemptError> {
         let Some(blocked) = self.shared.parts.blocked(&self.head.parts) else {
@@ -217,9 +223,13 @@
         let prefill_time = shared.fleet.prefill_time(&self.service);
         let allowed_regions = self.allowed_regions();
         let gateways = shared.fleet.gateways();
+        let distances = shared.fleet.distances(&self.service);
+        let balance = shared.fleet.balance(&self.service);
         let selector = lift_dispatch::BackendSelector {
             now,
             region: &shared.location.region,
+            distances: distances.as_deref(),
+            balance: balance.as_deref(),
             gateways: &gateways,
             weights: &self.weights_requirement,
             queue_share: terms.queue_share(
@@ -272,46 +282,4 @@
         *req.headers_mut() = headers;
         req
     }
-
-    /// Time until which an attempt that starts at `now` waits for the head of the answer. The last
-    /// attempt, and one that can't be repeated, may use all the time until the deadline. A stream
-    /// on a version whose time runs out must start before that.
-    fn attempt_deadline(
-        &self,
-        now: time::Instant,
-        version_held: Option<lift_fleet::WeightsVersion>,
-    ) -> time::Instant {
-        let deadline = self.head_deadline(now);
-        let model = self.weights_requirement.model.as_deref();
-        let must_start_at = model
-            .zip(version_held)
-            .filter(|_| self.route.kind.is_repeatable())
-            .and_then(|(model, version)| self.shared.fleet.start_deadline(model, version));
-        must_start_at.map_or(deadline, |at| deadline.min(at))
-    }
-
-    /// Time until which a backend server that holds `version_held` may work on the request.
-    fn work_deadline(
-        &self,
-        now: time::Instant,
-        version_held: Option<lift_fleet::WeightsVersion>,
-    ) -> time::Instant {
-        let model = self.weights_requirement.model.as_deref();
-        let limit = model
-            .zip(version_held)
-            .and_then(|(model, version)| self.shared.fleet.work_deadline(now, model, version));
-        limit.map_or(self.deadline, |at| self.deadline.min(at))
-    }
-
-    fn head_deadline(&self, now: time::Instant) -> time::Instant {
-        let is_last = self.servers_reached + 1 >= self.route.max_attempts;
-        if is_last || !self.route.kind.is_repeatable() {
-            return self.deadline;
-        }
-        let factor = match self.route.kind.is_stream() {
-            true => STREAM_HEAD_TIMEOUT_FACTOR,
-            false => HEAD_TIMEOUT_FACTOR,
-        };
-        self.deadline.min(now + self.route.target_latency * factor)
-    }
 }
