--- a/crates/lift_gateway/src/shared.rs
+++ b/crates/lift_gateway/src/shared.rs
@@ -5,8 +5,8 @@
 use sync::atomic;
 
 use crate::{
-    admissions, backend_loads, backend_pool, byte_budget, cold_servers, dialect, fleet_state,
-    gateway_limits, leaving, part_guard, request_log,
+    admissions, backend_loads, backend_pool, cold_servers, dialect, fleet_state, gateway_limits,
+    locality, part_guard, request_log,
 };
 
 /// Number of shards of the state of services.
@@ -22,8 +22,8 @@
     pub(crate) loads: backend_loads::BackendLoads,
     pub(crate) cold_servers: cold_servers::ColdServers,
     pub(crate) pool: backend_pool::BackendPool,
-    /// Memory of the answers that are held until they are complete.
-    pub(crate) answer_bytes: sync::Arc<byte_budget::ByteBudget>,
+    /// Memory of requests and answers in progress.
+    pub(crate) budget: sync::Arc<lift_listen::ByteBudget>,
     /// Protection against parts of prompts that crash backend servers.
     pub(crate) parts: part_guard::PartGuard,
     /// Admission of requests by their rank.
@@ -58,16 +58,16 @@
         counters: sync::Arc<lift_obs::Counters>,
         latencies: sync::Arc<lift_obs::Histograms>,
     ) -> Self {
-        let leaving = leaving::Leaving::new(location.clone(), limits.leave_prices);
+        let locality = locality::Locality::new(location.clone(), limits.locality_costs);
         Self {
             cold_servers: cold_servers::ColdServers::new(&location, limits.confirmation.serving),
             location,
             limits,
             dialect,
-            fleet: fleet_state::FleetState::new(limits.weights_grace, regions, leaving),
+            fleet: fleet_state::FleetState::new(limits.weights_grace, regions, locality),
             loads: backend_loads::BackendLoads::new(),
             pool: backend_pool::BackendPool::new(),
-            answer_bytes: byte_budget::ByteBudget::new(limits.max_answer_bytes),
+            budget: lift_listen::ByteBudget::new(lift_listen::ByteBudget::DEFAULT_BYTES),
             parts: part_guard::PartGuard::new(logger.clone(), sync::Arc::clone(&counters)),
             admissions: admissions::Admissions::new(),
             log: request_log::RequestLog::new(logger, sync::Arc::clone(&counters)),
@@ -85,6 +85,12 @@
         }
     }
 
+    /// Sets the budget of the process, in place of one for the smallest host.
+    pub(crate) fn with_budget(mut self, budget: sync::Arc<lift_listen::ByteBudget>) -> Self {
+        self.budget = budget;
+        self
+    }
+
     /// Whether a graceful stop has started.
     pub(crate) fn is_stopping(&self) -> bool {
         self.is_stopping.load(atomic::Ordering::Acquire)
