--- a/crates/lift_dispatch/src/cold_server.rs
+++ b/crates/lift_dispatch/src/cold_server.rs
@@ -10,7 +10,7 @@
 /// Time for which a server that could not be reached counts as cold if nobody reaches it or hears of
 /// it. By then control has announced its new start or marked it as silent, or it has never ended. A
 /// gateway without a share could not find out.
-const LOST_TIME: time::Duration = time::Duration::from_secs(30);
+const UNREACHABLE_TIME: time::Duration = time::Duration::from_secs(30);
 
 /// Whether a backend server is cold as far as one gateway knows, and what the gateway has sent to it.
 ///
@@ -21,8 +21,10 @@
     process: Option<(lift_fleet::BackendId, time::SystemTime)>,
     is_silent: bool,
     /// When it last could not be reached or has ended. `None` if it was reached since.
-    lost_at: Option<time::Instant>,
+    failed_at: Option<time::Instant>,
     cold_until: Option<time::Instant>,
+    /// When a warm-up began whose duration was not known yet.
+    marked_at: Option<time::Instant>,
     /// `None` if its service has no warm-up.
     limit: Option<cold_limit::ColdLimit>,
     /// Part of the limit that this gateway may use.
@@ -35,6 +37,11 @@
     pub fn configure(&mut self, limit: Option<cold_limit::ColdLimit>, share: u32) {
         self.limit = limit;
         self.share = share;
+        if limit.is_some()
+            && let Some(at) = self.marked_at.take()
+        {
+            self.mark(at);
+        }
     }
 
     /// Takes in a record that was received at `now`. `was_running` tells whether the gateway ran
@@ -55,8 +62,9 @@
         }
         // Any other record of a server that could not be reached may be from before that.
         if is_back || is_new {
-            self.lost_at = None;
+            self.failed_at = None;
         }
+        self.marked_at = None;
         let announced = announcement.warmup_left.min(MAX_WARMUP);
         if !announced.is_zero() {
             self.cold_until = Some(now + announced);
@@ -68,20 +76,25 @@
     }
 
     /// Counts the server as cold from `now` on for the time that a warm-up takes, unless it is known
-    /// to be cold for longer.
+    /// to be cold for longer. Without a limit the warm-up counts once one is set.
     pub fn mark(&mut self, now: time::Instant) {
-        let duration = self.limit.map(|limit| limit.duration.min(MAX_WARMUP));
-        self.cold_until = self.cold_until.max(duration.map(|duration| now + duration));
+        match self.limit {
+            Some(limit) => {
+                let until = now + limit.duration.min(MAX_WARMUP);
+                self.cold_until = self.cold_until.max(Some(until));
+            }
+            None => self.marked_at = Some(now),
+        }
     }
 
     /// Records that the server could not be reached at `now` or has ended.
-    pub fn lose(&mut self, now: time::Instant) {
-        self.lost_at = Some(now);
+    pub fn record_failure(&mut self, now: time::Instant) {
+        self.failed_at = Some(now);
     }
 
     /// Records that the server has answered.
-    pub fn reach(&mut self, now: time::Instant) {
-        if self.lost_at.take().is_some() {
+    pub fn record_answer(&mut self, now: time::Instant) {
+        if self.failed_at.take().is_some() {
             self.mark(now);
         }
     }
@@ -89,7 +102,7 @@
     /// Whether the server counts as cold, and whether it may get one more request.
     pub fn state(&self, now: time::Instant) -> cold_state::ColdState {
         let is_cold = self.cold_until.is_some_and(|until| now < until);
-        if self.limit.is_none() || !(is_cold || self.is_away(now)) {
+        if self.limit.is_none() || !(is_cold || self.is_unreachable(now)) {
             cold_state::ColdState::Warm
         } else if self.sent.has_place(now, self.share) {
             cold_state::ColdState::Cold
@@ -115,17 +128,28 @@
         self.sent.remove(sent_at);
     }
 
+    /// Counts a request that was taken at `taken_at` as sent at `now`, since its connection is open
+    /// only then. Until that it counts from when it was taken, so that no other takes its place.
+    pub fn send_later(&mut self, taken_at: time::Instant, now: time::Instant) {
+        if self.limit.is_some() {
+            self.sent.remove(taken_at);
+            self.sent.record(now);
+        }
+    }
+
     /// Time for which the server still counts as cold, `None` if that depends on its return.
     pub fn cold_left(&self, now: time::Instant) -> Option<time::Duration> {
         let left = self
             .cold_until
             .map(|until| until.saturating_duration_since(now));
-        left.filter(|_| !self.is_away(now))
+        left.filter(|_| !self.is_unreachable(now))
     }
 
     /// Whether the server is silent, or could not be reached and was not reached since.
-    fn is_away(&self, now: time::Instant) -> bool {
-        let lost_for = self.lost_at.map(|at| now.saturating_duration_since(at));
-        self.is_silent || lost_for.is_some_and(|lost_for| lost_for < LOST_TIME)
+    fn is_unreachable(&self, now: time::Instant) -> bool {
+        let has_failed = self
+            .failed_at
+            .is_some_and(|at| now.saturating_duration_since(at) < UNREACHABLE_TIME);
+        self.is_silent || has_failed
     }
 }
--- a/crates/lift_gateway/src/cold_servers.rs
+++ b/crates/lift_gateway/src/cold_servers.rs
@@ -4,11 +4,13 @@
 
 use sync::atomic;
 
+use crate::{known_share, server_limit};
+
 /// Number of shards. More than the worker threads, to reduce lock contention.
 const SHARDS: usize = 16;
 
-/// Time for which a server that accepts no requests is kept, so that it does not count as new when
-/// it accepts them again.
+/// Time for which a server that is no longer known is kept, so that requests to an earlier process at
+/// its address count.
 const RETAIN_FOR: time::Duration = time::Duration::from_secs(60);
 
 /// Time from the first list of servers until an unknown server counts as started during traffic. The
@@ -29,8 +31,11 @@
     /// request.
     shares: parking_lot::Mutex<lift_dispatch::ColdShares>,
     first_list_at: sync::OnceLock<time::Instant>,
-    /// Whether any server may be cold. Without one, selections take no lock here.
-    may_be_cold: atomic::AtomicBool,
+    /// Number of changes by which a server may have become cold.
+    changes: atomic::AtomicU64,
+    /// Value of `changes` before the last comparison that found no cold server. While both are equal,
+    /// selections take no lock here.
+    changes_without_cold: atomic::AtomicU64,
 }
 
 #[derive(Debug)]
@@ -39,6 +44,8 @@
     listed_at: time::Instant,
     /// Whether it was cold when it was last compared.
     was_cold: bool,
+    /// `None` if its service has no warm-up.
+    known_share: Option<known_share::KnownShare>,
 }
 
 impl ColdServers {
@@ -49,7 +56,8 @@
             shards: lift_shard::Shards::new(SHARDS, |_| indexmap::IndexMap::new()),
             shares: parking_lot::Mutex::new(lift_dispatch::ColdShares::new(own, hold_time)),
             first_list_at: sync::OnceLock::new(),
-            may_be_cold: atomic::AtomicBool::new(false),
+            changes: atomic::AtomicU64::new(0),
+            changes_without_cold: atomic::AtomicU64::new(0),
         }
     }
 
@@ -59,7 +67,7 @@
         now: time::Instant,
         address: net::SocketAddr,
     ) -> lift_dispatch::ColdState {
-        if !self.may_be_cold.load(atomic::Ordering::Acquire) {
+        if !self.may_be_cold() {
             return lift_dispatch::ColdState::Warm;
         }
         self.shards
@@ -84,25 +92,35 @@
         self.change(address, |server| server.give_back(sent_at));
     }
 
+    /// Counts a request that was taken at `taken_at` as sent at `now`.
+    pub(crate) fn send_later(
+        &self,
+        taken_at: time::Instant,
+        now: time::Instant,
+        address: net::SocketAddr,
+    ) {
+        self.change(address, |server| server.send_later(taken_at, now));
+    }
+
     /// Records that the server at `address` could not be reached at `now` or has ended.
-    pub(crate) fn lose(&self, now: time::Instant, address: net::SocketAddr) {
-        self.change(address, |server| server.lose(now));
-        self.may_be_cold.store(true, atomic::Ordering::Release);
+    pub(crate) fn record_failure(&self, now: time::Instant, address: net::SocketAddr) {
+        self.change(address, |server| server.record_failure(now));
+        self.record_change();
     }
 
     /// Records an answer of the server at `address`.
-    pub(crate) fn reach(&self, now: time::Instant, address: net::SocketAddr) {
-        if self.may_be_cold.load(atomic::Ordering::Acquire) {
-            self.change(address, |server| server.reach(now));
+    pub(crate) fn record_answer(&self, now: time::Instant, address: net::SocketAddr) {
+        if self.may_be_cold() {
+            self.change(address, |server| server.record_answer(now));
         }
     }
 
     /// Counts the servers at `addresses` as cold from `now` on.
     pub(crate) fn mark(&self, now: time::Instant, addresses: &[net::SocketAddr]) {
         for address in addresses {
-            self.change(*address, |server| server.mark(now));
+            self.update(now, *address, |server| server.mark(now));
         }
-        self.may_be_cold.store(true, atomic::Ordering::Release);
+        self.record_change();
     }
 
     /// Takes in records that have changed.
@@ -118,7 +136,7 @@
                 });
             }
         }
-        self.may_be_cold.store(true, atomic::Ordering::Release);
+        self.record_change();
     }
 
     /// Records the gateways that are known.
@@ -126,31 +144,44 @@
         self.shares.lock().record(now, gateways);
     }
 
-    /// Sets the limit of a server that accepts requests, `None` if its service has no warm-up.
-    pub(crate) fn configure(
+    /// Sets the limits of `servers`, and the shares of this gateway where they may have changed.
+    pub(crate) fn configure<'a>(
         &self,
         now: time::Instant,
-        backend: &lift_dispatch::Backend,
-        limit: Option<lift_dispatch::ColdLimit>,
+        servers: impl Iterator<Item = server_limit::ServerLimit<'a>>,
     ) {
-        let region = backend.region.as_deref();
-        let address = backend.address;
-        let share = limit.map_or(0, |limit| {
-            let shares = self.shares.lock();
-            shares.share(now, address, region, limit.requests)
-        });
-        self.update(now, address, |server| server.configure(limit, share));
+        // Held until all are set, so that no thread writes older shares after newer ones.
+        let mut shares = self.shares.lock();
+        let revision = shares.update(now);
+        for server in servers {
+            self.update_entry(now, server.address, |entry| {
+                let known = entry.known_share.take();
+                entry.known_share = server.limit.map(|limit| {
+                    let valid = known.filter(|known| known.is_valid(revision, &server));
+                    valid.unwrap_or_else(|| known_share::KnownShare {
+                        revision,
+                        region: server.region.map(String::from),
+                        limit,
+                        share: limit.requests.map_or(u32::MAX, |requests| {
+                            shares.share(now, server.address, server.region, requests)
+                        }),
+                    })
+                });
+                let share = entry.known_share.as_ref().map_or(0, |known| known.share);
+                entry.server.configure(server.limit, share);
+            });
+        }
     }
 
-    /// Removes servers that are no longer listed. Returns those that have turned cold or warm since
+    /// Removes servers that are no longer listed. Returns those that have become cold or warm since
     /// the last call, with the time for which they stay cold if it is known.
     pub(crate) fn compare(
         &self,
         now: time::Instant,
     ) -> Vec<(net::SocketAddr, bool, Option<time::Duration>)> {
-        // Before the comparison: a server that turns cold meanwhile sets it again.
-        self.may_be_cold.store(false, atomic::Ordering::Release);
-        let mut turned = Vec::new();
+        // Read before the comparison, so that a server that becomes cold meanwhile is not overlooked.
+        let changes = self.changes.load(atomic::Ordering::Acquire);
+        let mut changed = Vec::new();
         let mut any_cold = false;
         self.shards.for_each(|entries| {
             entries.retain(|_, entry| now.saturating_duration_since(entry.listed_at) < RETAIN_FOR);
@@ -158,14 +189,28 @@
                 let is_cold = entry.server.state(now) != lift_dispatch::ColdState::Warm;
                 any_cold |= is_cold;
                 if std::mem::replace(&mut entry.was_cold, is_cold) != is_cold {
-                    turned.push((*address, is_cold, entry.server.cold_left(now)));
+                    changed.push((*address, is_cold, entry.server.cold_left(now)));
                 }
             }
         });
-        if any_cold {
-            self.may_be_cold.store(true, atomic::Ordering::Release);
+        match any_cold {
+            // A server may also have become cold by its limit.
+            true if !self.may_be_cold() => self.record_change(),
+            true => {}
+            false => self
+                .changes_without_cold
+                .store(changes, atomic::Ordering::Release),
         }
-        turned
+        changed
+    }
+
+    fn may_be_cold(&self) -> bool {
+        let without_cold = self.changes_without_cold.load(atomic::Ordering::Acquire);
+        self.changes.load(atomic::Ordering::Acquire) != without_cold
+    }
+
+    fn record_change(&self) {
+        self.changes.fetch_add(1, atomic::Ordering::AcqRel);
     }
 
     /// Changes a server that is listed.
@@ -187,15 +232,25 @@
         now: time::Instant,
         address: net::SocketAddr,
         update: impl FnOnce(&mut lift_dispatch::ColdServer),
+    ) {
+        self.update_entry(now, address, |entry| update(&mut entry.server));
+    }
+
+    fn update_entry(
+        &self,
+        now: time::Instant,
+        address: net::SocketAddr,
+        update: impl FnOnce(&mut Entry),
     ) {
         self.shards.with(&address, |entries| {
             let entry = entries.entry(address).or_insert_with(|| Entry {
                 server: lift_dispatch::ColdServer::default(),
                 listed_at: now,
                 was_cold: false,
+                known_share: None,
             });
             entry.listed_at = now;
-            update(&mut entry.server);
+            update(entry);
         });
     }
 }
--- a/crates/lift_gateway/src/cold_watch.rs
+++ b/crates/lift_gateway/src/cold_watch.rs
@@ -2,7 +2,7 @@
 
 use std::{cell, net, sync, time};
 
-use crate::shared;
+use crate::{server_limit, shared};
 
 /// Selections that may meet a server whose last place another request has just taken.
 const MAX_SELECTIONS: usize = 3;
@@ -14,52 +14,53 @@
     /// of their service takes or until an announcement says otherwise.
     pub(crate) fn mark_cold(&self, now: time::Instant, addresses: &[net::SocketAddr]) {
         self.cold_servers.mark(now, addresses);
-        self.note_turned_servers(now);
+        self.record_state_changes(now);
     }
 
-    /// Takes in backend servers that have changed.
+    /// Takes in backend servers that have changed in `directory`, whose lock the caller holds: so
+    /// records count in the order in which the directory takes them, and a server has its limit
+    /// before it can be selected.
     pub(crate) fn announce_to_cold_servers(
         &self,
         now: time::Instant,
+        directory: &lift_fleet::Directory,
         changed: &[lift_fleet::BackendRecord],
     ) {
-        if !changed.is_empty() {
-            self.configure_cold_servers(now);
-            self.cold_servers.announce(now, changed);
-            self.note_turned_servers(now);
+        if let Some(table) = self.fleet.table() {
+            self.configure_cold_servers(now, &table, directory);
         }
+        self.cold_servers.announce(now, changed);
     }
 
-    /// Applies the configuration and the gateways that are known.
+    /// Applies the configuration in force and the gateways that are known.
     pub(crate) fn update_cold_servers(&self, now: time::Instant) {
-        self.configure_cold_servers(now);
-        self.note_turned_servers(now);
+        if let Some(table) = self.fleet.table() {
+            self.apply_to_cold_servers(now, &table);
+        }
     }
 
-    /// Records an attempt at `backend` that failed.
-    pub(crate) fn note_failure(
+    /// Applies the configuration `table` and the gateways that are known.
+    pub(crate) fn apply_to_cold_servers(
         &self,
         now: time::Instant,
-        backend: &lift_dispatch::Backend,
-        failure: lift_dispatch::AttemptFailure,
+        table: &lift_fleet::RoutingTable,
     ) {
-        if failure.may_have_ended() {
-            self.cold_servers.lose(now, backend.address);
-        } else if failure != lift_dispatch::AttemptFailure::Silent {
-            self.cold_servers.reach(now, backend.address);
-        }
+        self.fleet
+            .with_directory(|directory| self.configure_cold_servers(now, table, directory));
+        self.record_state_changes(now);
     }
 
-    /// Gives back the place of a request that was sent to `backend` at `sent_at`, if it does not
-    /// count.
-    pub(crate) fn give_place_back(
+    /// Records an attempt at `backend` that failed.
+    pub(crate) fn note_failure(
         &self,
-        sent_at: time::Instant,
+        now: time::Instant,
         backend: &lift_dispatch::Backend,
         failure: lift_dispatch::AttemptFailure,
     ) {
-        if failure.is_uncounted() {
-            self.cold_servers.give_back(sent_at, backend.address);
+        if failure.may_have_ended() {
+            self.cold_servers.record_failure(now, backend.address);
+        } else if failure != lift_dispatch::AttemptFailure::Silent {
+            self.cold_servers.record_answer(now, backend.address);
         }
     }
 
@@ -108,24 +109,33 @@
         selected
     }
 
-    fn configure_cold_servers(&self, now: time::Instant) {
-        let Some(table) = self.fleet.table() else {
-            return;
-        };
-        let backends = self.fleet.backends();
-        for (service, backends) in backends.services() {
-            let warmup = table.service(service).and_then(|s| s.warmup);
-            let limit = warmup.map(|warmup| {
+    /// Sets the limits of all servers, also of those in evacuated failure domains: these must have
+    /// one before their failure domain is restored.
+    fn configure_cold_servers(
+        &self,
+        now: time::Instant,
+        table: &lift_fleet::RoutingTable,
+        directory: &lift_fleet::Directory,
+    ) {
+        let announcements = directory.records().map(|record| &record.announcement);
+        let known = announcements.filter(|known| known.state != lift_fleet::BackendState::Gone);
+        let servers = known.map(|announcement| {
+            let service = table.service(&announcement.service);
+            let limit = service.and_then(|s| s.warmup).map(|warmup| {
                 let limits = &self.limits;
                 lift_dispatch::ColdLimit::new(&warmup, limits.cold_overage, limits.cold_slack)
             });
-            for backend in backends {
-                self.cold_servers.configure(now, backend, limit);
+            server_limit::ServerLimit {
+                address: announcement.address,
+                region: self.fleet.region(&announcement.failure_domain),
+                limit,
             }
-        }
+        });
+        self.cold_servers.configure(now, servers);
     }
 
-    fn note_turned_servers(&self, now: time::Instant) {
+    /// Counts and logs the servers that have become cold or warm.
+    pub(crate) fn record_state_changes(&self, now: time::Instant) {
         for (address, is_cold, left) in self.cold_servers.compare(now) {
             if is_cold {
                 self.counters.increment("gateway.servers_cold");
--- a/crates/lift_stage/src/fetch.rs
+++ b/crates/lift_stage/src/fetch.rs
@@ -154,15 +154,20 @@
     }
 
     fn check_newest(&self) -> Result<()> {
-        let unseen = self.download.lock().unseen_count();
-        let unseen = u32::try_from(unseen).unwrap_or(u32::MAX);
-        let known = &self.staged.unseen;
-        known.store(unseen, atomic::Ordering::Relaxed);
+        let without_holder = self.download.lock().without_holder_count();
+        let without_holder = u32::try_from(without_holder).unwrap_or(u32::MAX);
+        let known = &self.staged.without_holder;
+        known.store(without_holder, atomic::Ordering::Relaxed);
         if self.shared.is_superseded(&self.staged) {
             return Err(error_stack::Report::new(
                 stage_error::StageError::Superseded,
             ));
         }
+        let is_replaced = |o: lift_fleet::OriginEndpoint| o.address != self.origin;
+        if self.shared.origin_endpoint().is_some_and(is_replaced) {
+            let replaced = stage_error::StageError::OriginReplaced;
+            return Err(error_stack::Report::new(replaced));
+        }
         Ok(())
     }
 
@@ -203,6 +208,8 @@
     /// Takes in an event and carries out what follows.
     pub(crate) fn step(self: &sync::Arc<Self>, event: lift_transfer::DownloadEvent) {
         let now = lift_clock::now();
+        // Requests time out at ticks. Other events cancel reads of pieces that are there already.
+        let is_tick = matches!(event, lift_transfer::DownloadEvent::Tick { .. });
         let actions = self.download.lock().step(now, event, &mut rand::rng());
         for action in actions {
             match action {
@@ -211,7 +218,7 @@
                 }
                 // An answer that is no longer needed is dropped when it comes.
                 lift_transfer::DownloadAction::Cancel { source, .. } => {
-                    if source == lift_transfer::Source::Origin {
+                    if is_tick && source == lift_transfer::Source::Origin {
                         self.check_origin();
                     }
                 }
@@ -234,8 +241,7 @@
             lift_transfer::Source::Origin => {
                 let fetch = sync::Arc::clone(self);
                 let reading = async move { fetch.read_origin(chunk).await };
-                let reads = self.reads.lock().clone();
-                tokio::spawn(reads.run_until_cancelled_owned(reading));
+                tokio::spawn(self.stop.clone().run_until_cancelled_owned(reading));
             }
         }
     }
