Control members log what they know of the time of a naming

The log of a gateway tells which namings it has heard of and how old they were; that of a member did not tell whether it knew the time itself or had replayed the naming. `naming applied` has the version, its age, which is missing after a replay, and the earlier versions that the member passes on.

--- a/crates/lift_registry/src/control_member.rs
+++ b/crates/lift_registry/src/control_member.rs
@@ -141,12 +141,34 @@
     feed: sync::Arc<lift_feed::FeedServer>,
 ) {
     let mut changes = registry.state_machine.watch();
+    let mut pushed = lift_feed::FleetHead::default();
     while changes.changed().await.is_ok() {
         changes.borrow_and_update();
         let head = registry.state_machine.head();
+        log_namings(&registry, &pushed, &head);
+        pushed = head.clone();
         let evacuated = head.evacuations.len() as u64;
         let counters = &registry.node.counters;
         counters.set("control.evacuated_domains", evacuated);
         feed.push_head(head);
     }
 }
+
+/// Logs the target versions that are newer than those that were pushed last, and what this member
+/// knows of their times.
+fn log_namings(
+    registry: &registry::Registry,
+    pushed: &lift_feed::FleetHead,
+    head: &lift_feed::FleetHead,
+) {
+    for (model, named) in &head.weights {
+        let before = pushed.weights.get(model).map(|named| named.version);
+        if before == Some(named.version) {
+            continue;
+        }
+        slog::info!(registry.node.log, "naming applied"; "model" => model,
+            "version" => named.version,
+            "named_for_ms" => named.named_for.map(|age| age.as_millis() as u64),
+            "earlier" => ?named.earlier);
+    }
+}
