A naming whose time is unknown limits the use of older weights

Cause: a control member that replays its log records no time for a naming, and told only earlier versions whose times it knew. A gateway that started after the next naming heard of that one alone and dated the oldest version's end from there. `naming applied` of the members and `weights named` of the gateways show it.

`lift_fleet::NamingTimes` holds the namings of one model for members, feed and gateways; before, each had a rule of its own. The same cause elsewhere: - a member forgot the ninth version before the newest one together with its limit; the next one takes over the time now; - a node ignored an earlier naming that was ten minutes old, also where the next one was recent; - a gateway dropped a version as replaced by a newer one of an unknown time, which another member then corrected to a recent one; - within two grace periods of the start of a host an unknown time counted as now.

Two checks said the opposite of it and are replaced: the_head_tells_when_earlier_versions_were_named expected a replayed version to be left out, and now that it is told without a time; and an_older_version_that_is_learned_later_counts_from_its_own_time expected one without a time to be ignored, and a test of its own now expects that it counts.

--- a/crates/lift_dispatch/src/target_versions.rs
+++ b/crates/lift_dispatch/src/target_versions.rs
@@ -25,25 +25,24 @@
 #[derive(Clone, Debug)]
 pub struct TargetVersions {
     grace: time::Duration,
-    /// Target versions of each model, the oldest first.
-    targets: indexmap::IndexMap<lift_fleet::ModelName, Vec<Target>>,
+    targets: indexmap::IndexMap<lift_fleet::ModelName, lift_fleet::NamingTimes>,
+    /// Stands in for the time of a version that was set at an unknown time.
+    long_ago: Option<time::Instant>,
 }
 
-/// A target version and when it was set.
-type Target = (lift_fleet::WeightsVersion, time::Instant);
-
 impl TargetVersions {
     /// Creates an empty set. Older versions stay allowed for `grace`.
     pub fn new(grace: time::Duration) -> Self {
         Self {
             grace,
             targets: indexmap::IndexMap::new(),
+            long_ago: None,
         }
     }
 
     /// Records that `version` was set at `set_at`. If that time is unknown, the grace period
-    /// counts as expired at `now`. Another call for the newest version corrects its time. An older
-    /// version counts too, whenever it is learned, but not without its time.
+    /// counts as expired until another call tells the time. An older version counts too, whenever
+    /// it is learned: its grace period limits the use of still older ones.
     pub fn set_target(
         &mut self,
         now: time::Instant,
@@ -51,24 +50,10 @@
         version: lift_fleet::WeightsVersion,
         set_at: Option<time::Instant>,
     ) {
-        let grace = self.grace;
-        let long_ago = now.checked_sub(grace * 2).unwrap_or(now);
-        let at = set_at.unwrap_or(long_ago);
-        let targets = self.targets.entry(model.clone()).or_default();
-        match targets.last_mut() {
-            Some((newest, known_at)) if *newest == version => *known_at = at,
-            Some((newest, _)) if *newest > version => {
-                let Some(set_at) = set_at else { return };
-                insert_older(targets, version, set_at);
-            }
-            _ => targets.push((version, at)),
-        }
-        // Only the newest of the versions whose grace period has expired still matters.
-        let expired = targets
-            .iter()
-            .filter(|(_, at)| is_expired(now, *at, grace))
-            .count();
-        targets.drain(..expired.saturating_sub(1));
+        let long_ago = now.checked_sub(self.grace * 2).unwrap_or(now);
+        self.long_ago = Some(self.long_ago.map_or(long_ago, |at| at.min(long_ago)));
+        let times = self.targets.entry(model.clone()).or_default();
+        times.learn(version, set_at);
     }
 
     /// Lowest version of `model` on which a request may start at `now`, 0 where any will do.
@@ -76,10 +61,12 @@
         let Some(targets) = self.targets.get(model) else {
             return 0;
         };
-        let expired = targets
-            .iter()
-            .rfind(|(_, at)| is_expired(now, *at, self.grace));
-        expired.map_or(0, |(version, _)| *version)
+        let is_expired = |named: &&lift_fleet::Naming| {
+            let age = named.named_at.map(|at| now.saturating_duration_since(at));
+            age.is_none_or(|age| age > self.grace)
+        };
+        let expired = targets.iter().rfind(is_expired);
+        expired.map_or(0, |named| named.version)
     }
 
     /// Lowest version of `model` on which a request may start at `now` that takes `duration`. A
@@ -109,8 +96,9 @@
 
     /// Newest target version of `model`, 0 where none was set.
     pub fn newest(&self, model: &str) -> lift_fleet::WeightsVersion {
-        let targets = self.targets.get(model).and_then(|targets| targets.last());
-        targets.map_or(0, |(version, _)| *version)
+        let targets = self.targets.get(model);
+        let newest = targets.and_then(lift_fleet::NamingTimes::newest);
+        newest.map_or(0, |named| named.version)
     }
 
     /// Time from `now` until a backend server that holds `version` gets no more requests.
@@ -179,31 +167,14 @@
         Some(self.superseded_at(model, version)? + self.grace)
     }
 
-    /// When the first target version was set that is newer than `version`.
+    /// When the first target version was set that is newer than `version`, or a time long ago.
     fn superseded_at(
         &self,
         model: &str,
         version: lift_fleet::WeightsVersion,
     ) -> Option<time::Instant> {
         let targets = self.targets.get(model)?;
-        let (_, at) = targets.iter().find(|(newer, _)| *newer > version)?;
-        Some(*at)
-    }
-}
-
-/// Adds a version older than the newest one, or corrects its time to an earlier one.
-fn insert_older(
-    targets: &mut Vec<Target>,
-    version: lift_fleet::WeightsVersion,
-    set_at: time::Instant,
-) {
-    let position = targets.partition_point(|(known, _)| *known < version);
-    match targets.get_mut(position) {
-        Some((known, at)) if *known == version => *at = (*at).min(set_at),
-        _ => targets.insert(position, (version, set_at)),
+        let superseding = targets.superseding(version)?;
+        superseding.named_at.or(self.long_ago)
     }
 }
-
-fn is_expired(now: time::Instant, at: time::Instant, grace: time::Duration) -> bool {
-    now.saturating_duration_since(at) > grace
-}
--- a/crates/lift_dispatch/tests/target_versions.rs
+++ b/crates/lift_dispatch/tests/target_versions.rs
@@ -120,13 +120,9 @@
     assert_eq!(targets.min_version(now, &m), 2);
     assert_eq!(targets.newest(&m), 3);
     assert_eq!(targets.time_left(now, &m, 2), Some(2 * S));
-    // The earliest time of a version counts, and none can't be added without one.
+    // The earliest time of a version counts.
     targets.set_target(now, &m, 2, Some(now));
     assert_eq!(targets.min_version(now, &m), 2);
-    let (mut targets, now, m) = no_targets();
-    targets.set_target(now, &m, 3, Some(now));
-    targets.set_target(now, &m, 2, None);
-    assert_eq!(targets.min_version(now, &m), 0);
 }
 
 #[test]
@@ -147,3 +143,38 @@
     assert_eq!(targets.min_version_to_finish(later, &m, S / 10), 0);
     assert_eq!(targets.min_version_to_finish(now + 3 * S, &m, 60 * S), 0);
 }
+
+#[test]
+fn an_older_version_that_was_set_at_an_unknown_time_still_limits_those_before_it() {
+    // Guards against a gateway that starts after two target versions were set, of which control has
+    // lost the time of the first (VERSION on gcrsc-haul-grown).
+    let (mut targets, now, m) = no_targets();
+    targets.set_target(now, &m, 3, Some(now));
+    targets.set_target(now, &m, 2, None);
+    assert_eq!(targets.min_version(now, &m), 2);
+    assert_eq!(targets.time_left(now, &m, 1), Some(time::Duration::ZERO));
+    assert_eq!(targets.time_left(now, &m, 2), Some(6 * S));
+    assert!(targets.start_deadline(&m, 1).unwrap() < now);
+    targets.set_target(now, &m, 2, Some(now - S));
+    assert_eq!(targets.min_version(now, &m), 0);
+}
+
+#[test]
+fn a_time_that_is_learned_later_leaves_the_limits_of_older_versions() {
+    // Guards against a version that is forgotten since a newer one of an unknown time seems to
+    // replace it, and then that time turns out to be recent.
+    let (mut targets, now, m) = no_targets();
+    targets.set_target(now, &m, 2, Some(now - 4 * S));
+    targets.set_target(now, &m, 3, None);
+    assert_eq!(targets.min_version(now, &m), 3);
+    targets.set_target(now, &m, 3, Some(now));
+    assert_eq!(targets.min_version(now + 3 * S, &m), 2);
+}
+
+#[test]
+fn an_unknown_time_counts_as_long_ago_on_a_host_that_has_just_started() {
+    let mut targets = TargetVersions::new(time::Duration::from_secs(u64::from(u32::MAX) * 8));
+    let (now, m) = (time::Instant::now(), String::from("m"));
+    targets.set_target(now, &m, 2, None);
+    assert_eq!(targets.min_version(now, &m), 2);
+}
--- a/crates/lift_feed/src/feed_link.rs
+++ b/crates/lift_feed/src/feed_link.rs
@@ -210,9 +210,9 @@
         head: &fleet_head::FleetHead,
     ) -> Option<node_message::NodeMessage> {
         let news = self.shared.state.lock().learn_weights(at, head);
-        for (model, (version, named_at)) in news {
+        for (model, named) in news {
             let observer = &self.shared.observer;
-            observer.on_weights(&model, version, named_at);
+            observer.on_weights(&model, named.version, named.named_at);
         }
         self.shared
             .take_evacuations(self.address, &head.evacuations);
--- a/crates/lift_feed/src/feed_state.rs
+++ b/crates/lift_feed/src/feed_state.rs
@@ -2,20 +2,16 @@
 
 use std::{net, sync, time};
 
-use crate::{confirmation, earlier_version, fleet_head, known_members, node_card};
+use crate::{confirmation, fleet_head, known_members, named_weights, node_card};
 
 /// Time after which a document is fetched over another connection. It covers the transfer of
 /// a large one on a narrow link.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 
-/// Age from which a naming before the newest one no longer matters, since the weights that it
+/// Age of a naming from which those before it no longer matter: the weights that both have
 /// replaced have long been out of use.
 const EARLIER_MAX_AGE: time::Duration = time::Duration::from_secs(600);
 
-/// Difference from which an earlier time of a naming is news. Members apply a naming within a few
-/// milliseconds of each other.
-const MIN_CORRECTION: time::Duration = time::Duration::from_millis(50);
-
 /// Merged state of all connections of a node. It decides; the connections carry out.
 #[derive(Debug, Default)]
 pub(crate) struct FeedState {
@@ -30,23 +26,18 @@
     /// When the last question was asked that the leader has answered, whatever is held here.
     leader_asked_at: Option<time::Instant>,
     evacuations: lift_fleet::Evacuations,
-    weights: indexmap::IndexMap<lift_fleet::ModelName, Named>,
-    /// When earlier versions were named, by model and version.
-    earlier: indexmap::IndexMap<(lift_fleet::ModelName, lift_fleet::WeightsVersion), time::Instant>,
+    weights: indexmap::IndexMap<lift_fleet::ModelName, lift_fleet::NamingTimes>,
     nodes: indexmap::IndexMap<net::SocketAddr, Nodes>,
     /// Nodes that any member knows. Each change of a node comes over all connections, and only
     /// the first one changes this.
     merged: Nodes,
 }
 
-/// A version and when it was named, where that is known.
-pub(crate) type Named = (lift_fleet::WeightsVersion, Option<time::Instant>);
-
 type Nodes = indexmap::IndexMap<lift_types::HostId, node_card::NodeCard>;
 
 impl FeedState {
-    /// Takes in versions that a member has announced at `at` or later. Returns the weights that are
-    /// news.
+    /// Takes in versions that a member has announced at `at` or later. Returns the namings that
+    /// are news, those of one model from the oldest version to the newest.
     ///
     /// Of one version the earliest time at which it was named counts: a member that was cut off
     /// has heard of it late. A member that can't tell is not asked while another one can.
@@ -54,51 +45,21 @@
         &mut self,
         at: time::Instant,
         head: &fleet_head::FleetHead,
-    ) -> Vec<(lift_fleet::ModelName, Named)> {
+    ) -> Vec<(lift_fleet::ModelName, lift_fleet::Naming)> {
         let mut news = Vec::new();
         for (model, named) in &head.weights {
-            for earlier in &named.earlier {
-                news.extend(self.learn_earlier(at, model, earlier));
-            }
-            let named_at = named.named_for.and_then(|age| at.checked_sub(age));
-            let known = self.weights.get(model).copied();
-            let is_news = match known {
-                Some((version, _)) if named.version != version => named.version > version,
-                Some((_, Some(known_at))) => named_at.is_some_and(|at| is_correction(at, known_at)),
-                Some((_, None)) => named_at.is_some(),
-                None => true,
-            };
-            if is_news {
-                let learned = (named.version, named_at);
-                self.weights.insert(model.clone(), learned);
-                news.push((model.clone(), learned));
+            let known = self.weights.entry(model.clone()).or_default();
+            for (version, named_for) in namings_that_matter(named) {
+                let named_at = named_for.and_then(|age| at.checked_sub(age));
+                if known.learn(version, named_at) {
+                    let learned = lift_fleet::Naming { version, named_at };
+                    news.push((model.clone(), learned));
+                }
             }
         }
         news
     }
 
-    /// Takes in a version that was named before the newest one. Returns it if it is news.
-    fn learn_earlier(
-        &mut self,
-        now: time::Instant,
-        model: &lift_fleet::ModelName,
-        earlier: &earlier_version::EarlierVersion,
-    ) -> Option<(lift_fleet::ModelName, Named)> {
-        if earlier.named_for >= EARLIER_MAX_AGE {
-            return None;
-        }
-        let named_at = now.checked_sub(earlier.named_for)?;
-        let key = (model.clone(), earlier.version);
-        let known_at = self.earlier.get(&key);
-        if known_at.is_some_and(|known_at| !is_correction(named_at, *known_at)) {
-            return None;
-        }
-        let is_recent = |at: &time::Instant| now.saturating_duration_since(*at) < EARLIER_MAX_AGE;
-        self.earlier.retain(|_, at| is_recent(at));
-        self.earlier.insert(key, named_at);
-        Some((model.clone(), (earlier.version, Some(named_at))))
-    }
-
     /// Whether the document `version` is to be fetched now over the connection that asks, no
     /// sooner than `interval` after the last one. The next confirmation asks again.
     pub(crate) fn start_fetch(
@@ -236,7 +197,14 @@
     }
 }
 
-/// Whether a naming at `named_at` is so much earlier than `known_at` that it is news.
-fn is_correction(named_at: time::Instant, known_at: time::Instant) -> bool {
-    named_at + MIN_CORRECTION <= known_at
+/// Versions that a member has named, with the times since then, the oldest first. Those are left
+/// out that were named before one of long ago.
+fn namings_that_matter(
+    named: &named_weights::NamedWeights,
+) -> impl Iterator<Item = (lift_fleet::WeightsVersion, Option<time::Duration>)> {
+    let earlier = named.earlier.iter().map(|e| (e.version, e.named_for));
+    let namings: Vec<_> = earlier.chain([(named.version, named.named_for)]).collect();
+    let is_old = |age: Option<time::Duration>| age.is_some_and(|age| age >= EARLIER_MAX_AGE);
+    let first = namings.iter().rposition(|(_, age)| is_old(*age));
+    namings.into_iter().skip(first.unwrap_or_default())
 }
--- a/crates/lift_feed/tests/feed.rs
+++ b/crates/lift_feed/tests/feed.rs
@@ -139,7 +139,7 @@
         named_for: Some(9 * s),
         earlier: vec![EarlierVersion {
             version: 2,
-            named_for: 12 * s,
+            named_for: Some(12 * s),
         }],
     });
     let observer = sync::Arc::new(Observer::default());
@@ -163,7 +163,7 @@
         named_for: Some(hour),
         earlier: vec![EarlierVersion {
             version: 2,
-            named_for: 2 * hour,
+            named_for: Some(2 * hour),
         }],
     });
     let observer = sync::Arc::new(Observer::default());
@@ -178,6 +178,36 @@
     assert!(heard.iter().all(|(version, _)| *version == 3), "{heard:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn earlier_namings_of_long_ago_or_unknown_times_are_heard_after_a_recent_one() {
+    // Guards against a gateway that starts after a naming, hears of that one only, and goes on with
+    // weights that an earlier one has replaced long ago.
+    let host = [127, 0, 39, 1];
+    let member = Member::start(host).await;
+    let hour = time::Duration::from_secs(3_600);
+    let earlier = |version, named_for| EarlierVersion { version, named_for };
+    *member.source.weights.lock() = Some(NamedWeights {
+        version: 5,
+        named_for: Some(time::Duration::ZERO),
+        earlier: vec![
+            earlier(2, Some(2 * hour)),
+            earlier(3, Some(hour)),
+            earlier(4, None),
+        ],
+    });
+    let observer = sync::Arc::new(Observer::default());
+    let _client = client(&observer, [127, 0, 39, 9], &[host]);
+    until("the newest", || {
+        let heard = observer.weights.lock();
+        heard.last().is_some_and(|(version, _)| *version == 5)
+    })
+    .await;
+    let heard = observer.weights.lock().clone();
+    let versions: Vec<_> = heard.iter().map(|(version, _)| *version).collect();
+    assert_eq!(versions, [3, 4, 5], "the oldest first");
+    assert_eq!(heard[1].1, None);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_agent_takes_little_of_a_storm_of_changes() {
     // Guards against changes that an agent does not need and that fill the link of its host, which
--- a/crates/lift_fleet/src/lib.rs
+++ b/crates/lift_fleet/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! A [`Document`] is the configuration, which operators replace as a whole. [`FleetState`] holds
 //! the document with the highest version, the target version of each model's weights, and the
-//! [`Evacuations`] of failure domains. A [`RoutingTable`] is a decoded and checked document: it
-//! finds the [`Route`] of a request and the workspace of a key. A [`Directory`] merges the
-//! announcements of backend servers, which may arrive late and out of order. [`MembershipAction`]
-//! decides on the next change to the set of control members. A [`PartSighting`] is what gateways
-//! tell each other about a [`PromptPart`] that may crash backend servers.
+//! [`Evacuations`] of failure domains. [`NamingTimes`] tell when the versions of a model were
+//! named. A [`RoutingTable`] is a decoded and checked document: it finds the [`Route`] of a request
+//! and the workspace of a key. A [`Directory`] merges the announcements of backend servers, which
+//! may arrive late and out of order. [`MembershipAction`] decides on the next change to the set of
+//! control members. A [`PartSighting`] is what gateways tell each other about a [`PromptPart`] that
+//! may crash backend servers.
 //!
 //! Every function takes `now` where it needs the time. See `docs/platform.md`.
 
@@ -35,6 +36,8 @@
 mod member_status;
 mod membership_action;
 mod model_name;
+mod naming;
+mod naming_times;
 mod origin_endpoint;
 mod part_observation;
 mod part_sighting;
@@ -76,6 +79,8 @@
 pub use member_status::MemberStatus;
 pub use membership_action::MembershipAction;
 pub use model_name::{MAX_MODEL_NAME_BYTES, ModelName};
+pub use naming::Naming;
+pub use naming_times::NamingTimes;
 pub use origin_endpoint::OriginEndpoint;
 pub use part_observation::PartObservation;
 pub use part_sighting::PartSighting;
--- a/crates/lift_registry/src/fleet_state_machine.rs
+++ b/crates/lift_registry/src/fleet_state_machine.rs
@@ -5,13 +5,6 @@
 use sync::atomic;
 use tokio::sync::watch;
 
-/// Target versions of one model whose times are kept. Each counts for as long as older weights may
-/// be in use, which is seconds.
-const MAX_TIMES: usize = 8;
-
-/// A target version and when it was applied.
-type VersionTime = (lift_fleet::WeightsVersion, time::Instant);
-
 /// Applies the commands of the replicated log to [`lift_fleet::FleetState`] and notifies
 /// watchers of changes.
 #[derive(Debug)]
@@ -19,10 +12,9 @@
     state: parking_lot::Mutex<lift_fleet::FleetState>,
     /// Number of changes of the state so far.
     changes: watch::Sender<u64>,
-    /// When the last target versions of each model were applied, the oldest first, except for
-    /// versions that may have been replayed from the disk or come from a snapshot.
-    target_versions:
-        parking_lot::Mutex<indexmap::IndexMap<lift_fleet::ModelName, Vec<VersionTime>>>,
+    /// When the last target versions of each model were applied. The time is unknown of those that
+    /// were replayed from the disk or come from a snapshot.
+    namings: parking_lot::Mutex<indexmap::IndexMap<lift_fleet::ModelName, lift_fleet::NamingTimes>>,
     /// Whether the commands that are applied may be as old as the log, at the start of each run.
     is_replaying: atomic::AtomicBool,
     unreadable_commands: atomic::AtomicU64,
@@ -34,7 +26,7 @@
         Self {
             state: parking_lot::Mutex::default(),
             changes: watch::Sender::new(0),
-            target_versions: parking_lot::Mutex::default(),
+            namings: parking_lot::Mutex::default(),
             is_replaying: atomic::AtomicBool::new(true),
             unreadable_commands: atomic::AtomicU64::new(0),
         }
@@ -55,10 +47,10 @@
     pub fn head(&self) -> lift_feed::FleetHead {
         let now = lift_clock::now();
         let state = self.state.lock();
-        let applied = self.target_versions.lock();
+        let namings = self.namings.lock();
         let weights = state.target_versions().iter().map(|(model, version)| {
-            let times = applied.get(model).map(Vec::as_slice).unwrap_or_default();
-            (model.clone(), named_weights(now, *version, times))
+            let times = namings.get(model).cloned().unwrap_or_default();
+            (model.clone(), named_weights(now, *version, &times))
         });
         lift_feed::FleetHead {
             document: state.document_version(),
@@ -104,18 +96,37 @@
         postcard::from_bytes(buf).ok()
     }
 
-    /// Records when a target version was applied. A replayed command is left out: a late time would
-    /// let requests start on older weights for longer.
-    fn record_target_version(&self, command: &lift_fleet::FleetCommand) {
+    /// The target version that `command` would replace, if it sets one.
+    fn replaced_version(
+        &self,
+        command: &lift_fleet::FleetCommand,
+    ) -> Option<lift_fleet::WeightsVersion> {
+        let lift_fleet::FleetCommand::SetTargetVersion { model, .. } = command else {
+            return None;
+        };
+        self.state.lock().target_versions().get(model).copied()
+    }
+
+    /// Records when a target version was applied that has replaced `replaced`. The time of a
+    /// replayed command is unknown: a late time would let requests start on older weights for
+    /// longer.
+    fn record_naming(
+        &self,
+        command: &lift_fleet::FleetCommand,
+        replaced: Option<lift_fleet::WeightsVersion>,
+    ) {
+        let lift_fleet::FleetCommand::SetTargetVersion { model, version } = command else {
+            return;
+        };
         let now = lift_clock::now();
-        if let lift_fleet::FleetCommand::SetTargetVersion { model, version } = command
-            && !self.is_replaying.load(atomic::Ordering::Acquire)
-        {
-            let mut applied = self.target_versions.lock();
-            let times = applied.entry(model.clone()).or_default();
-            times.push((*version, now));
-            times.drain(..times.len().saturating_sub(MAX_TIMES));
+        let is_replaying = self.is_replaying.load(atomic::Ordering::Acquire);
+        let mut namings = self.namings.lock();
+        let times = namings.entry(model.clone()).or_default();
+        if let Some(replaced) = replaced {
+            // It may come from a snapshot.
+            times.learn(replaced, None);
         }
+        times.learn(*version, (!is_replaying).then_some(now));
     }
 
     fn notify_watchers(&self) {
@@ -123,22 +134,24 @@
     }
 }
 
-/// The newest version, and those before it whose times are known.
+/// The newest version and those before it, with the times since they were set.
 fn named_weights(
     now: time::Instant,
     newest: lift_fleet::WeightsVersion,
-    times: &[VersionTime],
+    times: &lift_fleet::NamingTimes,
 ) -> lift_feed::NamedWeights {
-    let age = |at: &time::Instant| now.saturating_duration_since(*at);
-    let newest_at = times.iter().rfind(|(version, _)| *version == newest);
-    let earlier = times.iter().filter(|(version, _)| *version < newest);
-    let earlier = earlier.map(|(version, at)| lift_feed::EarlierVersion {
-        version: *version,
-        named_for: age(at),
+    let age = |named: &lift_fleet::Naming| {
+        let at = named.named_at?;
+        Some(now.saturating_duration_since(at))
+    };
+    let earlier = times.iter().filter(|named| named.version < newest);
+    let earlier = earlier.map(|named| lift_feed::EarlierVersion {
+        version: named.version,
+        named_for: age(named),
     });
     lift_feed::NamedWeights {
         version: newest,
-        named_for: newest_at.map(|(_, at)| age(at)),
+        named_for: times.get(newest).and_then(age),
         earlier: earlier.collect(),
     }
 }
@@ -174,9 +187,10 @@
                 .fetch_add(1, atomic::Ordering::AcqRel);
             return bytes::Bytes::new();
         };
+        let replaced = self.replaced_version(&command);
         let reply = self.state.lock().apply(index, command.clone());
         if reply == lift_fleet::FleetReply::Applied {
-            self.record_target_version(&command);
+            self.record_naming(&command, replaced);
             self.notify_watchers();
         }
         let reply = postcard::to_stdvec(&reply);
--- a/crates/lift_registry/tests/namings.rs
+++ b/crates/lift_registry/tests/namings.rs
@@ -27,10 +27,10 @@
     let named = &head.weights["m"];
     assert_eq!(named.version, 3);
     let versions: Vec<_> = named.earlier.iter().map(|e| e.version).collect();
-    assert_eq!(versions, [2], "the time of the replayed one is not known");
-    assert!(
-        named.earlier[0].named_for >= named.named_for.unwrap() + time::Duration::from_millis(50)
-    );
+    assert_eq!(versions, [1, 2]);
+    let (replayed, earlier) = (named.earlier[0].named_for, named.earlier[1].named_for);
+    assert_eq!(replayed, None, "the time of the replayed one is not known");
+    assert!(earlier.unwrap() >= named.named_for.unwrap() + time::Duration::from_millis(50));
     for version in 4..=30 {
         name(&machine, version, version);
     }
@@ -98,3 +98,34 @@
     name(&machine, 3, 3);
     assert!(machine.head().weights["m"].named_for.is_some());
 }
+
+#[test]
+fn a_naming_from_a_snapshot_counts_for_a_gateway_that_starts_after_the_next_one() {
+    let (machine, other) = (
+        lift_registry::FleetStateMachine::new(),
+        lift_registry::FleetStateMachine::new(),
+    );
+    name(&machine, 1, 2);
+    assert!(other.restore(&machine.snapshot()));
+    other.end_replay();
+    name(&other, 2, 3);
+    let head = other.head();
+    let earlier = &head.weights["m"].earlier;
+    assert_eq!(earlier.len(), 1);
+    assert_eq!((earlier[0].version, earlier[0].named_for), (2, None));
+}
+
+#[test]
+fn a_member_that_forgets_old_namings_does_not_extend_the_use_of_older_weights() {
+    let machine = lift_registry::FleetStateMachine::new();
+    machine.end_replay();
+    name(&machine, 1, 2);
+    std::thread::sleep(time::Duration::from_millis(50));
+    for version in 3..=30 {
+        name(&machine, version, version);
+    }
+    let head = machine.head();
+    let first = &head.weights["m"].earlier[0];
+    assert!(first.version > 3, "the first ones are forgotten");
+    assert!(first.named_for.unwrap() >= time::Duration::from_millis(50));
+}
