Test backend servers close their listener before their connections

The server of the test that ends closed the broken connection at once and its listener when another task was scheduled. The gateway asks in between whether the server refuses connections, takes it for one that runs, and so records no end. A process that ends closes its listener first, as it was opened first, and the server of the test does so now. No check is changed.

--- a/crates/lift_gateway/tests/support/backend.rs
+++ b/crates/lift_gateway/tests/support/backend.rs
@@ -145,6 +145,9 @@
     hanging: sync::atomic::AtomicUsize,
     /// A part on which the server ends, and what it sends before.
     deadly_part: Option<(String, String)>,
+    /// Cancelled in this order, so that a server whose connections break accepts no others.
+    is_ending: tokio_util::sync::CancellationToken,
+    listener_closed: tokio_util::sync::CancellationToken,
     ended: tokio_util::sync::CancellationToken,
 }
 
@@ -179,16 +182,15 @@
             received: parking_lot::Mutex::default(),
             hanging: sync::atomic::AtomicUsize::new(0),
             deadly_part,
+            listener_closed: tokio_util::sync::CancellationToken::new(),
+            is_ending: tokio_util::sync::CancellationToken::new(),
             ended: tokio_util::sync::CancellationToken::new(),
         });
         let shared = sync::Arc::clone(&state);
-        let accepting = async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let serving = serve(sync::Arc::clone(&shared), stream);
-                tokio::spawn(shared.ended.clone().run_until_cancelled_owned(serving));
-            }
-        };
-        tokio::spawn(state.ended.clone().run_until_cancelled_owned(accepting));
+        tokio::spawn(async move {
+            accept(&shared, listener).await;
+            shared.listener_closed.cancel();
+        });
         Self { address, state }
     }
 
@@ -206,6 +208,17 @@
     }
 }
 
+/// Accepts connections until the server ends, and closes the listener.
+async fn accept(state: &sync::Arc<State>, listener: tokio::net::TcpListener) {
+    let accepting = async {
+        while let Ok((stream, _)) = listener.accept().await {
+            let serving = serve(sync::Arc::clone(state), stream);
+            tokio::spawn(state.ended.clone().run_until_cancelled_owned(serving));
+        }
+    };
+    state.is_ending.run_until_cancelled(accepting).await;
+}
+
 async fn serve(state: sync::Arc<State>, mut stream: tokio::net::TcpStream) {
     let mut buf = Vec::new();
     for request in 0.. {
@@ -230,6 +243,8 @@
         {
             tokio::time::sleep(PREFILL_TIME).await;
             let _ = send(&mut stream, beginning, &id).await;
+            state.is_ending.cancel();
+            state.listener_closed.cancelled().await;
             state.ended.cancel();
             return;
         }
