A head that waited in a queue is sent with the ages of that moment

What callers would see: answers on weights whose time is over, by up to the second for which a link stood still at the naming.

Cause: a member put a copy of the head into the queue of each connection. The queue now says only that the head has changed, and the member reads the head when it writes it. So the ages are as of a moment after every answer that was written before, which is what the node takes them for.

--- a/crates/lift_dispatch/tests/target_versions.rs
+++ b/crates/lift_dispatch/tests/target_versions.rs
@@ -149,8 +149,7 @@
 
 #[test]
 fn an_older_version_that_was_set_at_an_unknown_time_still_limits_those_before_it() {
-    // Guards against a gateway that starts after two target versions were set, of which control has
-    // lost the time of the first (VERSION on gcrsc-haul-grown).
+    // Guards against a limit that is lost together with its time.
     let (mut targets, now, m) = no_targets();
     targets.set_target(now, &m, 3, Some(now));
     targets.set_target(now, &m, 2, None);
@@ -163,9 +162,8 @@
 }
 
 #[test]
-fn a_time_that_is_learned_later_leaves_the_limits_of_older_versions() {
-    // Guards against a version that is forgotten since a newer one of an unknown time seems to
-    // replace it, and then that time turns out to be recent.
+fn a_version_of_an_unknown_time_does_not_remove_the_limits_of_older_ones() {
+    // The time of the newer version may become known and turn out to be recent.
     let (mut targets, now, m) = no_targets();
     targets.set_target(now, &m, 2, Some(now - 4 * S));
     targets.set_target(now, &m, 3, None);
--- a/crates/lift_feed/src/earlier_version.rs
+++ b/crates/lift_feed/src/earlier_version.rs
@@ -7,6 +7,6 @@
 pub struct EarlierVersion {
     /// Version of the weights.
     pub version: lift_fleet::WeightsVersion,
-    /// Time since it was named. `None` where the member can't tell, which counts as long ago.
+    /// Time since it was named, or more. `None` where the member can't tell, which counts as long ago.
     pub named_for: Option<time::Duration>,
 }
--- a/crates/lift_feed/src/feed_link.rs
+++ b/crates/lift_feed/src/feed_link.rs
@@ -152,9 +152,9 @@
     }
 
     /// Records the answer to the question `nonce`, and returns when that was asked.
-    fn take_answer(&mut self, nonce: u64, is_confirming: bool) -> Option<time::Instant> {
+    fn take_answer(&mut self, nonce: u64, is_confirmed: bool) -> Option<time::Instant> {
         let now = lift_clock::now();
-        let at = self.questions.answer(nonce, is_confirming)?;
+        let at = self.questions.answer(nonce, is_confirmed)?;
         let round_trip = now.saturating_duration_since(at);
         self.shared.observer.on_round_trip(self.address, round_trip);
         Some(at)
@@ -174,7 +174,7 @@
                 shared.state.lock().members.name(lift_clock::now(), feeds);
                 observer.on_members(&members, highest);
             }
-            Message::Head(head) => return self.take_head(self.questions.sent_after(), &head),
+            Message::Head(head) => return self.take_head(self.questions.written_after(), &head),
             Message::HeadAfter { nonce, head } => {
                 if let Some(answered) = self.questions.answered(nonce) {
                     if answered.is_confirmed {
--- a/crates/lift_feed/src/named_weights.rs
+++ b/crates/lift_feed/src/named_weights.rs
@@ -9,8 +9,8 @@
 pub struct NamedWeights {
     /// Version of the weights.
     pub version: lift_fleet::WeightsVersion,
-    /// Time since it was named. `None` where the member learned of it from its disk or from a
-    /// snapshot, and can't tell.
+    /// Time since it was named, or more. `None` where the member can't tell, which counts as long
+    /// ago: it has learned of it from its disk, from a snapshot, or before the leader answered it.
     pub named_for: Option<time::Duration>,
     /// Versions that were named shortly before, the oldest first. A node that starts now has not
     /// heard of them, and their time counts as well.
--- a/crates/lift_feed/src/questions.rs
+++ b/crates/lift_feed/src/questions.rs
@@ -38,14 +38,14 @@
 
     /// Records the answer to the question `nonce`, and returns when that was asked. Earlier
     /// questions are dropped with it. `None` if no such question is on its way.
-    pub(crate) fn answer(&mut self, nonce: u64, is_confirming: bool) -> Option<time::Instant> {
-        self.schedule.record_answer(is_confirming);
+    pub(crate) fn answer(&mut self, nonce: u64, is_confirmed: bool) -> Option<time::Instant> {
+        self.schedule.record_answer(is_confirmed);
         let position = self.asked.iter().position(|(n, _)| *n == nonce)?;
         let (_, asked_at) = self.asked.drain(..=position).next_back()?;
         self.answered = Some(answered_question::AnsweredQuestion {
             nonce,
             asked_at,
-            is_confirmed: is_confirming,
+            is_confirmed,
         });
         Some(asked_at)
     }
@@ -55,9 +55,9 @@
         self.answered.filter(|answered| answered.nonce == nonce)
     }
 
-    /// A time before the member has sent what arrives now: messages keep their order, but they may
-    /// have waited for this node for any time.
-    pub(crate) fn sent_after(&self) -> time::Instant {
+    /// A time before the member has written what arrives now. A connection keeps the order of
+    /// messages, but they may have waited on their way, or in the socket of this node, for any time.
+    pub(crate) fn written_after(&self) -> time::Instant {
         let answered_at = self.answered.map(|answered| answered.asked_at);
         answered_at.unwrap_or(self.opened_at)
     }
--- a/crates/lift_feed/src/server_connection.rs
+++ b/crates/lift_feed/src/server_connection.rs
@@ -125,9 +125,9 @@
         tokio::select! {
             message = queue.recv() => {
                 let Some(message) = message else { return Ok(()) };
-                push(&mut writer, &message)?;
+                push_queued(server, &mut writer, &message)?;
                 while let Ok(message) = queue.try_recv() {
-                    push(&mut writer, &message)?;
+                    push_queued(server, &mut writer, &message)?;
                 }
             }
             message = within(SILENCE, reader.recv()) => {
@@ -186,6 +186,22 @@
     }
 }
 
+/// Sends a message that may have waited. A head is read anew, so that the ages in it are those of
+/// this moment: the node takes them for such.
+fn push_queued(
+    server: &feed_server::FeedServer,
+    writer: &mut Writer,
+    message: &member_message::MemberMessage,
+) -> Result<()> {
+    match message {
+        member_message::MemberMessage::Head(_) => {
+            let head = server.source.head();
+            push(writer, &member_message::MemberMessage::Head(head))
+        }
+        message => push(writer, message),
+    }
+}
+
 fn push(writer: &mut Writer, message: &member_message::MemberMessage) -> Result<()> {
     let pushed = writer.push(message);
     pushed.change_context(feed_error::FeedError::Link)
--- a/crates/lift_feed/tests/namings.rs
+++ b/crates/lift_feed/tests/namings.rs
@@ -61,8 +61,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn earlier_namings_of_long_ago_or_unknown_times_are_heard_after_a_recent_one() {
-    // Guards against a gateway that starts after a naming, hears of that one only, and goes on with
-    // weights that an earlier one has replaced long ago.
+    // Guards against the use of weights that an earlier naming has replaced long ago.
     let host = [127, 0, 39, 1];
     let member = Member::start(host).await;
     let hour = time::Duration::from_secs(3_600);
@@ -163,8 +162,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_naming_that_waits_for_a_node_counts_from_before_it_although_control_ends() {
-    // Guards against a gateway that stands still while a version is named, and hears of it from a
-    // member that ends before any question is answered again.
+    // Guards against a wrong time that no later answer corrects.
     let naming = MissedNaming::play(91, time::Duration::from_millis(1_500)).await;
     tokio::time::sleep(time::Duration::from_millis(200)).await;
     naming.member.stop.cancel();
--- a/crates/lift_registry/src/fleet_state_machine.rs
+++ b/crates/lift_registry/src/fleet_state_machine.rs
@@ -14,8 +14,8 @@
     state: parking_lot::Mutex<lift_fleet::FleetState>,
     /// Number of changes of the state so far.
     changes: watch::Sender<u64>,
-    /// When the last target versions of each model were named. The time is unknown of those that
-    /// were replayed from the disk or come from a snapshot, unless another member tells it.
+    /// When the last target versions of each model were named, as far as the leader's answers or
+    /// other members tell. Locked after the state only.
     namings: parking_lot::Mutex<indexmap::IndexMap<lift_fleet::ModelName, lift_fleet::NamingTimes>>,
     leader_heads: parking_lot::Mutex<leader_heads::LeaderHeads>,
     /// The log whose commands are applied. It owns the state machine.
--- a/crates/lift_registry/src/leader_heads.rs
+++ b/crates/lift_registry/src/leader_heads.rs
@@ -2,8 +2,8 @@
 
 use std::{collections, time};
 
-/// Answers of the leader that are kept. A member applies a naming soon after the leader, unless it
-/// lags, and then the time is better unknown.
+/// Answers of the leader that are kept, each with other versions than the one before. The time of a
+/// naming that is applied later than that is unknown.
 const MAX_HEADS: usize = 16;
 
 type TargetVersions = indexmap::IndexMap<lift_fleet::ModelName, lift_fleet::WeightsVersion>;
--- a/crates/lift_registry/tests/namings.rs
+++ b/crates/lift_registry/tests/namings.rs
@@ -139,8 +139,7 @@
 
 #[test]
 fn a_naming_that_a_member_applies_late_is_not_dated_by_its_arrival() {
-    // Guards against a member that was cut off without a restart, and against the use of older
-    // weights from the end of the cut on where all others have lost the time.
+    // Guards against a member that was cut off without a restart.
     let machine = lift_registry::FleetStateMachine::new();
     machine.end_replay();
     name(&machine, 1, 2);
