Earlier namings matter for as long as settings may allow older weights

With a limit above ten minutes a gateway that started after three namings, 900 s, 650 s and 5 s ago, counted the end of the oldest weights from the second one, 250 s too late (found by a review, shown by its run of the filter).

--- a/crates/lift_feed/src/feed_state.rs
+++ b/crates/lift_feed/src/feed_state.rs
@@ -8,9 +8,9 @@
 /// a large one on a narrow link.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 
-/// Age of a naming from which those before it no longer matter: the weights that both have
-/// replaced have long been out of use.
-const EARLIER_MAX_AGE: time::Duration = time::Duration::from_secs(600);
+/// Age of a naming from which those before it no longer matter. Longer than settings can allow the
+/// use of weights that were replaced.
+const EARLIER_MAX_AGE: time::Duration = time::Duration::from_hours(48);
 
 /// Merged state of all connections of a node. It decides; the connections carry out.
 #[derive(Debug, Default)]
--- a/crates/lift_feed/tests/namings.rs
+++ b/crates/lift_feed/tests/namings.rs
@@ -38,13 +38,13 @@
     // of the configuration.
     let host = [127, 0, 38, 1];
     let member = Member::start(host).await;
-    let hour = time::Duration::from_secs(3_600);
+    let long = time::Duration::from_hours(72);
     member.source.name(NamedWeights {
         version: 3,
-        named_for: Some(hour),
+        named_for: Some(long),
         earlier: vec![EarlierVersion {
             version: 2,
-            named_for: Some(2 * hour),
+            named_for: Some(2 * long),
         }],
     });
     let observer = sync::Arc::new(Observer::default());
@@ -64,14 +64,14 @@
     // Guards against the use of weights that an earlier naming has replaced long ago.
     let host = [127, 0, 39, 1];
     let member = Member::start(host).await;
-    let hour = time::Duration::from_secs(3_600);
+    let long = time::Duration::from_hours(72);
     let earlier = |version, named_for| EarlierVersion { version, named_for };
     member.source.name(NamedWeights {
         version: 5,
         named_for: Some(time::Duration::ZERO),
         earlier: vec![
-            earlier(2, Some(2 * hour)),
-            earlier(3, Some(hour)),
+            earlier(2, Some(2 * long)),
+            earlier(3, Some(long)),
             earlier(4, None),
         ],
     });
