A naming and its time become visible together

A member that applied a naming showed the new version before it recorded the time. The time is now recorded under the lock of the state. The tests of lift_registry/tests/namings.rs and members.rs pass; the window is too short for a test of its own.

--- a/crates/lift_registry/src/fleet_state_machine.rs
+++ b/crates/lift_registry/src/fleet_state_machine.rs
@@ -109,17 +109,6 @@
         postcard::from_bytes(buf).ok()
     }
 
-    /// The target version that `command` would replace, if it sets one.
-    fn replaced_version(
-        &self,
-        command: &lift_fleet::FleetCommand,
-    ) -> Option<lift_fleet::WeightsVersion> {
-        let lift_fleet::FleetCommand::SetTargetVersion { model, .. } = command else {
-            return None;
-        };
-        self.state.lock().target_versions().get(model).copied()
-    }
-
     /// Records that the leader held the target versions of `head` after it was asked at `asked_at`.
     pub fn record_leader_head(&self, asked_at: time::Instant, head: &lift_feed::FleetHead) {
         self.leader_heads.lock().record(asked_at, head);
@@ -137,20 +126,28 @@
         times.learn(version, not_before);
     }
 
-    /// Records when a target version was named that is applied and has replaced `replaced`.
-    fn record_naming(
+    /// Applies a command and, if it names a version, records when that was named. Nobody reads the
+    /// version in between, which would seem to be named long ago.
+    fn apply_command(
         &self,
+        index: lift_types::LogIndex,
         command: &lift_fleet::FleetCommand,
-        replaced: Option<lift_fleet::WeightsVersion>,
-    ) {
+    ) -> lift_fleet::FleetReply {
         let lift_fleet::FleetCommand::SetTargetVersion { model, version } = command else {
-            return;
+            return self.state.lock().apply(index, command.clone());
         };
-        if let Some(replaced) = replaced {
-            // It may come from a snapshot.
-            self.learn_naming(model, replaced, None);
+        let not_before = self.not_before(model, *version);
+        let mut state = self.state.lock();
+        let replaced = state.target_versions().get(model).copied();
+        let reply = state.apply(index, command.clone());
+        if reply == lift_fleet::FleetReply::Applied {
+            if let Some(replaced) = replaced {
+                // It may come from a snapshot.
+                self.learn_naming(model, replaced, None);
+            }
+            self.learn_naming(model, *version, not_before);
         }
-        self.learn_naming(model, *version, self.not_before(model, *version));
+        reply
     }
 
     /// The latest known time before which a version that is applied now was not acknowledged to
@@ -230,10 +227,8 @@
                 .fetch_add(1, atomic::Ordering::AcqRel);
             return bytes::Bytes::new();
         };
-        let replaced = self.replaced_version(&command);
-        let reply = self.state.lock().apply(index, command.clone());
+        let reply = self.apply_command(index, &command);
         if reply == lift_fleet::FleetReply::Applied {
-            self.record_naming(&command, replaced);
             self.notify_watchers();
         }
         let reply = postcard::to_stdvec(&reply);
