Times of namings have one name: not_before

Observers and target versions still called the bound `set_at` or `named_at`, which promised the time itself. A review stumbled over it.

--- a/crates/lift_dispatch/src/target_versions.rs
+++ b/crates/lift_dispatch/src/target_versions.rs
@@ -40,7 +40,7 @@
         }
     }
 
-    /// Records that `version` was not set before `set_at`. If no such time is known, the grace
+    /// Records that `version` was not set before `not_before`. If no such time is known, the grace
     /// period counts as expired until another call tells one; a later one replaces an earlier one.
     /// An older version counts too, whenever it is learned: its grace period limits the use of still
     /// older ones.
@@ -49,12 +49,12 @@
         now: time::Instant,
         model: &lift_fleet::ModelName,
         version: lift_fleet::WeightsVersion,
-        set_at: Option<time::Instant>,
+        not_before: Option<time::Instant>,
     ) {
         let long_ago = now.checked_sub(self.grace * 2).unwrap_or(now);
         self.long_ago = Some(self.long_ago.map_or(long_ago, |at| at.min(long_ago)));
         let times = self.targets.entry(model.clone()).or_default();
-        times.learn(version, set_at);
+        times.learn(version, not_before);
     }
 
     /// Lowest version of `model` on which a request may start at `now`, 0 where any will do.
@@ -147,8 +147,8 @@
         self.grace * (100 - SLOW_GRACE_PERCENT) / 100
     }
 
-    /// Time at `now` since the target version was set that replaces `version`. `None` if no newer
-    /// target version was set.
+    /// Time at `now` since the target version was set that replaces `version`, or more. `None` if no
+    /// newer target version was set.
     pub fn superseded_for(
         &self,
         now: time::Instant,
--- a/crates/lift_gateway/src/fleet_state.rs
+++ b/crates/lift_gateway/src/fleet_state.rs
@@ -182,11 +182,11 @@
         now: time::Instant,
         model: &lift_fleet::ModelName,
         version: lift_fleet::WeightsVersion,
-        set_at: Option<time::Instant>,
+        not_before: Option<time::Instant>,
     ) {
         self.target_versions
             .lock()
-            .set_target(now, model, version, set_at);
+            .set_target(now, model, version, not_before);
     }
 
     /// Applies records of backend servers. Calls `take_in` with those that have changed before they
--- a/crates/lift_gateway/src/gateway_observer.rs
+++ b/crates/lift_gateway/src/gateway_observer.rs
@@ -69,13 +69,13 @@
         &self,
         model: &lift_fleet::ModelName,
         version: lift_fleet::WeightsVersion,
-        set_at: Option<time::Instant>,
+        not_before: Option<time::Instant>,
     ) {
         let now = lift_clock::now();
-        let age = set_at.map(|at| now.saturating_duration_since(at));
+        let age = not_before.map(|at| now.saturating_duration_since(at));
         self.shared
             .fleet
-            .set_target_version(now, model, version, set_at);
+            .set_target_version(now, model, version, not_before);
         slog::info!(self.shared.log.logger(), "weights named"; "model" => model,
             "version" => version, "named_for_ms" => age.map(|a| a.as_millis() as u64));
     }
--- a/crates/lift_stage/src/agent_observer.rs
+++ b/crates/lift_stage/src/agent_observer.rs
@@ -19,11 +19,11 @@
         &self,
         model: &lift_fleet::ModelName,
         version: lift_fleet::WeightsVersion,
-        named_at: Option<time::Instant>,
+        not_before: Option<time::Instant>,
     ) {
         slog::info!(self.shared.log, "weights named"; "model" => model, "version" => version);
         self.shared.named.send_modify(|named| {
-            named.set_target(lift_clock::now(), model, version, named_at);
+            named.set_target(lift_clock::now(), model, version, not_before);
         });
     }
 
--- a/crates/lift_stage/src/shared.rs
+++ b/crates/lift_stage/src/shared.rs
@@ -115,7 +115,7 @@
         self.named.borrow().newest(model)
     }
 
-    /// Milliseconds since a version was named, for the log.
+    /// Milliseconds since a version was named, or more, for the log.
     pub(crate) fn named_for_ms(&self, manifest: &piece_manifest::PieceManifest) -> Option<u64> {
         let before = manifest.version.checked_sub(1)?;
         let now = lift_clock::now();
