Gateways log the digest of a request on which a backend server ended

The line 'backend server ended on a request' named the parts of the prompt only, so it could not tell whether the same request came again, and requests without a prompt left no line at all.

The digest covers method, host, path and query, caller, model, the whole prompt and the body. It is computed when a server has ended, not in calm.

--- a/crates/lift_gateway/src/caller_head.rs
+++ b/crates/lift_gateway/src/caller_head.rs
@@ -15,6 +15,9 @@
     pub model: Option<lift_fleet::ModelName>,
     /// Parts of the prompt in order, without the last, which is the request's own.
     pub parts: Vec<lift_fleet::PromptPart>,
+    /// The whole prompt as the caller names it, if it does. It tells requests with equal bodies
+    /// apart.
+    pub prompt: Option<String>,
     /// Number of the last event of the stream that the caller has received, if it resumes one.
     pub last_event: Option<u64>,
 }
--- a/crates/lift_gateway/src/http_server.rs
+++ b/crates/lift_gateway/src/http_server.rs
@@ -125,6 +125,7 @@
         uri: parts.uri,
         headers: end_to_end::copy_headers(&parts.headers),
         body,
+        digest: sync::OnceLock::new(),
         started,
         deadline,
         weights_requirement,
--- a/crates/lift_gateway/src/lib.rs
+++ b/crates/lift_gateway/src/lib.rs
@@ -52,6 +52,7 @@
 mod rejection;
 mod request_admission;
 mod request_attempt;
+mod request_identity;
 mod request_log;
 mod request_records;
 mod request_run;
--- /dev/null
+++ b/crates/lift_gateway/src/request_identity.rs
@@ -0,0 +1,38 @@
+//! Identity of the content of a request.
+
+use crate::request_run;
+
+impl request_run::RequestRun {
+    /// Digest of what the caller sends again if it repeats the request under another identifier.
+    /// It is computed once, and only if it is needed.
+    pub(crate) fn digest(&self) -> &lift_fleet::RequestDigest {
+        self.digest.get_or_init(|| self.compute_digest())
+    }
+
+    fn compute_digest(&self) -> lift_fleet::RequestDigest {
+        let caller = match &self.workspace {
+            Some(workspace) => Some(workspace),
+            None => self.head.key.as_ref(),
+        };
+        let target = self.uri.path_and_query().map(|target| target.as_str());
+        let fields: [Option<&[u8]>; 7] = [
+            Some(self.method.as_str().as_bytes()),
+            Some(self.route.host.as_bytes()),
+            target.map(str::as_bytes),
+            caller.map(|caller| caller.as_bytes()),
+            self.head.model.as_ref().map(|model| model.as_bytes()),
+            self.head.prompt.as_ref().map(|prompt| prompt.as_bytes()),
+            Some(&self.body),
+        ];
+        let mut hasher = blake3::Hasher::new();
+        for field in fields {
+            // The length keeps the end of one field apart from the start of the next.
+            let length = field.map_or(u64::MAX, |field| field.len() as u64);
+            hasher.update(&length.to_be_bytes());
+            hasher.update(field.unwrap_or_default());
+        }
+        let mut bytes = [0; 16];
+        hasher.finalize_xof().fill(&mut bytes);
+        lift_fleet::RequestDigest::new(bytes)
+    }
+}
--- a/crates/lift_gateway/src/request_records.rs
+++ b/crates/lift_gateway/src/request_records.rs
@@ -126,7 +126,7 @@
         failure: lift_dispatch::AttemptFailure,
     ) {
         let is_break = failure == lift_dispatch::AttemptFailure::Broken;
-        if !is_break || self.head.parts.is_empty() {
+        if !is_break {
             return;
         }
         if !server_probe::has_ended(backend.address).await {
@@ -134,8 +134,12 @@
         }
         self.shared.log.write_limited(|log| {
             slog::info!(log, "backend server ended on a request"; "request" => &self.head.id,
-                "backend" => &backend.id, "parts" => self.head.parts.join(","));
+                "backend" => &backend.id, "parts" => self.head.parts.join(","),
+                "digest" => self.digest().as_suspect());
         });
+        if self.head.parts.is_empty() {
+            return;
+        }
         self.shared
             .parts
             .record_crash(&backend.id, &self.head.parts);
--- a/crates/lift_gateway/src/request_run.rs
+++ b/crates/lift_gateway/src/request_run.rs
@@ -31,6 +31,8 @@
     /// The caller's end-to-end headers.
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: bytes::Bytes,
+    /// Identity of the content, once it was needed.
+    pub(crate) digest: sync::OnceLock<lift_fleet::RequestDigest>,
     pub(crate) started: time::Instant,
     pub(crate) deadline: time::Instant,
     pub(crate) weights_requirement: lift_dispatch::WeightsRequirement,
--- a/crates/lift_gateway/tests/support/dialect.rs
+++ b/crates/lift_gateway/tests/support/dialect.rs
@@ -30,6 +30,7 @@
             parts: text(&head.headers, "x-parts").map_or_else(Vec::new, |parts| {
                 parts.split(',').map(String::from).collect()
             }),
+            prompt: text(&head.headers, "x-parts"),
             last_event: None,
         })
     }
