Forward no comments of a continuation before its first event

What callers saw: a stream that went on at another server could pass on comments of an answer that turned out to continue nothing.

Cause: complete comments were forwarded at once, while only an event shows that an answer continues the stream. They are dropped until then; the test passes again.

--- a/crates/lift_gateway/src/event_stream.rs
+++ b/crates/lift_gateway/src/event_stream.rs
@@ -108,7 +108,10 @@
             part.record_events(new_events);
             self.stall_timer.restart(lift_clock::now());
         }
-        Ok(Some(events))
+        match part.continues_nothing_yet() {
+            true => Ok(Some(bytes::Bytes::new())),
+            false => Ok(Some(events)),
+        }
     }
 
     /// Resumes the stream at another backend server after the last complete event. A stream that
@@ -213,7 +216,7 @@
         };
         // A crash may look like the end of an answer whose end isn't marked.
         if part.exchange.is_end_marked() || part.is_under_way() {
-            self.run.shared.parts.record_answer(&self.run.head.parts);
+            self.run.shared.parts.record_answer(&self.run.suspects());
         }
         let exchange = part.exchange;
         let backend = exchange.in_flight.backend();
--- a/crates/lift_gateway/src/stream_part.rs
+++ b/crates/lift_gateway/src/stream_part.rs
@@ -45,6 +45,12 @@
         self.events > BEGINNING_EVENTS
     }
 
+    /// Whether the part should go on where another one broke off and has had no event so far. Its
+    /// comments may come from anything else.
+    pub(crate) fn continues_nothing_yet(&self) -> bool {
+        self.is_continuation && self.events == 0
+    }
+
     /// Whether the end of the answer may be the end of the stream. An answer without any event may
     /// have broken off after its head if it ends with its connection, and as a continuation it
     /// shows nothing of the events that are missing.
