Refuse a whole request that crashes server after server

Cause: only parts of a prompt that requests share could be blamed. Answers to others cleared them, and nothing identified the request itself; requests without a prompt left no evidence at all.

Fix: the digest of the whole request is a suspect beside the parts. It is taken of no request in calm. A digest needs three ends of its own but need not explain most ends, so that several deadly requests are found; two digests at different servers don't tie. Answers clear a digest, and only suspected digests are kept among the answers. Parts and digest that explain the same ends are refused together only, until an answer clears the parts.

Changes to existing tests: requests with a deadly part in deadly_parts.rs have different paths, since no two are alike on the users' pages; alike ones are one request, whose part and digest are refused together. Both tests pass on the code before, too. The stand-in of a crashing server closes its listener before its connections: under load a probe was accepted in between (seen once, four ends in place of three). The play of lift_dispatch also has deadly requests; its plays without digests draw the same numbers as before.

--- a/crates/lift_dispatch/src/crash_log.rs
+++ b/crates/lift_dispatch/src/crash_log.rs
@@ -27,6 +27,17 @@
         self.crashes.is_empty()
     }
 
+    /// Whether the evidence that came first counts no longer, by `is_old`.
+    pub(crate) fn is_expired(&self, is_old: impl Fn(time::Instant) -> bool) -> bool {
+        self.crashes.front().is_some_and(|crash| is_old(crash.at))
+    }
+
+    /// Whether there is evidence against `suspect`.
+    pub(crate) fn suspects(&self, suspect: &str) -> bool {
+        let is_suspected = |crash: &part_crash::PartCrash| crash.suspects.contains(suspect);
+        self.crashes.iter().any(is_suspected)
+    }
+
     /// Adds a request that was at a backend server when it ended. Returns whether it is new
     /// evidence against a part.
     pub(crate) fn add(&mut self, crash: part_crash::PartCrash) -> bool {
--- a/crates/lift_dispatch/src/part_evidence.rs
+++ b/crates/lift_dispatch/src/part_evidence.rs
@@ -17,6 +17,14 @@
         self.ends.add(backend, at);
     }
 
+    /// Whether at most one of two suspects may be at fault. Two requests that were never at the same
+    /// backend server may both be.
+    pub(crate) fn excludes(&self, suspect: &str, other: &Self, other_suspect: &str) -> bool {
+        let is_request = lift_fleet::RequestDigest::is_digest;
+        let is_part = !is_request(suspect) || !is_request(other_suspect);
+        is_part || self.ends.shares_any(&other.ends)
+    }
+
     /// Orders two parts by how well each explains the ends; the greater one does so better. A part
     /// that was never answered comes before one that was, then the part with more ends, then the
     /// one that was answered longer ago. The position in the prompt tells nothing.
--- a/crates/lift_dispatch/src/part_quarantine.rs
+++ b/crates/lift_dispatch/src/part_quarantine.rs
@@ -50,6 +50,11 @@
 }
 
 impl PartQuarantine {
+    /// Whether nothing is suspected, so that the digests of whole requests need not be known.
+    pub fn is_calm(&self) -> bool {
+        self.crashes.is_empty() && self.quarantines.is_empty()
+    }
+
     /// The parts that keep a request with these parts from backend servers for the longest time.
     /// `None` if the request may be sent.
     pub fn blocked(
@@ -133,7 +138,11 @@
     /// Records that an answer to a request with `part` was complete at `at`, which clears the part
     /// of all ends before. Returns whether that was news, so that other gateways should know.
     pub fn record_answer(&mut self, at: time::Instant, part: &str) -> bool {
-        self.answers.record(at, part);
+        // Most requests come once, so their digests would push out the parts.
+        match lift_fleet::RequestDigest::is_digest(part) && !self.is_suspected(part) {
+            true => self.answers.record_any(at),
+            false => self.answers.record(at, part),
+        }
         let mut is_news = self.crashes.clear(at, part);
         for quarantine in &mut self.quarantines {
             if !quarantine.clear(at, part) {
@@ -159,7 +168,11 @@
     /// return.
     pub fn is_update_due(&self, now: time::Instant) -> bool {
         let is_over = |quarantine: &quarantine::Quarantine| now >= quarantine.until;
-        self.is_undecided || !self.changes.is_empty() || self.quarantines.iter().any(is_over)
+        let is_old = |at: time::Instant| now.saturating_duration_since(at) >= QUARANTINE_TIME;
+        self.crashes.is_expired(is_old)
+            || self.is_undecided
+            || !self.changes.is_empty()
+            || self.quarantines.iter().any(is_over)
     }
 
     /// Starts and ends quarantines. Returns all changes since the last call.
@@ -191,13 +204,15 @@
             return None;
         }
         let mut evidence = self.crashes.evidence();
-        evidence.retain(|_, evidence| self.is_enough(evidence));
+        evidence.retain(|suspect, evidence| self.is_enough(suspect, evidence));
         self.is_undecided = !evidence.is_empty();
         let worst = evidence.iter().max_by(|a, b| self.cmp_suspects(a, b))?;
-        // Two parts that explain as many ends, but not the same ones, are told apart by the next.
+        // Two suspects that explain as many ends, but not the same ones, are told apart by the next.
         let companions = self.crashes.companions(worst.0);
         let is_tied = evidence.iter().any(|other| {
-            !companions.contains(*other.0) && self.cmp_suspects(&other, &worst).is_eq()
+            !companions.contains(*other.0)
+                && other.1.excludes(other.0, worst.1, worst.0)
+                && self.cmp_suspects(&other, &worst).is_eq()
         });
         let is_decided = !is_tied && self.is_settled(now, worst.0, worst.1);
         is_decided.then(|| String::from(*worst.0))
@@ -210,11 +225,20 @@
         a.1.cmp_with(answered, b.1, other_answered)
     }
 
-    /// Whether enough backend servers have ended on a part, and the part explains most of the ends
-    /// since its first one.
-    fn is_enough(&self, evidence: &part_evidence::PartEvidence) -> bool {
+    /// Whether enough backend servers have ended on a suspect. A part must also explain most of the
+    /// ends since its first one, since it stands in many requests. One request is seldom at several
+    /// servers that end, and other deadly ones may come beside it.
+    fn is_enough(&self, suspect: &str, evidence: &part_evidence::PartEvidence) -> bool {
         let ends = evidence.ends.count_separate();
-        ends >= MIN_ENDS && ends * 2 > self.crashes.count_separate_since(evidence.ends.first())
+        let explains_most = || ends * 2 > self.crashes.count_separate_since(evidence.ends.first());
+        let is_request = lift_fleet::RequestDigest::is_digest(suspect);
+        ends >= MIN_ENDS && (is_request || explains_most())
+    }
+
+    /// Whether there is evidence against `suspect`, or it is quarantined.
+    fn is_suspected(&self, suspect: &str) -> bool {
+        let is_quarantined = |quarantine: &quarantine::Quarantine| quarantine.suspects(suspect);
+        self.crashes.suspects(suspect) || self.quarantines.iter().any(is_quarantined)
     }
 
     /// Whether the part would have been answered since the first end if it was sound: some time has
--- a/crates/lift_dispatch/src/quarantine.rs
+++ b/crates/lift_dispatch/src/quarantine.rs
@@ -45,7 +45,12 @@
 
     /// Whether one of these parts may be at fault.
     pub(crate) fn suspects_any(&self, parts: &[lift_fleet::PromptPart]) -> bool {
-        parts.iter().any(|part| self.suspects.contains_key(part))
+        parts.iter().any(|part| self.suspects(part))
+    }
+
+    /// Whether this part may be at fault.
+    pub(crate) fn suspects(&self, part: &str) -> bool {
+        self.suspects.contains_key(part)
     }
 
     /// The suspected parts.
--- a/crates/lift_dispatch/src/server_ends.rs
+++ b/crates/lift_dispatch/src/server_ends.rs
@@ -43,6 +43,11 @@
         self.ends.get(backend).copied()
     }
 
+    /// Whether a backend server has ended that is in `other` too.
+    pub(crate) fn shares_any(&self, other: &Self) -> bool {
+        self.ends.keys().any(|backend| other.get(backend).is_some())
+    }
+
     /// When the first of the backend servers ended.
     pub(crate) fn first(&self) -> Option<time::Instant> {
         self.ends.values().min().copied()
--- a/crates/lift_dispatch/tests/part_play/counts.rs
+++ b/crates/lift_dispatch/tests/part_play/counts.rs
@@ -5,9 +5,9 @@
 /// Counts of one play.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Counts {
-    /// When backend servers ended on the deadly part.
+    /// When backend servers ended on deadly requests.
     pub(crate) crashes: Vec<time::Instant>,
-    /// When requests with the deadly part arrived at backend servers.
+    /// When deadly requests arrived at backend servers.
     pub(crate) deadly_arrivals: Vec<time::Instant>,
     /// Sound requests that arrived at a backend server at the first attempt.
     pub(crate) sound_arrivals: usize,
@@ -18,10 +18,15 @@
 }
 
 impl Counts {
-    /// Arrivals with the deadly part later than the contact time after the fifth crash.
+    /// Arrivals of deadly requests later than the contact time after the fifth crash.
     pub(crate) fn late_arrivals(&self, contact: time::Duration) -> usize {
-        let fifth = self.crashes.get(4).copied();
-        let is_late = |at: &&time::Instant| fifth.is_some_and(|fifth| **at > fifth + contact);
+        self.arrivals_after(5, contact)
+    }
+
+    /// Arrivals of deadly requests later than the contact time after the given number of crashes.
+    pub(crate) fn arrivals_after(&self, crashes: usize, contact: time::Duration) -> usize {
+        let last = self.crashes.get(crashes - 1).copied();
+        let is_late = |at: &&time::Instant| last.is_some_and(|last| **at > last + contact);
         self.deadly_arrivals.iter().filter(is_late).count()
     }
 }
--- a/crates/lift_dispatch/tests/part_play/play.rs
+++ b/crates/lift_dispatch/tests/part_play/play.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use super::{counts, request};
+use super::{counts, request, traffic};
 
 /// The part that crashes backend servers.
 pub(crate) const DEADLY: &str = "deadly";
@@ -24,6 +24,14 @@
     observation: lift_fleet::PartObservation,
 }
 
+/// What a request does to the server that runs it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Nature {
+    Sound,
+    WithDeadlyPart,
+    Deadly,
+}
+
 pub(crate) struct Play {
     pub(crate) now: time::Instant,
     pub(crate) counts: counts::Counts,
@@ -31,6 +39,8 @@
     /// Identifier of each backend server, and the time until which it is down.
     servers: Vec<(u64, time::Instant)>,
     requests: Vec<request::Request>,
+    /// Number of requests that have arrived.
+    arrived: u64,
     sightings: Vec<Sighting>,
     random: u64,
 }
@@ -44,22 +54,42 @@
             gateways: vec![lift_dispatch::PartQuarantine::default(); gateways],
             servers: (0..servers).map(|id| (id as u64, now)).collect(),
             requests: Vec::new(),
+            arrived: 0,
             sightings: Vec::new(),
             random: seed,
         }
     }
 
-    /// Plays for `ms` with the given numbers of requests a second.
-    pub(crate) fn run(&mut self, ms: u64, sound_per_s: u64, deadly_per_s: u64) {
+    /// Plays for `ms` with the given numbers of requests a second, some with the deadly part.
+    pub(crate) fn run(&mut self, ms: u64, sound: u64, with_deadly_part: u64) {
+        self.run_with(
+            ms,
+            traffic::Traffic {
+                sound,
+                with_deadly_part,
+                ..traffic::Traffic::default()
+            },
+        );
+    }
+
+    /// Plays for `ms`.
+    pub(crate) fn run_with(&mut self, ms: u64, traffic: traffic::Traffic) {
         for _ in 0..ms / STEP.as_millis() as u64 {
             self.now += STEP;
             self.deliver();
             self.work();
             let steps_per_s = 1_000 / STEP.as_millis() as u64;
-            for (per_s, is_deadly) in [(sound_per_s, false), (deadly_per_s, true)] {
+            let rates = [
+                (traffic.sound, Nature::Sound),
+                (traffic.with_deadly_part, Nature::WithDeadlyPart),
+                (traffic.deadly, Nature::Deadly),
+            ];
+            // Plays without deadly requests draw the same numbers as before there were any.
+            let kinds = if traffic.deadly > 0 { 3 } else { 2 };
+            for (per_s, nature) in rates.into_iter().take(kinds) {
                 let is_one_more = self.draw(steps_per_s) < per_s % steps_per_s;
                 for _ in 0..per_s / steps_per_s + u64::from(is_one_more) {
-                    self.arrive(is_deadly);
+                    self.arrive(nature, traffic);
                 }
             }
         }
@@ -84,9 +114,17 @@
 
     /// Gateways that refuse requests with `part` now.
     pub(crate) fn refusing(&self, part: &str) -> usize {
-        let parts = [String::from(part)];
+        self.refusing_all(&[String::from(part)])
+    }
+
+    /// Gateways that refuse the given deadly request now.
+    pub(crate) fn refusing_request(&self, kind: u64) -> usize {
+        self.refusing_all(&deadly_request(kind, false))
+    }
+
+    fn refusing_all(&self, parts: &[String]) -> usize {
         let is_refused =
-            |gateway: &&lift_dispatch::PartQuarantine| gateway.blocked(self.now, &parts).is_some();
+            |gateway: &&lift_dispatch::PartQuarantine| gateway.blocked(self.now, parts).is_some();
         self.gateways.iter().filter(is_refused).count()
     }
 
@@ -97,19 +135,30 @@
     }
 
     /// A request arrives at a gateway. Callers are drawn with unequal shares.
-    fn arrive(&mut self, is_deadly: bool) {
+    fn arrive(&mut self, nature: Nature, traffic: traffic::Traffic) {
         let caller = self.draw(10) * self.draw(10) / 9;
-        let mut parts = vec![String::from("shared"), format!("caller {caller}")];
-        match is_deadly {
-            true => parts.push(String::from(DEADLY)),
-            false => parts.push(format!("document {}", self.draw(500))),
+        self.arrived += 1;
+        let mut parts = match traffic.is_plain {
+            true => Vec::new(),
+            false => vec![String::from("shared"), format!("caller {caller}")],
+        };
+        match nature {
+            Nature::Sound if traffic.is_plain => {}
+            Nature::Sound => parts.push(format!("document {}", self.draw(500))),
+            Nature::WithDeadlyPart => parts.push(String::from(DEADLY)),
+            Nature::Deadly => {
+                let kind = self.draw(traffic.deadly_kinds);
+                parts = deadly_request(kind, traffic.is_plain);
+            }
+        }
+        if nature != Nature::Deadly && traffic.has_digests {
+            parts.push(digest(self.arrived));
         }
         let gateway = self.draw(self.gateways.len() as u64) as usize;
-        self.send(gateway, parts, None);
+        self.send(gateway, parts, nature != Nature::Sound, None);
     }
 
-    fn send(&mut self, gateway: usize, parts: Vec<String>, tried: Option<usize>) {
-        let is_deadly = parts.iter().any(|part| part == DEADLY);
+    fn send(&mut self, gateway: usize, parts: Vec<String>, is_deadly: bool, tried: Option<usize>) {
         let Some(server) = self.running_server(tried) else {
             return;
         };
@@ -126,6 +175,7 @@
         let ends = begins + time::Duration::from_millis(400 + self.draw(800));
         self.requests.push(request::Request {
             parts,
+            is_deadly,
             gateway,
             server,
             begins,
@@ -143,8 +193,7 @@
     /// Ends backend servers that begin an answer on the deadly part, and completes answers.
     fn work(&mut self) {
         let now = self.now;
-        let is_deadly = |req: &&request::Request| req.parts.iter().any(|part| part == DEADLY);
-        let ends_server = |req: &&request::Request| req.begins <= now && is_deadly(req);
+        let ends_server = |req: &&request::Request| req.begins <= now && req.is_deadly;
         while let Some(server) = self.requests.iter().find(ends_server).map(|r| r.server) {
             self.counts.crashes.push(self.now);
             self.end_server(server);
@@ -178,8 +227,8 @@
             }
             let may_repeat = self.gateways[gateway].may_repeat(self.now, &req.parts);
             if may_repeat && !req.is_repeat {
-                self.send(gateway, req.parts, Some(server));
-            } else if !may_repeat && !req.parts.iter().any(|part| part == DEADLY) {
+                self.send(gateway, req.parts, req.is_deadly, Some(server));
+            } else if !may_repeat && !req.is_deadly {
                 self.counts.sound_given_up += 1;
             }
         }
@@ -221,3 +270,21 @@
         }
     }
 }
+
+fn digest(number: u64) -> String {
+    let digest = lift_fleet::RequestDigest::new(u128::from(number).to_be_bytes());
+    digest.as_suspect().clone()
+}
+
+/// Parts and digest of a deadly request. Sound requests share the parts.
+fn deadly_request(kind: u64, is_plain: bool) -> Vec<String> {
+    let digest = digest(u64::MAX - kind);
+    match is_plain {
+        true => vec![digest],
+        false => vec![
+            String::from("shared"),
+            format!("caller {}", kind % 10),
+            digest,
+        ],
+    }
+}
--- a/crates/lift_dispatch/tests/part_play/request.rs
+++ b/crates/lift_dispatch/tests/part_play/request.rs
@@ -5,7 +5,9 @@
 /// A request in progress.
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
+    /// Parts of the prompt and the digest.
     pub(crate) parts: Vec<lift_fleet::PromptPart>,
+    pub(crate) is_deadly: bool,
     pub(crate) gateway: usize,
     pub(crate) server: usize,
     /// When its answer begins.
--- a/crates/lift_gateway/src/http_server.rs
+++ b/crates/lift_gateway/src/http_server.rs
@@ -74,7 +74,7 @@
 async fn prepare(
     shared: &Shared,
     started: time::Instant,
-    head: caller_head::CallerHead,
+    mut head: caller_head::CallerHead,
     parts: http::request::Parts,
     body: hyper::body::Incoming,
 ) -> Result<request_run::RequestRun, lift_dispatch::RejectionReason> {
@@ -83,6 +83,8 @@
     if !shared.is_confirmed(started) {
         return Err(lift_dispatch::RejectionReason::Unconfirmed);
     }
+    let is_part = |part: &String| !lift_fleet::RequestDigest::is_digest(part);
+    head.parts.retain(is_part);
     let host = host(&parts).ok_or(lift_dispatch::RejectionReason::Malformed)?;
     let denial = |reason| shared.denial_reason(reason);
     let route = table.find(host, parts.uri.path());
--- a/crates/lift_gateway/src/part_guard.rs
+++ b/crates/lift_gateway/src/part_guard.rs
@@ -1,6 +1,6 @@
 //! Protection of backend servers against parts of prompts that crash them.
 
-use std::{sync, time};
+use std::{sync, sync::atomic, time};
 
 use crate::sighting_queue;
 
@@ -15,6 +15,8 @@
     /// One lock for all parts, since a decision compares the parts of many requests. Requests
     /// without parts don't take it.
     quarantine: parking_lot::Mutex<lift_dispatch::PartQuarantine>,
+    /// Whether anything is suspected or quarantined.
+    is_alert: atomic::AtomicBool,
     /// What the other gateways should know.
     pub(crate) sightings: sighting_queue::SightingQueue,
     log: slog::Logger,
@@ -25,12 +27,18 @@
     pub(crate) fn new(log: slog::Logger, counters: sync::Arc<lift_obs::Counters>) -> Self {
         Self {
             quarantine: parking_lot::Mutex::default(),
+            is_alert: atomic::AtomicBool::new(false),
             sightings: sighting_queue::SightingQueue::default(),
             log,
             counters,
         }
     }
 
+    /// Whether nothing is suspected, so that no digests of whole requests are needed.
+    pub(crate) fn is_calm(&self) -> bool {
+        !self.is_alert.load(atomic::Ordering::Relaxed)
+    }
+
     /// The quarantine that keeps a request with these parts from backend servers, if any.
     pub(crate) fn blocked(
         &self,
@@ -110,6 +118,8 @@
             if quarantine.is_update_due(now) {
                 changes.extend(quarantine.update(now));
             }
+            self.is_alert
+                .store(!quarantine.is_calm(), atomic::Ordering::Relaxed);
             (result, changes)
         };
         for change in &changes {
--- a/crates/lift_gateway/src/request_attempt.rs
+++ b/crates/lift_gateway/src/request_attempt.rs
@@ -138,7 +138,7 @@
 
     /// Checks that no part of the prompt is quarantined.
     fn check_parts(&self) -> Result<(), attempt_error::AttemptError> {
-        let Some(blocked) = self.shared.parts.blocked(&self.head.parts) else {
+        let Some(blocked) = self.shared.parts.blocked(&self.suspects()) else {
             return Ok(());
         };
         self.shared.log.write_limited(|log| {
--- a/crates/lift_gateway/src/request_identity.rs
+++ b/crates/lift_gateway/src/request_identity.rs
@@ -1,8 +1,26 @@
 //! Identity of the content of a request.
 
+use std::borrow;
+
 use crate::request_run;
 
 impl request_run::RequestRun {
+    /// What may be at fault if a backend server ends on this request: the shared parts of its prompt
+    /// and, unless nothing is suspected at present, the request as a whole.
+    pub(crate) fn suspects(&self) -> borrow::Cow<'_, [lift_fleet::PromptPart]> {
+        match self.shared.parts.is_calm() {
+            true => borrow::Cow::Borrowed(&self.head.parts),
+            false => borrow::Cow::Owned(self.suspects_with_digest()),
+        }
+    }
+
+    /// Like [`Self::suspects`], with the digest in any case.
+    pub(crate) fn suspects_with_digest(&self) -> Vec<lift_fleet::PromptPart> {
+        let digest = self.digest().as_suspect();
+        let suspects = self.head.parts.iter().chain([digest]);
+        suspects.cloned().collect()
+    }
+
     /// Digest of what the caller sends again if it repeats the request under another identifier.
     /// It is computed once, and only if it is needed.
     pub(crate) fn digest(&self) -> &lift_fleet::RequestDigest {
--- a/crates/lift_gateway/src/request_records.rs
+++ b/crates/lift_gateway/src/request_records.rs
@@ -137,12 +137,8 @@
                 "backend" => &backend.id, "parts" => self.head.parts.join(","),
                 "digest" => self.digest().as_suspect());
         });
-        if self.head.parts.is_empty() {
-            return;
-        }
-        self.shared
-            .parts
-            .record_crash(&backend.id, &self.head.parts);
+        let suspects = self.suspects_with_digest();
+        self.shared.parts.record_crash(&backend.id, &suspects);
     }
 
     /// Writes the loads on which the request was refused.
--- a/crates/lift_gateway/src/request_run.rs
+++ b/crates/lift_gateway/src/request_run.rs
@@ -98,7 +98,7 @@
             Ok(body) if !status.is_server_error() => {
                 self.record_success(exchange.in_flight.backend());
                 if exchange.is_end_marked() {
-                    self.shared.parts.record_answer(&self.head.parts);
+                    self.shared.parts.record_answer(&self.suspects());
                 }
                 return Ok(self.forward_complete(exchange, body));
             }
@@ -159,7 +159,7 @@
         &self,
         failure: lift_dispatch::AttemptFailure,
     ) -> lift_dispatch::RetryDecision {
-        if self.may_have_run && !self.shared.parts.may_repeat(&self.head.parts) {
+        if self.may_have_run && !self.shared.parts.may_repeat(&self.suspects()) {
             return lift_dispatch::RetryDecision::GiveUp;
         }
         let now = lift_clock::now();
@@ -225,7 +225,7 @@
         let last = self.tried.last().cloned().unwrap_or_default();
         self.log_outcome(<&str>::from(reason), reason.http_status(), &last);
         let blocked = (reason == lift_dispatch::RejectionReason::Quarantined)
-            .then(|| self.shared.parts.blocked(&self.head.parts))
+            .then(|| self.shared.parts.blocked(&self.suspects()))
             .flatten();
         let id = Some(self.head.id.clone());
         let retry_after = match blocked {
--- a/crates/lift_gateway/tests/deadly_parts.rs
+++ b/crates/lift_gateway/tests/deadly_parts.rs
@@ -17,7 +17,9 @@
     let mut statuses = Vec::new();
     for i in 0..5 {
         let id = format!("deadly-{i}");
-        let result = fleet.call_with_parts(route, &id, DEADLY).await;
+        // No two requests with the part are alike.
+        let route = format!("{route}/{i}");
+        let result = fleet.call_with_parts(&route, &id, DEADLY).await;
         statuses.push(result.map_or(0, |(status, _)| status));
         let id = format!("sound-{i}");
         let sound = fleet.call_with_parts("idempotent", &id, SOUND).await;
@@ -65,7 +67,8 @@
         .enumerate()
     {
         let id = format!("deadly-{i}");
-        let result = fleet.call_with_parts("idempotent", &id, parts).await;
+        let route = format!("idempotent/{i}");
+        let result = fleet.call_with_parts(&route, &id, parts).await;
         statuses.push(result.map_or(0, |(status, _)| status));
         let parts = if i < 2 { "other" } else { "new" };
         let id = format!("sound-{i}");
--- a/crates/lift_gateway/tests/support/backend.rs
+++ b/crates/lift_gateway/tests/support/backend.rs
@@ -143,8 +143,11 @@
     replies: parking_lot::Mutex<Vec<Reply>>,
     received: parking_lot::Mutex<Vec<ReceivedRequest>>,
     hanging: sync::atomic::AtomicUsize,
-    /// A part on which the server ends, and what it sends before.
+    /// A part of a prompt or of a path on which the server ends, and what it sends before.
     deadly_part: Option<(String, String)>,
+    /// Ends the listener, and then `ended` the connections. A process that ends refuses connections
+    /// when its caller hears of it.
+    ending: tokio_util::sync::CancellationToken,
     ended: tokio_util::sync::CancellationToken,
 }
 
@@ -157,7 +160,8 @@
         Self::start_with(address, replies, None).await
     }
 
-    /// Starts a server that sends `beginning` and ends on requests with `part`: its listener and all
+    /// Starts a server that sends `beginning` and ends on requests with `part`, in their prompt or as
+    /// a segment of their path: its listener and all
     /// its connections are closed. It answers all other requests.
     pub(crate) async fn start_crashing_on(part: &str, beginning: &str) -> Self {
         let deadly_part = (String::from(part), String::from(beginning));
@@ -179,6 +183,7 @@
             received: parking_lot::Mutex::default(),
             hanging: sync::atomic::AtomicUsize::new(0),
             deadly_part,
+            ending: tokio_util::sync::CancellationToken::new(),
             ended: tokio_util::sync::CancellationToken::new(),
         });
         let shared = sync::Arc::clone(&state);
@@ -188,7 +193,15 @@
                 tokio::spawn(shared.ended.clone().run_until_cancelled_owned(serving));
             }
         };
-        tokio::spawn(state.ended.clone().run_until_cancelled_owned(accepting));
+        let ending = sync::Arc::clone(&state);
+        tokio::spawn(async move {
+            ending
+                .ending
+                .clone()
+                .run_until_cancelled_owned(accepting)
+                .await;
+            ending.ended.cancel();
+        });
         Self { address, state }
     }
 
@@ -226,11 +239,15 @@
         let id = find("x-id").unwrap_or_default();
         let parts = find("x-parts").unwrap_or_default();
         if let Some((deadly, beginning)) = &state.deadly_part
-            && parts.split(',').any(|part| part == deadly)
+            && parts
+                .split(',')
+                .chain(path_segments(&head))
+                .any(|part| part == deadly)
         {
             tokio::time::sleep(PREFILL_TIME).await;
             let _ = send(&mut stream, beginning, &id).await;
-            state.ended.cancel();
+            state.ending.cancel();
+            state.ended.cancelled().await;
             return;
         }
         let reply = state.replies.lock().pop().unwrap_or(Reply::ok("done"));
@@ -296,6 +313,11 @@
     stream.write_all(text.as_bytes()).await.ok()
 }
 
+fn path_segments(head: &str) -> impl Iterator<Item = &str> {
+    let target = head.split(' ').nth(1).unwrap_or_default();
+    target.split('/')
+}
+
 async fn read_head(stream: &mut tokio::net::TcpStream, buf: &mut Vec<u8>) -> Option<String> {
     loop {
         if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
