--- a/crates/lift_gateway/src/request_records.rs
+++ b/crates/lift_gateway/src/request_records.rs
@@ -126,7 +126,7 @@
         failure: lift_dispatch::AttemptFailure,
     ) {
         let is_break = failure == lift_dispatch::AttemptFailure::Broken;
-        if !is_break || self.head.parts.is_empty() {
+        if !is_break {
             return;
         }
         if !server_probe::has_ended(backend.address).await {
@@ -134,11 +134,11 @@
         }
         self.shared.log.write_limited(|log| {
             slog::info!(log, "backend server ended on a request"; "request" => &self.head.id,
-                "backend" => &backend.id, "parts" => self.head.parts.join(","));
+                "backend" => &backend.id, "parts" => self.head.parts.join(","),
+                "digest" => self.digest().as_suspect());
         });
-        self.shared
-            .parts
-            .record_crash(&backend.id, &self.head.parts);
+        let suspects = self.suspects_with_digest();
+        self.shared.parts.record_crash(&backend.id, &suspects);
     }
 
     /// Writes the loads on which the request was refused.
--- a/crates/lift_gateway/tests/support/backend.rs
+++ b/crates/lift_gateway/tests/support/backend.rs
@@ -143,11 +143,11 @@
     replies: parking_lot::Mutex<Vec<Reply>>,
     received: parking_lot::Mutex<Vec<ReceivedRequest>>,
     hanging: sync::atomic::AtomicUsize,
-    /// A part on which the server ends, and what it sends before.
+    /// A part of a prompt or of a path on which the server ends, and what it sends before.
     deadly_part: Option<(String, String)>,
-    /// Cancelled in this order, so that a server whose connections break accepts no others.
-    is_ending: tokio_util::sync::CancellationToken,
-    listener_closed: tokio_util::sync::CancellationToken,
+    /// Ends the listener, and then `ended` the connections. A process that ends refuses connections
+    /// when its caller hears of it.
+    ending: tokio_util::sync::CancellationToken,
     ended: tokio_util::sync::CancellationToken,
 }
 
@@ -160,7 +160,8 @@
         Self::start_with(address, replies, None).await
     }
 
-    /// Starts a server that sends `beginning` and ends on requests with `part`: its listener and all
+    /// Starts a server that sends `beginning` and ends on requests with `part`, in their prompt or as
+    /// a segment of their path: its listener and all
     /// its connections are closed. It answers all other requests.
     pub(crate) async fn start_crashing_on(part: &str, beginning: &str) -> Self {
         let deadly_part = (String::from(part), String::from(beginning));
@@ -182,14 +183,24 @@
             received: parking_lot::Mutex::default(),
             hanging: sync::atomic::AtomicUsize::new(0),
             deadly_part,
-            listener_closed: tokio_util::sync::CancellationToken::new(),
-            is_ending: tokio_util::sync::CancellationToken::new(),
+            ending: tokio_util::sync::CancellationToken::new(),
             ended: tokio_util::sync::CancellationToken::new(),
         });
         let shared = sync::Arc::clone(&state);
+        let accepting = async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let serving = serve(sync::Arc::clone(&shared), stream);
+                tokio::spawn(shared.ended.clone().run_until_cancelled_owned(serving));
+            }
+        };
+        let ending = sync::Arc::clone(&state);
         tokio::spawn(async move {
-            accept(&shared, listener).await;
-            shared.listener_closed.cancel();
+            ending
+                .ending
+                .clone()
+                .run_until_cancelled_owned(accepting)
+                .await;
+            ending.ended.cancel();
         });
         Self { address, state }
     }
@@ -208,17 +219,6 @@
     }
 }
 
-/// Accepts connections until the server ends, and closes the listener.
-async fn accept(state: &sync::Arc<State>, listener: tokio::net::TcpListener) {
-    let accepting = async {
-        while let Ok((stream, _)) = listener.accept().await {
-            let serving = serve(sync::Arc::clone(state), stream);
-            tokio::spawn(state.ended.clone().run_until_cancelled_owned(serving));
-        }
-    };
-    state.is_ending.run_until_cancelled(accepting).await;
-}
-
 async fn serve(state: sync::Arc<State>, mut stream: tokio::net::TcpStream) {
     let mut buf = Vec::new();
     for request in 0.. {
@@ -239,13 +239,15 @@
         let id = find("x-id").unwrap_or_default();
         let parts = find("x-parts").unwrap_or_default();
         if let Some((deadly, beginning)) = &state.deadly_part
-            && parts.split(',').any(|part| part == deadly)
+            && parts
+                .split(',')
+                .chain(path_segments(&head))
+                .any(|part| part == deadly)
         {
             tokio::time::sleep(PREFILL_TIME).await;
             let _ = send(&mut stream, beginning, &id).await;
-            state.is_ending.cancel();
-            state.listener_closed.cancelled().await;
-            state.ended.cancel();
+            state.ending.cancel();
+            state.ended.cancelled().await;
             return;
         }
         let reply = state.replies.lock().pop().unwrap_or(Reply::ok("done"));
@@ -311,6 +313,11 @@
     stream.write_all(text.as_bytes()).await.ok()
 }
 
+fn path_segments(head: &str) -> impl Iterator<Item = &str> {
+    let target = head.split(' ').nth(1).unwrap_or_default();
+    target.split('/')
+}
+
 async fn read_head(stream: &mut tokio::net::TcpStream, buf: &mut Vec<u8>) -> Option<String> {
     loop {
         if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
