--- a/crates/lift_dispatch/tests/deadly_requests.rs
+++ b/crates/lift_dispatch/tests/deadly_requests.rs
@@ -88,6 +88,27 @@
     }
 }
 
+#[test]
+fn ordinary_crashes_beside_digests_quarantine_nothing() {
+    // Guards against the quarantine of sound parts and requests when many backend servers end.
+    for (gateways, servers) in [(5, 12), (14, 40), (52, 200)] {
+        for seed in 1..=4 {
+            let mut play = Play::new(gateways, servers, seed);
+            play.run_with(2_000, SOUND);
+            for _ in 0..6 {
+                play.end_servers(servers / 2);
+                for _ in 0..3 {
+                    play.run_with(400, SOUND);
+                    play.end_servers(1);
+                }
+                play.run_with(4_000, SOUND);
+            }
+            let case = (gateways, servers, seed);
+            assert_eq!(play.counts.sound_refused, 0, "{case:?}");
+        }
+    }
+}
+
 #[test]
 fn a_deadly_part_is_found_although_its_requests_are_sent_again() {
     // Guards against blaming a single request in place of the part that it shares with others.
